--- /dev/null
+++ b/crates/quincevalve_entry/src/answer.rs
@@ -0,0 +1,212 @@
+//! The log of one answer: what relays append to and callers read from.
+
+use std::{
+    future::poll_fn,
+    sync::{Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+};
+
+use bytes::Bytes;
+use quincevalve_names::{RequestId, Sequence, TimePoint};
+
+use crate::refusal::Refusal;
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum End {
+    /// The backend server confirmed that it is whole.
+    Whole,
+    /// There is no whole answer; this is the truth about it.
+    Refused(Refusal),
+    /// Another entry VM has the request now.
+    Moved,
+}
+
+/// The head of a plain service's answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct ServiceHead {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct AnswerState {
+    /// Texts of all tokens, one after the other.
+    text: String,
+    /// Where each token ends in `text`. Compact: a token costs its text and four bytes.
+    ends: Vec<u32>,
+    /// The bytes of a plain service's answer.
+    chunks: Vec<Bytes>,
+    head: Option<ServiceHead>,
+    end: Option<End>,
+    wakers: Vec<Waker>,
+    readers: u32,
+    unread_since: TimePoint,
+}
+
+/// One answer. Appending wakes all readers.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    id: RequestId,
+    state: Mutex<AnswerState>,
+}
+
+impl Answer {
+    pub(crate) fn new(id: RequestId) -> Self {
+        Self { id, state: Mutex::default() }
+    }
+
+    pub(crate) const fn id(&self) -> RequestId {
+        self.id
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AnswerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, change: impl FnOnce(&mut AnswerState)) {
+        let wakers = {
+            let mut state = self.lock();
+            change(&mut state);
+            std::mem::take(&mut state.wakers)
+        };
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Appends tokens; the relay has put them in order.
+    pub(crate) fn push_tokens<'a>(&self, tokens: impl IntoIterator<Item = &'a str>) {
+        self.change(|it| it.push_tokens(tokens));
+    }
+
+    pub(crate) fn set_head(&self, head: ServiceHead) {
+        self.change(|it| it.head = Some(head));
+    }
+
+    pub(crate) fn push_bytes(&self, bytes: Bytes) {
+        self.change(|it| it.chunks.push(bytes));
+    }
+
+    /// Ends the answer. The first end stands: a late one changes nothing that a caller was told.
+    pub(crate) fn end(&self, end: End) {
+        self.change(|it| {
+            it.end.get_or_insert(end);
+        });
+    }
+
+    pub(crate) fn next(&self) -> Sequence {
+        Sequence(self.lock().ends.len() as u32)
+    }
+
+    pub(crate) fn ended(&self) -> Option<End> {
+        self.lock().end.clone()
+    }
+
+    /// Bytes that keeping this answer takes.
+    pub(crate) fn size(&self) -> usize {
+        let state = self.lock();
+        state.text.len() + state.ends.len() * 4 + state.chunks.iter().map(Bytes::len).sum::<usize>()
+    }
+
+    /// Waits for the first token, the head, or the end.
+    pub(crate) async fn started(&self) {
+        poll_fn(|cx| self.poll_when(cx, AnswerState::has_started)).await;
+    }
+
+    /// Waits for the end.
+    pub(crate) async fn finished(&self) -> End {
+        poll_fn(|cx| self.poll_when(cx, |it| it.end.is_some())).await;
+        self.ended().unwrap_or(End::Moved)
+    }
+
+    fn poll_when(&self, cx: &Context<'_>, ready: impl Fn(&AnswerState) -> bool) -> Poll<()> {
+        let mut state = self.lock();
+        if ready(&state) {
+            return Poll::Ready(());
+        }
+        state.wait(cx);
+        Poll::Pending
+    }
+
+    /// Reads under the lock; `read` returns `None` to be woken at the next change.
+    pub(crate) fn poll_read<T>(
+        &self,
+        cx: &Context<'_>,
+        read: impl FnOnce(&AnswerState) -> Option<T>,
+    ) -> Poll<T> {
+        let mut state = self.lock();
+        if let Some(value) = read(&state) {
+            Poll::Ready(value)
+        } else {
+            state.wait(cx);
+            Poll::Pending
+        }
+    }
+
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&AnswerState) -> T) -> T {
+        read(&self.lock())
+    }
+
+    pub(crate) fn add_reader(&self) {
+        self.lock().readers += 1;
+    }
+
+    pub(crate) fn remove_reader(&self, now: TimePoint) {
+        let mut state = self.lock();
+        state.readers = state.readers.saturating_sub(1);
+        state.unread_since = now;
+    }
+
+    /// Since when nobody has read; `None` while somebody reads.
+    pub(crate) fn unread_since(&self) -> Option<TimePoint> {
+        let state = self.lock();
+        (state.readers == 0).then_some(state.unread_since)
+    }
+}
+
+impl AnswerState {
+    fn push_tokens<'a>(&mut self, tokens: impl IntoIterator<Item = &'a str>) {
+        for token in tokens {
+            self.text.push_str(token);
+            self.ends.push(self.text.len() as u32);
+        }
+    }
+
+    fn has_started(&self) -> bool {
+        !self.ends.is_empty() || self.head.is_some() || self.end.is_some()
+    }
+
+    fn wait(&mut self, cx: &Context<'_>) {
+        if !self.wakers.iter().any(|it| it.will_wake(cx.waker())) {
+            self.wakers.push(cx.waker().clone());
+        }
+    }
+
+    /// The tokens from a position on.
+    pub(crate) fn tokens_from(&self, from: Sequence) -> impl Iterator<Item = (Sequence, &str)> {
+        let first = (from.0 as usize).min(self.ends.len());
+        (first..self.ends.len()).map(|at| {
+            let start = if at == 0 { 0 } else { self.ends[at - 1] as usize };
+            (Sequence(at as u32), &self.text[start..self.ends[at] as usize])
+        })
+    }
+
+    pub(crate) fn token_count(&self) -> u32 {
+        self.ends.len() as u32
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    pub(crate) fn chunks_from(&self, from: usize) -> &[Bytes] {
+        &self.chunks[from.min(self.chunks.len())..]
+    }
+
+    pub(crate) const fn head(&self) -> Option<&ServiceHead> {
+        self.head.as_ref()
+    }
+
+    pub(crate) const fn end(&self) -> Option<&End> {
+        self.end.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_entry/src/attempt.rs
@@ -0,0 +1,198 @@
+//! Attempts: route → dispatch → relay, until the answer is whole or the truth about it is known.
+
+use std::sync::Arc;
+
+use quincevalve_inventory::Execution;
+use quincevalve_names::{BackendServerName, Outcome, TimePoint};
+use quincevalve_ports::engine::KvHandle;
+use quincevalve_recovery::Relay as RelayCore;
+use quincevalve_retries::{Failure, FailureReach, NextStep, RetryRules, decide};
+use quincevalve_routing::ServerIndex;
+
+use crate::{
+    answer::{Answer, End},
+    filters::{Dispatch, Relay, Route, settle},
+    pipe::{Filter, then},
+    refusal::{Refusal, RefusalKind},
+    request::{Accepted, Identified},
+    shared::Shared,
+};
+
+/// A request on its way to a server, with what earlier attempts left behind.
+pub(crate) struct Attempt {
+    pub(crate) request: Arc<Identified>,
+    pub(crate) answer: Arc<Answer>,
+    pub(crate) relay: RelayCore,
+    pub(crate) tried: Vec<ServerIndex>,
+    pub(crate) resume_on: Option<ServerIndex>,
+    pub(crate) import: Option<KvHandle>,
+    pub(crate) server: Option<BackendServerName>,
+    pub(crate) first_token_at: Option<TimePoint>,
+    pub(crate) resumes: u32,
+}
+
+impl Attempt {
+    pub(crate) fn new(request: Arc<Identified>, answer: Arc<Answer>) -> Self {
+        let relay = RelayCore::new(request.id, answer.next());
+        Self {
+            request,
+            answer,
+            relay,
+            tried: Vec::new(),
+            resume_on: None,
+            import: None,
+            server: None,
+            first_token_at: None,
+            resumes: 0,
+        }
+    }
+
+    /// Notes a server that the next attempt passes over.
+    pub(crate) fn tried(mut self, server: ServerIndex) -> Self {
+        self.tried.push(server);
+        self
+    }
+}
+
+/// Why an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// No server could take it.
+    NoServer,
+    /// The server said no before anything ran.
+    Refused,
+    /// The server answered with an error status.
+    Status,
+    /// The connection failed.
+    Transport,
+    /// Nothing came for too long.
+    Silent,
+    /// The stream can't be made whole.
+    Unsound,
+    /// Nobody reads the answer any more.
+    Abandoned,
+    /// The server's state was moved elsewhere.
+    Moved,
+}
+
+/// A failed attempt, with all that the next one needs.
+pub(crate) struct Failed {
+    pub(crate) attempt: Attempt,
+    pub(crate) cause: Cause,
+    reach: FailureReach,
+    announced: bool,
+    resumable: bool,
+    last: bool,
+}
+
+impl Failed {
+    /// No byte reached a server, or the server said that nothing ran.
+    pub(crate) const fn not_run(attempt: Attempt, cause: Cause) -> Self {
+        let reach = FailureReach::NotRun;
+        Self { attempt, cause, reach, announced: false, resumable: false, last: false }
+    }
+
+    pub(crate) const fn may_have_run(attempt: Attempt, cause: Cause) -> Self {
+        let reach = FailureReach::MayHaveRun;
+        Self { attempt, cause, reach, announced: false, resumable: false, last: false }
+    }
+
+    /// The failure says nothing of overload, so it doesn't draw on the retry budget.
+    pub(crate) fn announced(self) -> Self {
+        Self { announced: true, ..self }
+    }
+
+    /// Going on is the same run: the server keeps the generation under the request's id, or handed its
+    /// state on. Non-idempotent work may go on this way.
+    pub(crate) fn resumable(self) -> Self {
+        Self { resumable: true, ..self }
+    }
+
+    /// There must be no further attempt.
+    pub(crate) fn last(self) -> Self {
+        Self { last: true, ..self }
+    }
+}
+
+/// Runs an accepted request to its end.
+pub(crate) async fn serve(shared: Arc<Shared>, accepted: Accepted) {
+    let Accepted { request, answer, place } = accepted;
+    let route = Route { shared: Arc::clone(&shared) };
+    let dispatch = Dispatch { shared: Arc::clone(&shared) };
+    let relay = Relay { shared: Arc::clone(&shared) };
+    let pipe = then(route, then(dispatch, relay));
+
+    let mut attempt = Attempt::new(Arc::clone(&request), Arc::clone(&answer));
+    let mut attempts = 0;
+    let mut earlier = FailureReach::NotRun;
+    let (end, first_token_at) = loop {
+        attempts += 1;
+        match pipe.apply(attempt).await {
+            Ok(done) => break (End::Whole, done.first_token_at),
+            Err(failed) => {
+                let step = next_step(&shared, &failed, earlier, attempts);
+                if failed.reach == FailureReach::MayHaveRun {
+                    earlier = FailureReach::MayHaveRun;
+                }
+                attempt = failed.attempt;
+                log::debug!("request={} attempt={attempts} failed: {:?}", request.id, failed.cause);
+                match step {
+                    NextStep::Retry { after } => shared.timer.after(after).await,
+                    NextStep::GiveUp { outcome } => {
+                        let end = End::Refused(give_up(failed.cause, outcome, &request));
+                        break (end, attempt.first_token_at);
+                    }
+                }
+                if !failed.resumable {
+                    attempt.resume_on = None;
+                }
+            }
+        }
+    };
+    drop(place);
+    finish(&shared, &request, &answer, end, first_token_at, attempts);
+}
+
+fn finish(
+    shared: &Shared,
+    request: &Identified,
+    answer: &Answer,
+    end: End,
+    first_token_at: Option<TimePoint>,
+    attempts: u32,
+) {
+    let did_not_run = matches!(&end, End::Refused(it) if it.outcome == Outcome::NotRun);
+    answer.end(end.clone());
+    settle(shared, request, &end, first_token_at, attempts);
+    if did_not_run {
+        shared.answers.forget(request.id);
+    }
+}
+
+fn next_step(shared: &Shared, failed: &Failed, earlier: FailureReach, attempts: u32) -> NextStep {
+    let request = &failed.attempt.request;
+    if failed.last || failed.cause == Cause::Abandoned {
+        return NextStep::GiveUp { outcome: Outcome::MayHaveRun };
+    }
+    // A resumed run is the same run, so the rule against a second one doesn't concern it.
+    let execution = if failed.resumable { Execution::Idempotent } else { request.execution };
+    let failure = Failure {
+        reach: failed.reach,
+        earlier,
+        execution,
+        announced: failed.announced,
+        attempts,
+        left: request.gives_up_at() - shared.timer.now(),
+        needs: std::time::Duration::ZERO,
+    };
+    decide(&failure, &RetryRules::default(), &mut shared.budget())
+}
+
+fn give_up(cause: Cause, outcome: Outcome, request: &Identified) -> Refusal {
+    const RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+    let kind = match cause {
+        Cause::NoServer | Cause::Refused => RefusalKind::NoServer,
+        _ => RefusalKind::BackendFailed,
+    };
+    Refusal::new(kind, outcome).with_retry_after(RETRY_AFTER).with_request(request.id)
+}
--- /dev/null
+++ b/crates/quincevalve_entry/src/body.rs
@@ -0,0 +1,55 @@
+//! The body of a response to a caller.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+
+use crate::reader::{AnswerBroken, AnswerReader};
+
+/// An enum and not a boxed trait object: the request path has no `dyn`.
+pub(crate) enum EntryBody {
+    /// All at once.
+    Full(Full<Bytes>),
+    /// Read from an answer's log as it grows.
+    Answer(AnswerReader),
+}
+
+impl EntryBody {
+    pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::Full(Full::new(bytes.into()))
+    }
+}
+
+impl Body for EntryBody {
+    type Data = Bytes;
+    type Error = AnswerBroken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
+        match self.get_mut() {
+            Self::Full(full) => Pin::new(full).poll_frame(cx).map_err(|it| match it {}),
+            Self::Answer(reader) => reader.poll_bytes(cx).map_ok(Frame::data),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Full(full) => full.is_end_stream(),
+            Self::Answer(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(full) => full.size_hint(),
+            Self::Answer(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_entry/src/front.rs
@@ -0,0 +1,361 @@
+//! The callers' side: connections, bodies, paths.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use quincevalve_names::{ModelName, Outcome, RequestId, Sequence};
+use quincevalve_recovery::Work;
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+use crate::{
+    answer::{Answer, End},
+    answers::Known,
+    attempt::serve,
+    body::EntryBody,
+    filters::{Admit, Claim, Identify},
+    openai::{StreamShape, whole_body},
+    pipe::{Filter, then},
+    reader::AnswerReader,
+    refusal::{Refusal, RefusalKind, insert_request_id},
+    request::{Claimed, Received, Shape},
+    shared::Shared,
+};
+
+type Reply = Response<EntryBody>;
+
+/// Accepts callers until `stop` says otherwise, then waits until open connections have ended.
+pub(crate) async fn accept(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let most = shared.settings.limits.connections;
+    let connections = Arc::new(Semaphore::new(shared.settings.limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|it| *it) => break,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let permit = Arc::clone(&connections).try_acquire_owned().ok();
+        let shared = Arc::clone(&shared);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let has_permit = permit.is_some();
+            serve_connection(shared, stream, has_permit, stop).await;
+            drop(permit);
+        });
+    }
+    // Every permit is back once every connection has ended.
+    let all = connections.acquire_many(most.try_into().unwrap_or(u32::MAX)).await;
+    drop(all);
+}
+
+async fn serve_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    has_permit: bool,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = shared.settings.limits;
+    let service = hyper::service::service_fn(move |req| {
+        let shared = Arc::clone(&shared);
+        async move {
+            if !has_permit {
+                let refusal = Refusal::from(RefusalKind::TooManyConnections);
+                let refusal = refusal.with_retry_after(Duration::from_secs(1));
+                return Ok::<_, Infallible>(close(refusal.into_response()));
+            }
+            Ok(answer(shared, req).await)
+        }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let stopped = async move {
+        let _ = stop.wait_for(|it| *it).await;
+    };
+    tokio::select! {
+        // A caller that goes away in the middle is not an error of this VM.
+        _ = connection.as_mut() => {}
+        () = stopped => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+/// The smallest buffer that the HTTP library takes.
+const MIN_BUFFER: usize = 8_192;
+
+fn close(mut reply: Reply) -> Reply {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
+async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
+    let leaving = shared.is_leaving();
+    let path = req.uri().path().to_owned();
+    let reply = match (req.method().clone(), path.as_str()) {
+        (Method::GET, "/healthz") => Ok(text(StatusCode::OK, "ok")),
+        (Method::GET, "/readyz") if leaving => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "leaving")),
+        (Method::GET, "/readyz") => Ok(text(StatusCode::OK, "ready")),
+        (Method::GET, "/internal/burn") => Ok(json(&shared.burn.report(shared.timer.now()))),
+        (Method::GET, "/v1/models") => models(&shared, req.headers()),
+        (Method::GET, path) if path.starts_with(REQUESTS) => reattach(&shared, &req),
+        _ => serve_request(&shared, req).await,
+    };
+    let reply = reply.unwrap_or_else(Refusal::into_response);
+    // A caller on a kept-alive connection moves on to another VM with its next request.
+    if leaving { close(reply) } else { reply }
+}
+
+const REQUESTS: &str = "/v1/requests/";
+
+fn text(status: StatusCode, text: &'static str) -> Reply {
+    let mut reply = Response::new(EntryBody::full(text));
+    *reply.status_mut() = status;
+    reply
+}
+
+fn json<T>(value: &T) -> Reply
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    json_bytes(body.into())
+}
+
+fn json_bytes(body: Bytes) -> Reply {
+    let mut reply = Response::new(EntryBody::full(body));
+    let value = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, value);
+    reply
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'a str,
+    data: Vec<ModelRow<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelRow<'a> {
+    id: &'a ModelName,
+    object: &'a str,
+    owned_by: &'a str,
+}
+
+fn models(shared: &Shared, headers: &HeaderMap) -> Result<Reply, Refusal> {
+    let view = shared.view();
+    crate::filters::identify_account(&view, headers)?;
+    let rows = view.inventory.model.keys();
+    let data = rows.map(|id| ModelRow { id, object: "model", owned_by: "quincevalve" }).collect();
+    Ok(json(&ModelList { object: "list", data }))
+}
+
+async fn serve_request(shared: &Arc<Shared>, req: Request<Incoming>) -> Result<Reply, Refusal> {
+    let arrived = shared.timer.now();
+    let (head, body) = req.into_parts();
+    let body = read_body(shared, &head.headers, body).await?;
+    let identify = Identify { shared: Arc::clone(shared) };
+    let admit = Admit { shared: Arc::clone(shared) };
+    let claim = Claim { shared: Arc::clone(shared) };
+    let intake = then(identify, then(admit, claim));
+    let (answer, shape) = match intake.apply(Received { head, body, arrived }).await? {
+        Claimed::Known(repeat) => (repeat.answer, repeat.shape),
+        Claimed::New(accepted) => {
+            let answer = Arc::clone(&accepted.answer);
+            let shape = accepted.request.shape;
+            tokio::spawn(serve(Arc::clone(shared), accepted));
+            (answer, shape)
+        }
+    };
+    reply_from(shared, &answer, shape, Sequence(0)).await
+}
+
+/// Reads a body within its limits. Nothing was dispatched yet, so every refusal here is `not-run`.
+async fn read_body(
+    shared: &Shared,
+    headers: &HeaderMap,
+    mut body: Incoming,
+) -> Result<Bytes, RefusalKind> {
+    let limits = &shared.settings.limits;
+    let declared = headers.get(header::CONTENT_LENGTH).and_then(|it| it.to_str().ok());
+    if declared.and_then(|it| it.parse::<usize>().ok()).is_some_and(|it| it > limits.body_bytes) {
+        return Err(RefusalKind::BodyTooLarge);
+    }
+    let progress = Duration::from_millis(limits.body_progress_ms);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = shared.timer.within(progress, body.frame()).await;
+        match frame.ok_or(RefusalKind::SlowBody)? {
+            None => return Ok(bytes.freeze()),
+            Some(Err(_)) => return Err(RefusalKind::BrokenBody),
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                bytes.extend_from_slice(&data);
+                if bytes.len() > limits.body_bytes {
+                    return Err(RefusalKind::BodyTooLarge);
+                }
+            }
+        }
+    }
+}
+
+/// Forms the reply once it is known whether there is an answer: a refusal keeps its own status.
+async fn reply_from(
+    shared: &Arc<Shared>,
+    answer: &Arc<Answer>,
+    shape: Shape,
+    from: Sequence,
+) -> Result<Reply, Refusal> {
+    let guard = ReaderGuard::new(shared, answer);
+    let mut reply = match shape {
+        Shape::Stream(stream) => {
+            answer.started().await;
+            refuse_if_nothing(answer)?;
+            let reader =
+                AnswerReader::events(Arc::clone(answer), shared.timer.clone(), from, stream);
+            let mut reply = Response::new(EntryBody::Answer(reader));
+            let value = HeaderValue::from_static("text/event-stream");
+            reply.headers_mut().insert(header::CONTENT_TYPE, value);
+            reply
+        }
+        Shape::Whole(shape) => {
+            let end = answer.finished().await;
+            whole_reply(shared, answer, shape, end)?
+        }
+        Shape::Bytes => {
+            answer.started().await;
+            refuse_if_nothing(answer)?;
+            bytes_reply(shared, answer)
+        }
+    };
+    drop(guard);
+    insert_request_id(reply.headers_mut(), answer.id());
+    Ok(reply)
+}
+
+/// Counts a caller that waits for the first token as a reader.
+struct ReaderGuard<'a> {
+    shared: &'a Shared,
+    answer: &'a Answer,
+}
+
+impl<'a> ReaderGuard<'a> {
+    fn new(shared: &'a Shared, answer: &'a Answer) -> Self {
+        answer.add_reader();
+        Self { shared, answer }
+    }
+}
+
+impl Drop for ReaderGuard<'_> {
+    fn drop(&mut self) {
+        self.answer.remove_reader(self.shared.timer.now());
+    }
+}
+
+/// The refusal, where an answer ended before anything of it could be sent.
+fn refuse_if_nothing(answer: &Answer) -> Result<(), Refusal> {
+    let refusal = answer.read(|it| match it.end() {
+        Some(End::Refused(refusal)) if it.token_count() == 0 && it.head().is_none() => {
+            Some(refusal.clone())
+        }
+        _ => None,
+    });
+    refusal.map_or(Ok(()), Err)
+}
+
+fn whole_reply(
+    shared: &Shared,
+    answer: &Answer,
+    shape: StreamShape,
+    end: End,
+) -> Result<Reply, Refusal> {
+    match end {
+        End::Whole => {}
+        End::Refused(refusal) => return Err(refusal),
+        End::Moved => {
+            let refusal = Refusal::new(RefusalKind::Leaving, Outcome::MayHaveRun);
+            return Err(refusal.with_retry_after(Duration::from_secs(1)).with_request(answer.id()));
+        }
+    }
+    let known = shared.answers.find(answer.id());
+    let (model, prompt_tokens) = match known.as_ref().map(|it| &it.request.work) {
+        Some(Work::Generate(it)) => (it.model.as_str(), it.prompt_tokens),
+        _ => ("", 0),
+    };
+    let body = answer.read(|it| {
+        whole_body(answer.id(), shape, model, it.text(), prompt_tokens, it.token_count())
+    });
+    Ok(json_bytes(body))
+}
+
+fn bytes_reply(shared: &Shared, answer: &Arc<Answer>) -> Reply {
+    let reader = AnswerReader::bytes(Arc::clone(answer), shared.timer.clone());
+    let mut reply = Response::new(EntryBody::Answer(reader));
+    let head = answer.read(|it| it.head().cloned()).unwrap_or_default();
+    *reply.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in head.headers {
+        let name = header::HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            reply.headers_mut().append(name, value);
+        }
+    }
+    reply
+}
+
+/// `GET /v1/requests/{id}?from=N`: reads an answer on, from a position.
+fn reattach(shared: &Arc<Shared>, req: &Request<Incoming>) -> Result<Reply, Refusal> {
+    let view = shared.view();
+    let account = crate::filters::identify_account(&view, req.headers())?;
+    let text = req.uri().path().strip_prefix(REQUESTS).unwrap_or_default();
+    let id = text.parse::<RequestId>().map_err(|error| RefusalKind::BadRequest {
+        param: "id",
+        message: format!("`{text}`: {error}"),
+    })?;
+    let from = read_from(req.uri())?;
+    let known = shared.answers.find(id).filter(|it| it.request.account == *account);
+    let Some(Known { request, answer }) = known else {
+        // Whoever asks about another account's request learns nothing, not even that it exists.
+        let refusal = Refusal::new(RefusalKind::NoSuchRequest, Outcome::MayHaveRun);
+        return Err(refusal.with_request(id));
+    };
+    let mut reply = match request.shape {
+        Shape::Bytes => bytes_reply(shared, &answer),
+        Shape::Stream(shape) | Shape::Whole(shape) => {
+            let reader =
+                AnswerReader::events(Arc::clone(&answer), shared.timer.clone(), from, shape);
+            let mut reply = Response::new(EntryBody::Answer(reader));
+            let value = HeaderValue::from_static("text/event-stream");
+            reply.headers_mut().insert(header::CONTENT_TYPE, value);
+            reply
+        }
+    };
+    insert_request_id(reply.headers_mut(), id);
+    Ok(reply)
+}
+
+fn read_from(uri: &http::Uri) -> Result<Sequence, RefusalKind> {
+    let query = uri.query().unwrap_or_default();
+    let Some(value) = query.split('&').find_map(|it| it.strip_prefix("from=")) else {
+        return Ok(Sequence(0));
+    };
+    value.parse().map(Sequence).map_err(|_| RefusalKind::BadRequest {
+        param: "from",
+        message: format!("`from={value}` is not a token's position, a number from 0"),
+    })
+}
--- /dev/null
+++ b/crates/quincevalve_entry/src/lib.rs
@@ -0,0 +1,32 @@
+//! The request path: HTTP in, HTTP out.
+//!
+//! A request passes the filters identify → admit → claim, then a task of its own runs
+//! route → dispatch → relay until the answer is whole or the truth about it is known, and settles it.
+//! The caller reads the answer from a log, so that losing the connection loses nothing.
+
+mod answer;
+mod answers;
+mod attempt;
+mod body;
+mod burn;
+mod departures;
+mod filters;
+mod front;
+mod observe;
+mod openai;
+mod pipe;
+mod reader;
+mod refusal;
+mod request;
+mod settings;
+mod shared;
+mod start;
+mod view;
+
+pub use crate::{
+    burn::{BurnBucket, BurnReport, BurnRow},
+    refusal::{Refusal, RefusalKind},
+    settings::{EntrySettings, Limits, Pacing},
+    start::{EntryVm, StartError},
+    view::View,
+};
--- /dev/null
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -0,0 +1,170 @@
+//! What an entry VM learns by asking: load reports, cache events, notices, the VM list.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use quincevalve_names::BackendServerName;
+use quincevalve_ports::{
+    HttpClient,
+    cloud::{CloudClient, Notice, VmState},
+    engine::EngineLoad,
+};
+use quincevalve_routing::{LeavingEvidence, LoadReport, Target};
+
+use crate::{
+    shared::Shared,
+    view::{View, target_of},
+};
+
+const NOTICE_WAIT: Duration = Duration::from_secs(10);
+const EXPIRE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Keeps capacities in step with the servers that take work, and ends waits that have become hopeless.
+pub(crate) async fn watch_capacity(shared: Arc<Shared>) {
+    let mut ticks = shared.timer.every(EXPIRE_PERIOD);
+    while let Some(now) = ticks.tick().await {
+        shared.admission.expire(now);
+        set_capacities(&shared, &shared.view());
+    }
+}
+
+/// Each target's places on this VM: its slots in the data centre, with a little queued at the servers
+/// so that a freed slot is filled at once.
+pub(crate) fn set_capacities(shared: &Shared, view: &View) {
+    let now = shared.timer.now();
+    let mut targets: Vec<Target> = Vec::new();
+    for server in view.inventory.backend_server.values() {
+        let target = target_of(&server.serves);
+        if !targets.contains(&target) {
+            targets.push(target);
+        }
+    }
+    for target in targets {
+        let local = shared.router().slots(now, &target, &shared.settings.data_centre);
+        let all: u32 = {
+            let router = shared.router();
+            view.inventory.data_centre.keys().map(|it| router.slots(now, &target, it)).sum()
+        };
+        // A data centre without such servers lives on the others' spare places.
+        let slots = if local > 0 { local } else { all / 2 };
+        shared.admission.set_capacity(&target, slots + slots / 2);
+    }
+}
+
+/// Asks this VM's part of the data centre's servers for their load, in each period.
+pub(crate) async fn watch_loads(shared: Arc<Shared>) {
+    let mut ticks = shared.timer.every(shared.settings.pacing.report());
+    let mut after: HashMap<BackendServerName, u64> = HashMap::new();
+    while ticks.tick().await.is_some() {
+        let view = shared.view();
+        let local = view.inventory.backend_server.iter();
+        let local = local.filter(|it| it.1.data_centre == shared.settings.data_centre);
+        for (name, server) in local {
+            if let quincevalve_inventory::Serves::Model(_) = server.serves {
+                let after = after.entry(name.clone()).or_default();
+                ask_engine(&shared, name, server.address, after).await;
+            }
+        }
+    }
+}
+
+async fn ask_engine(
+    shared: &Shared,
+    name: &BackendServerName,
+    address: std::net::SocketAddr,
+    after: &mut u64,
+) {
+    let limit = shared.settings.pacing.probe();
+    let Some(index) = shared.router().find(name) else { return };
+    let Ok(load) = shared.engines.load(address, limit).await else { return };
+    take_load(shared, index, load);
+    let Ok(events) = shared.engines.cache_events(address, *after, limit).await else { return };
+    let now = shared.timer.now();
+    let mut router = shared.router();
+    for event in events {
+        router.cached(now, index, event.prefix, event.holds);
+        *after = event.number.max(*after);
+    }
+}
+
+fn take_load(shared: &Shared, index: quincevalve_routing::ServerIndex, load: EngineLoad) {
+    let mut router = shared.router();
+    let at = shared.timer.now();
+    if load.leaving {
+        router.leaving(index, load.incarnation, LeavingEvidence::OwnAnswer);
+    } else {
+        router.live(index, load.incarnation);
+    }
+    router.reported(
+        index,
+        LoadReport { at, running: load.running, queued_tokens: load.queued_tokens },
+    );
+}
+
+/// Waits for the cloud's notices. Calls `on_own` when this VM itself is taken back.
+pub(crate) async fn watch_notices<F>(shared: Arc<Shared>, cloud: CloudClient, mut on_own: F)
+where
+    F: FnMut(Duration, Vec<String>) + Send,
+{
+    let mut after = 0;
+    loop {
+        match cloud.notices(after, NOTICE_WAIT).await {
+            Ok(notices) => {
+                for notice in notices {
+                    after = notice.number.max(after);
+                    take_notice(&shared, &notice, &mut on_own);
+                }
+            }
+            Err(error) => {
+                log::debug!("notices: {error}");
+                shared.timer.after(shared.settings.pacing.platform()).await;
+            }
+        }
+    }
+}
+
+fn take_notice<F>(shared: &Shared, notice: &Notice, on_own: &mut F)
+where
+    F: FnMut(Duration, Vec<String>),
+{
+    let left = Duration::from_millis(notice.left_ms);
+    shared.departures.announce(&notice.vms, shared.timer.now() + left);
+    {
+        let mut router = shared.router();
+        for vm in &notice.vms {
+            if let Some(index) = router.find(&vm.as_str().into()) {
+                let incarnation = router.incarnation(index);
+                router.leaving(index, incarnation, LeavingEvidence::Notice);
+            }
+        }
+    }
+    if notice.vms.iter().any(|it| it == shared.settings.name.as_str()) {
+        on_own(left, notice.vms.clone());
+    }
+}
+
+/// Reads the platform's list now and then. It lags: it can show that a server leaves, and only a
+/// higher incarnation in it can show that a leaving one is back.
+pub(crate) async fn watch_list(shared: Arc<Shared>, cloud: CloudClient) {
+    let mut ticks = shared.timer.every(LIST_PERIOD);
+    while ticks.tick().await.is_some() {
+        let Ok(list) = cloud.list().await else { continue };
+        let mut router = shared.router();
+        for vm in list {
+            let Some(index) = router.find(&vm.name.as_str().into()) else { continue };
+            match vm.state {
+                VmState::Leaving => {
+                    router.leaving(index, vm.incarnation, LeavingEvidence::VmList);
+                }
+                VmState::Live => router.live(index, vm.incarnation),
+            }
+        }
+    }
+}
+
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+
+/// The client of the cloud API that the settings name.
+pub(crate) fn cloud_client(shared: &Shared) -> CloudClient {
+    let http = HttpClient::new(Some(shared.settings.listen.ip()), shared.settings.pacing.connect());
+    CloudClient::new(http, shared.settings.platform, shared.settings.pacing.platform())
+}
--- /dev/null
+++ b/crates/quincevalve_entry/src/openai.rs
@@ -0,0 +1,248 @@
+//! The OpenAI-compatible shapes: requests in, chunks and whole answers out.
+
+use std::fmt::Write as _;
+
+use bytes::{Bytes, BytesMut};
+use quincevalve_names::{RequestId, Sequence, hash_text};
+use quincevalve_recovery::Generation;
+use serde::{Deserialize, Serialize};
+
+use crate::{answer::End, refusal::RefusalKind};
+
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Bytes of text that stand for one token in predictions.
+const BYTES_PER_TOKEN: usize = 4;
+/// Bytes of a single-message prompt that count as its shared prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// Which of the two endpoints a stream belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamShape {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+/// A request body of either endpoint. Fields that quincevalve doesn't use are passed over, since
+/// OpenAI clients send many.
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    pub(crate) model: Option<String>,
+    messages: Option<Vec<Message>>,
+    prompt: Option<String>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+impl CompletionBody {
+    /// Reads a body, naming the field that is wrong.
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Self, RefusalKind> {
+        serde_json::from_slice(bytes).map_err(|error| RefusalKind::BadRequest {
+            param: "body",
+            message: format!("the body is not the JSON of a completion request: {error}"),
+        })
+    }
+
+    /// The question to the model.
+    pub(crate) fn into_generation(
+        self,
+        shape: StreamShape,
+        most: u32,
+    ) -> Result<Generation, RefusalKind> {
+        let (prompt, prefix_bytes) = match shape {
+            StreamShape::Chat => chat_prompt(self.messages)?,
+            StreamShape::Text => text_prompt(self.prompt)?,
+        };
+        let wanted = self.max_completion_tokens.or(self.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+        if wanted == 0 {
+            return Err(missing("max_tokens", "must be 1 or more"));
+        }
+        let prefix = hash_text(&prompt[..floor_boundary(&prompt, prefix_bytes)]);
+        let prompt_tokens = (prompt.len() / BYTES_PER_TOKEN + 1) as u32;
+        let model = self.model.unwrap_or_default().as_str().into();
+        Ok(Generation { model, prompt, prefix, prompt_tokens, max_tokens: wanted.min(most) })
+    }
+}
+
+fn chat_prompt(messages: Option<Vec<Message>>) -> Result<(String, usize), RefusalKind> {
+    let messages = messages.filter(|it| !it.is_empty());
+    let messages = messages.ok_or_else(|| missing("messages", "must have a message or more"))?;
+    let mut prompt = String::new();
+    let mut prefix = 0;
+    for message in &messages {
+        prefix = prompt.len();
+        let _ = writeln!(prompt, "{}: {}", message.role, message.content);
+    }
+    let prefix = if prefix == 0 { PREFIX_BYTES.min(prompt.len()) } else { prefix };
+    Ok((prompt, prefix))
+}
+
+fn text_prompt(prompt: Option<String>) -> Result<(String, usize), RefusalKind> {
+    let prompt = prompt.ok_or_else(|| missing("prompt", "must be a text"))?;
+    let prefix = PREFIX_BYTES.min(prompt.len());
+    Ok((prompt, prefix))
+}
+
+fn missing(param: &'static str, problem: &str) -> RefusalKind {
+    RefusalKind::BadRequest { param, message: format!("`{param}` {problem}") }
+}
+
+fn floor_boundary(text: &str, at: usize) -> usize {
+    (0..=at.min(text.len())).rev().find(|it| text.is_char_boundary(*it)).unwrap_or(0)
+}
+
+/// Writes the events of one stream.
+///
+/// Each event's `id` is the token's position, so that a caller who lost the connection can read on from
+/// there with `GET /v1/requests/{id}?from=N`.
+#[derive(Debug)]
+pub(crate) struct ChunkWriter {
+    shape: StreamShape,
+    head: String,
+    buffer: BytesMut,
+}
+
+impl ChunkWriter {
+    pub(crate) fn new(id: RequestId, shape: StreamShape) -> Self {
+        let object = match shape {
+            StreamShape::Chat => "chat.completion.chunk",
+            StreamShape::Text => "text_completion",
+        };
+        let head =
+            format!("data: {{\"id\":\"{id}\",\"object\":\"{object}\",\"choices\":[{{\"index\":0,");
+        Self { shape, head, buffer: BytesMut::new() }
+    }
+
+    pub(crate) fn token(&mut self, seq: Sequence, text: &str) {
+        let _ = writeln!(self.buffer, "id: {seq}");
+        self.buffer.extend_from_slice(self.head.as_bytes());
+        let field: &[u8] = match self.shape {
+            StreamShape::Chat => b"\"delta\":{\"content\":",
+            StreamShape::Text => b"\"text\":",
+        };
+        self.buffer.extend_from_slice(field);
+        write_json_text(&mut self.buffer, text);
+        let tail: &[u8] = match self.shape {
+            StreamShape::Chat => b"},\"finish_reason\":null}]}\n\n",
+            StreamShape::Text => b",\"finish_reason\":null}]}\n\n",
+        };
+        self.buffer.extend_from_slice(tail);
+    }
+
+    /// Writes the end: the stream's end marker only where the answer is whole.
+    pub(crate) fn end(&mut self, end: &End, tokens: u32) {
+        match end {
+            End::Whole => {
+                self.buffer.extend_from_slice(self.head.as_bytes());
+                let field: &[u8] = match self.shape {
+                    StreamShape::Chat => b"\"delta\":{},",
+                    StreamShape::Text => b"\"text\":\"\",",
+                };
+                self.buffer.extend_from_slice(field);
+                let _ = write!(
+                    self.buffer,
+                    "\"finish_reason\":\"stop\"}}],\"usage\":{{\"completion_tokens\":{tokens}}}}}\n\n"
+                );
+                self.buffer.extend_from_slice(b"data: [DONE]\n\n");
+            }
+            End::Refused(refusal) => {
+                self.buffer.extend_from_slice(b"event: error\ndata: ");
+                self.buffer.extend_from_slice(&refusal.to_json());
+                self.buffer.extend_from_slice(b"\n\n");
+            }
+            End::Moved => {
+                self.buffer.extend_from_slice(b"event: moved\ndata: {\"reattach\":true}\n\n");
+            }
+        }
+    }
+
+    pub(crate) fn take(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+}
+
+/// Writes a JSON string without building it elsewhere first.
+fn write_json_text(buffer: &mut BytesMut, text: &str) {
+    buffer.extend_from_slice(b"\"");
+    let mut plain = 0;
+    for (at, byte) in text.bytes().enumerate() {
+        let needs_escape = byte < 0x20 || byte == b'"' || byte == b'\\';
+        if !needs_escape {
+            continue;
+        }
+        buffer.extend_from_slice(&text.as_bytes()[plain..at]);
+        match byte {
+            b'"' => buffer.extend_from_slice(b"\\\""),
+            b'\\' => buffer.extend_from_slice(b"\\\\"),
+            b'\n' => buffer.extend_from_slice(b"\\n"),
+            _ => drop(write!(buffer, "\\u{byte:04x}")),
+        }
+        plain = at + 1;
+    }
+    buffer.extend_from_slice(&text.as_bytes()[plain..]);
+    buffer.extend_from_slice(b"\"");
+}
+
+#[derive(Serialize)]
+struct WholeBody<'a> {
+    id: RequestId,
+    object: &'a str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    usage: Usage,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<WholeMessage<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: &'a str,
+}
+
+#[derive(Serialize)]
+struct WholeMessage<'a> {
+    role: &'a str,
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+#[expect(clippy::struct_field_names, reason = "the names of the OpenAI interface")]
+struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+/// A whole answer of either endpoint.
+pub(crate) fn whole_body(
+    id: RequestId,
+    shape: StreamShape,
+    model: &str,
+    text: &str,
+    prompt_tokens: u32,
+    completion_tokens: u32,
+) -> Bytes {
+    let (object, message, text) = match shape {
+        StreamShape::Chat => {
+            ("chat.completion", Some(WholeMessage { role: "assistant", content: text }), None)
+        }
+        StreamShape::Text => ("text_completion", None, Some(text)),
+    };
+    let choices = [Choice { index: 0, message, text, finish_reason: "stop" }];
+    let total_tokens = prompt_tokens + completion_tokens;
+    let usage = Usage { prompt_tokens, completion_tokens, total_tokens };
+    let body = WholeBody { id, object, model, choices, usage };
+    serde_json::to_vec(&body).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/quincevalve_inventory/src/checks.rs
@@ -0,0 +1,113 @@
+//! The checks on a whole inventory: one file each, listed in [`Check::ALL`].
+
+mod account_keys;
+mod addresses;
+mod capacity;
+mod class_promises;
+mod names;
+mod prices;
+mod references;
+
+use std::fmt;
+
+use crate::Inventory;
+
+/// A check. Adding one is one file, one variant and one line in each table here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// See [`account_keys`].
+    AccountKeys,
+    /// See [`addresses`].
+    Addresses,
+    /// See [`capacity`].
+    Capacity,
+    /// See [`class_promises`].
+    ClassPromises,
+    /// See [`names`].
+    Names,
+    /// See [`prices`].
+    Prices,
+    /// See [`references`].
+    References,
+}
+
+impl Check {
+    /// Every check, in the order in which findings are shown.
+    pub const ALL: [Self; 7] = [
+        Self::Names,
+        Self::References,
+        Self::AccountKeys,
+        Self::ClassPromises,
+        Self::Addresses,
+        Self::Capacity,
+        Self::Prices,
+    ];
+
+    /// The name that a finding carries.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::AccountKeys => "account-keys",
+            Self::Addresses => "addresses",
+            Self::Capacity => "capacity",
+            Self::ClassPromises => "class-promises",
+            Self::Names => "names",
+            Self::Prices => "prices",
+            Self::References => "references",
+        }
+    }
+
+    fn run(self, inventory: &Inventory, findings: &mut Findings<'_>) {
+        match self {
+            Self::AccountKeys => account_keys::check(inventory, findings),
+            Self::Addresses => addresses::check(inventory, findings),
+            Self::Capacity => capacity::check(inventory, findings),
+            Self::ClassPromises => class_promises::check(inventory, findings),
+            Self::Names => names::check(inventory, findings),
+            Self::Prices => prices::check(inventory, findings),
+            Self::References => references::check(inventory, findings),
+        }
+    }
+}
+
+/// One fault in an inventory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The check that found it.
+    pub check: Check,
+    /// The field, as a dotted path.
+    pub field: String,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} [{}]", self.field, self.problem, self.check.name())
+    }
+}
+
+/// Collects what one check finds.
+struct Findings<'all> {
+    check: Check,
+    all: &'all mut Vec<Finding>,
+}
+
+impl Findings<'_> {
+    fn push(&mut self, field: String, problem: String) {
+        self.all.push(Finding { check: self.check, field, problem });
+    }
+}
+
+/// Runs every check and returns all findings.
+///
+/// ```
+/// let empty = quincevalve_inventory::Inventory::default();
+/// assert!(quincevalve_inventory::checks::run_all(&empty).is_empty());
+/// ```
+pub fn run_all(inventory: &Inventory) -> Vec<Finding> {
+    let mut all = Vec::new();
+    for check in Check::ALL {
+        check.run(inventory, &mut Findings { check, all: &mut all });
+    }
+    all
+}
--- /dev/null
+++ b/crates/quincevalve_inventory/src/read.rs
@@ -0,0 +1,67 @@
+//! Reading an inventory from TOML or JSON text.
+
+use snafu::Snafu;
+
+use crate::{
+    Inventory,
+    checks::{self, Finding},
+};
+
+/// The text format of an inventory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// TOML, what operators write.
+    Toml,
+    /// JSON, what the administration API takes.
+    Json,
+}
+
+/// An inventory that can't be taken.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// The text isn't of the format, or a field is unknown, missing or of the wrong type.
+    #[snafu(display("{file}: {problem}"))]
+    Syntax {
+        /// The file, as the operator named it.
+        file: String,
+        /// The parser's message, with line, field and what is allowed.
+        problem: String,
+    },
+    /// The whole was read and checks found faults in it.
+    #[snafu(display("{}", display_findings(file, findings)))]
+    Refused {
+        /// The file, as the operator named it.
+        file: String,
+        /// Every fault found, not only the first.
+        findings: Vec<Finding>,
+    },
+}
+
+fn display_findings(file: &str, findings: &[Finding]) -> String {
+    let lines: Vec<_> = findings.iter().map(|it| format!("{file}: {it}")).collect();
+    lines.join("\n")
+}
+
+/// Reads and checks a whole inventory.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_inventory::{Format, read_inventory};
+/// let text = "[data_centre.erding]\nregion = \"obb\"\n";
+/// let error = read_inventory("inventory.toml", text, Format::Toml).unwrap_err();
+/// assert!(error.to_string().contains("data_centre.erding.region"));
+/// ```
+pub fn read_inventory(file: &str, text: &str, format: Format) -> Result<Inventory, ReadError> {
+    let parsed = match format {
+        Format::Toml => toml::from_str(text).map_err(|it| it.to_string()),
+        Format::Json => serde_json::from_str(text).map_err(|it| it.to_string()),
+    };
+    let inventory: Inventory =
+        parsed.map_err(|problem| ReadError::Syntax { file: file.to_owned(), problem })?;
+    let findings = checks::run_all(&inventory);
+    if findings.is_empty() {
+        return Ok(inventory);
+    }
+    Err(ReadError::Refused { file: file.to_owned(), findings })
+}
--- /dev/null
+++ b/crates/quincevalve_names/src/numbers.rs
@@ -0,0 +1,51 @@
+//! Counters with a meaning of their own.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Declares an ordered counter type.
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The value after this one.
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number! {
+    /// A revision of the operators' configuration. A node never applies a lower one.
+    Revision(u64)
+}
+number! {
+    /// A fencing number: an order that carries a lower one than the last seen is stale.
+    FencingNumber(u64)
+}
+number! {
+    /// An incarnation of a VM: a restart under the same address gets a higher one.
+    Incarnation(u64)
+}
+number! {
+    /// The position of a token in an answer, from zero.
+    Sequence(u32)
+}
+number! {
+    /// A count of model tokens.
+    TokenCount(u32)
+}
--- /dev/null
+++ b/crates/quincevalve_names/src/time_point.rs
@@ -0,0 +1,59 @@
+//! Points in time as decision cores see them.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in microseconds since an origin that the owner of the clock chose.
+///
+/// Cores never read a clock: `now` is an argument, so that tests and measurements drive them in
+/// virtual time and get the same run each time.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct TimePoint(pub u64);
+
+impl TimePoint {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+
+    /// A point so many milliseconds after the origin.
+    ///
+    /// ```
+    /// use quincevalve_names::TimePoint;
+    /// assert_eq!(TimePoint::from_millis(2).as_micros(), 2_000);
+    /// ```
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// The time since `earlier`, zero if `earlier` lies later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for TimePoint {
+    type Output = Self;
+
+    fn add(self, delay: Duration) -> Self {
+        Self(self.0.saturating_add(delay.as_micros() as u64))
+    }
+}
+
+impl Sub for TimePoint {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.since(earlier)
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_program/src/lib.rs
@@ -0,0 +1,15 @@
+//! What every program of quincevalve shares: command line, settings files, logs and metrics.
+
+mod arguments;
+mod logs;
+mod metrics;
+mod settings;
+mod stop;
+
+pub use crate::{
+    arguments::{ArgumentError, Invocation, Program, parse_arguments},
+    logs::{LogFormat, LogLevel, LogSettings, start_logs},
+    metrics::{Metrics, MetricsError, MetricsSettings},
+    settings::{SettingsError, parse_settings, read_settings},
+    stop::stop_signal,
+};
--- /dev/null
+++ b/crates/quincevalve_program/src/logs.rs
@@ -0,0 +1,79 @@
+//! Structured logs on standard error.
+
+use std::fmt;
+
+use log::LevelFilter;
+use logforth::{
+    append::Stderr,
+    layout::{JsonLayout, TextLayout},
+};
+use serde::{Deserialize, Serialize};
+
+/// The form of a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line, for collectors.
+    Json,
+}
+
+/// The least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the system mends itself.
+    Warn,
+    /// Starts, stops, changes.
+    #[default]
+    Info,
+    /// One line a request.
+    Debug,
+}
+
+impl From<LogLevel> for LevelFilter {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::Error,
+            LogLevel::Warn => Self::Warn,
+            LogLevel::Info => Self::Info,
+            LogLevel::Debug => Self::Debug,
+        }
+    }
+}
+
+/// The `[log]` section of a settings file.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The form of a line.
+    pub format: LogFormat,
+    /// The least severe level that is logged.
+    pub level: LogLevel,
+}
+
+/// Starts logging for the whole process. A second call changes nothing.
+pub fn start_logs(settings: &LogSettings) {
+    let builder = match settings.format {
+        LogFormat::Text => logforth::starter_log::builder()
+            .dispatch(|it| it.append(Stderr::default().with_layout(TextLayout::default()))),
+        LogFormat::Json => logforth::starter_log::builder()
+            .dispatch(|it| it.append(Stderr::default().with_layout(JsonLayout::default()))),
+    };
+    if builder.try_apply().is_ok() {
+        log::set_max_level(settings.level.into());
+    }
+}
+
+impl fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_routing/src/router.rs
@@ -0,0 +1,386 @@
+//! The router: a table of servers, and the choice among them.
+
+use std::time::Duration;
+
+use quincevalve_names::{BackendServerName, Incarnation, TimePoint, rendezvous_score};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+use snafu::Snafu;
+
+use crate::{
+    Ask, LeavingEvidence, LoadReport, PoolKey, ServerIndex, ServerSpec, Target,
+    cache_hints::CacheHints,
+    policy::{Candidate, Policy},
+    pool::Pool,
+    server::Server,
+};
+
+/// Candidates by rendezvous on the prefix: a first choice and where it overflows to.
+const AFFINE: usize = 2;
+/// Candidates at random: two are enough for an even spread, and differ between routers.
+const RANDOM: usize = 2;
+
+/// Random numbers for one look at a pool.
+type Draws = [u32; RANDOM];
+
+/// Settings of a router.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouterSettings {
+    /// Load above which an affine server is passed over, as a multiple of its slots.
+    pub affinity_bound: f64,
+    /// Fill of the cheapest local server above which other data centres are asked.
+    pub spill_fill: f64,
+    /// How long a server is passed over after its first failure; doubles with each further one.
+    pub shun: Duration,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self { affinity_bound: 1.25, spill_fill: 1.5, shun: Duration::from_millis(500) }
+    }
+}
+
+/// The decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub server: ServerIndex,
+    /// The predicted time to the first token.
+    pub first_token: Duration,
+}
+
+/// No server can take the request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum NoServer {
+    /// The inventory has no server for it.
+    #[snafu(display("nothing in the inventory serves this"))]
+    Unknown,
+    /// Every server leaves, failed just now, or was tried.
+    #[snafu(display("no server can take the request now"))]
+    Unavailable,
+}
+
+/// The routing core of one entry VM.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use quincevalve_names::TimePoint;
+/// use quincevalve_routing::{Ask, PredictedFirstToken, Router, ServerSpec, Target, Urgency};
+///
+/// let pool = Target::Model("dossier".into());
+/// let mut router = Router::new(PredictedFirstToken, 7);
+/// router.upsert(ServerSpec {
+///     name: "perth-1".into(),
+///     data_centre: "perth-a".into(),
+///     target: pool.clone(),
+///     slots: 8,
+///     prefill_tokens_per_s: 8_000,
+///     token_time: Duration::from_millis(30),
+///     reclaimable: true,
+/// });
+/// let ask = Ask {
+///     now: TimePoint::ZERO,
+///     pool: &pool,
+///     data_centre: &"perth-a".into(),
+///     prefix: 1,
+///     prompt_tokens: 100,
+///     urgency: Urgency::Interactive,
+///     tried: &[],
+/// };
+/// let choice = router.choose(&ask).unwrap();
+/// assert_eq!(router.name(choice.server).as_str(), "perth-1");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Router<P> {
+    policy: P,
+    settings: RouterSettings,
+    servers: Vec<Server>,
+    by_name: FxHashMap<BackendServerName, ServerIndex>,
+    pools: FxHashMap<PoolKey, Pool>,
+    hints: CacheHints,
+    rng: Pcg64Mcg,
+}
+
+impl<P> Router<P>
+where
+    P: Policy,
+{
+    /// Makes a router without servers.
+    pub fn new(policy: P, seed: u64) -> Self {
+        Self {
+            policy,
+            settings: RouterSettings::default(),
+            servers: Vec::new(),
+            by_name: FxHashMap::default(),
+            pools: FxHashMap::default(),
+            hints: CacheHints::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Adds a server, or takes new facts about a known one. Its outstanding work is kept.
+    pub fn upsert(&mut self, spec: ServerSpec) -> ServerIndex {
+        if let Some(index) = self.by_name.get(&spec.name).copied() {
+            let server = &mut self.servers[index.0 as usize];
+            let moved =
+                server.spec.data_centre != spec.data_centre || server.spec.target != spec.target;
+            server.spec = spec;
+            if moved {
+                self.rebuild_pools();
+            }
+            return index;
+        }
+        let index = ServerIndex(self.servers.len() as u32);
+        self.by_name.insert(spec.name.clone(), index);
+        self.pools.entry(spec.target.clone()).or_default().push(&spec.data_centre, index);
+        self.servers.push(Server::new(spec));
+        index
+    }
+
+    fn rebuild_pools(&mut self) {
+        self.pools.clear();
+        for (at, server) in self.servers.iter().enumerate() {
+            let pool = self.pools.entry(server.spec.target.clone()).or_default();
+            pool.push(&server.spec.data_centre, ServerIndex(at as u32));
+        }
+    }
+
+    /// Chooses a server. Takes no note of it: call [`Router::sent`] when the request goes out.
+    pub fn choose(&mut self, ask: &Ask<'_>) -> Result<Choice, NoServer> {
+        let draws = self.rng.random();
+        let pool = self.pools.get(ask.pool).ok_or(NoServer::Unknown)?;
+        let local = pool.local(ask.data_centre);
+        let best = self.best_of(ask, local, draws);
+        if let Some((index, _)) = best
+            && self.servers[index.0 as usize].load_fill() <= self.settings.spill_fill
+        {
+            return Ok(self.choice(ask, index));
+        }
+        self.spill(ask, best).ok_or(NoServer::Unavailable)
+    }
+
+    /// Looks in other data centres, and stays local unless one of them is cheaper.
+    fn spill(&mut self, ask: &Ask<'_>, local: Option<(ServerIndex, f64)>) -> Option<Choice> {
+        let draws = self.rng.random();
+        let pool = self.pools.get(ask.pool)?;
+        let others = pool.data_centres().iter().filter(|it| *it != ask.data_centre);
+        let remote = others
+            .filter_map(|it| self.best_of(ask, pool.local(it), draws))
+            .min_by(|left, right| left.1.total_cmp(&right.1));
+        let (index, _) = match (local, remote) {
+            (Some(local), Some(remote)) if remote.1 + SPILL_SECONDS < local.1 => remote,
+            (Some(local), _) => local,
+            (None, remote) => remote?,
+        };
+        Some(self.choice(ask, index))
+    }
+
+    fn choice(&self, ask: &Ask<'_>, server: ServerIndex) -> Choice {
+        let first_token = self.candidate(ask, server).predicted_first_token(ask);
+        Choice { server, first_token }
+    }
+
+    fn best_of(
+        &self,
+        ask: &Ask<'_>,
+        pool: &[ServerIndex],
+        draws: Draws,
+    ) -> Option<(ServerIndex, f64)> {
+        if P::SCANS_ALL {
+            let usable = pool.iter().copied().filter(|it| self.is_usable(ask, *it));
+            return self.cheapest(ask, usable);
+        }
+        let affine = self.affine(ask, pool);
+        let random = draws.map(|it| self.draw(ask, pool, it));
+        let hinted = self.hints.holder(ask.prefix).filter(|it| {
+            self.is_usable(ask, *it)
+                && self.servers[it.0 as usize].spec.data_centre == *ask.data_centre
+        });
+        let few = affine.into_iter().chain(random).chain([hinted]).flatten();
+        // Where draws hit only unusable servers, the pool is walked: a choice is never missed.
+        self.cheapest(ask, few).or_else(|| {
+            let usable = pool.iter().copied().filter(|it| self.is_usable(ask, *it));
+            self.cheapest(ask, usable)
+        })
+    }
+
+    fn cheapest(
+        &self,
+        ask: &Ask<'_>,
+        servers: impl Iterator<Item = ServerIndex>,
+    ) -> Option<(ServerIndex, f64)> {
+        servers
+            .map(|it| (it, self.policy.cost(ask, &self.candidate(ask, it))))
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+    }
+
+    /// The servers with the highest rendezvous scores that are below the affinity bound.
+    fn affine(&self, ask: &Ask<'_>, pool: &[ServerIndex]) -> [Option<ServerIndex>; AFFINE] {
+        let mut best = [(0, None); AFFINE];
+        for index in pool.iter().copied() {
+            let server = &self.servers[index.0 as usize];
+            let score = rendezvous_score(ask.prefix, server.hash);
+            if score <= best[AFFINE - 1].0 || !self.is_below_bound(ask, index) {
+                continue;
+            }
+            best[AFFINE - 1] = (score, Some(index));
+            if best[AFFINE - 1].0 > best[0].0 {
+                best.swap(0, AFFINE - 1);
+            }
+        }
+        best.map(|it| it.1)
+    }
+
+    fn is_below_bound(&self, ask: &Ask<'_>, index: ServerIndex) -> bool {
+        let server = &self.servers[index.0 as usize];
+        server.load_fill() < self.settings.affinity_bound && self.is_usable(ask, index)
+    }
+
+    fn draw(&self, ask: &Ask<'_>, pool: &[ServerIndex], draw: u32) -> Option<ServerIndex> {
+        // Scales the draw to the pool's length; an empty pool has no position 0.
+        let at = (u64::from(draw) * pool.len() as u64) >> u32::BITS;
+        let index = *pool.get(at as usize)?;
+        self.is_usable(ask, index).then_some(index)
+    }
+
+    fn is_usable(&self, ask: &Ask<'_>, index: ServerIndex) -> bool {
+        self.servers[index.0 as usize].takes_work(ask.now) && !ask.tried.contains(&index)
+    }
+
+    fn candidate(&self, ask: &Ask<'_>, index: ServerIndex) -> Candidate<'_> {
+        let cached = self.hints.holder(ask.prefix) == Some(index);
+        Candidate::new(&self.servers[index.0 as usize], cached)
+    }
+
+    /// Notes that a request went to `server`.
+    pub fn sent(&mut self, now: TimePoint, server: ServerIndex, prefix: u64, prompt_tokens: u32) {
+        let entry = &mut self.servers[server.0 as usize];
+        entry.outstanding += 1;
+        entry.outstanding_prompt += prompt_tokens;
+        self.hints.learn(prefix, server, now);
+    }
+
+    /// Notes that the prompt passed the prefill: the first token arrived, or the request ended first.
+    pub fn prompt_done(&mut self, server: ServerIndex, prompt_tokens: u32) {
+        let entry = &mut self.servers[server.0 as usize];
+        entry.outstanding_prompt = entry.outstanding_prompt.saturating_sub(prompt_tokens);
+    }
+
+    /// Notes that a request left `server`, whatever its end.
+    pub fn done(&mut self, server: ServerIndex) {
+        let entry = &mut self.servers[server.0 as usize];
+        entry.outstanding = entry.outstanding.saturating_sub(1);
+    }
+
+    /// Notes that a server answered well.
+    pub fn succeeded(&mut self, server: ServerIndex) {
+        self.servers[server.0 as usize].failures = 0;
+    }
+
+    /// Notes that a server failed: it is passed over for a time that doubles.
+    pub fn failed(&mut self, now: TimePoint, server: ServerIndex) {
+        let shun = self.settings.shun;
+        let entry = &mut self.servers[server.0 as usize];
+        entry.shunned_until = now + shun * (1 << entry.failures.min(MAX_DOUBLINGS));
+        entry.failures += 1;
+    }
+
+    /// Takes a load report, unless a newer one is known.
+    pub fn reported(&mut self, server: ServerIndex, report: LoadReport) {
+        let entry = &mut self.servers[server.0 as usize];
+        if report.at >= entry.report.at {
+            entry.report = report;
+        }
+    }
+
+    /// Takes a cache event: `server` holds, or lost, the prefix.
+    pub fn cached(&mut self, now: TimePoint, server: ServerIndex, prefix: u64, holds: bool) {
+        if holds {
+            self.hints.learn(prefix, server, now);
+        } else {
+            self.hints.forget(prefix, server);
+        }
+    }
+
+    /// Takes evidence that a server leaves. From here on it gets nothing new.
+    pub fn leaving(
+        &mut self,
+        server: ServerIndex,
+        incarnation: Incarnation,
+        evidence: LeavingEvidence,
+    ) {
+        self.servers[server.0 as usize].leaving.saw_leaving(incarnation, evidence);
+    }
+
+    /// Takes evidence that a server is live. Only a higher incarnation revives a leaving one.
+    pub fn live(&mut self, server: ServerIndex, incarnation: Incarnation) {
+        self.servers[server.0 as usize].leaving.saw_live(incarnation);
+    }
+
+    /// The incarnation that is known of a server.
+    pub fn incarnation(&self, server: ServerIndex) -> Incarnation {
+        self.servers[server.0 as usize].leaving.incarnation()
+    }
+
+    /// Whether the server is known to leave.
+    pub fn is_leaving(&self, server: ServerIndex) -> bool {
+        self.servers[server.0 as usize].leaving.is_leaving()
+    }
+
+    /// The server's name.
+    pub fn name(&self, server: ServerIndex) -> &BackendServerName {
+        &self.servers[server.0 as usize].spec.name
+    }
+
+    /// What is known of the server from the inventory.
+    pub fn spec(&self, server: ServerIndex) -> &ServerSpec {
+        &self.servers[server.0 as usize].spec
+    }
+
+    /// The server of that name.
+    pub fn find(&self, name: &BackendServerName) -> Option<ServerIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The believed holder of a prefix, where it can take work now.
+    pub fn prefix_holder(&self, now: TimePoint, prefix: u64) -> Option<ServerIndex> {
+        self.hints.holder(prefix).filter(|it| self.servers[it.0 as usize].takes_work(now))
+    }
+
+    /// Slots of all servers of a target in a data centre that take work now.
+    pub fn slots(
+        &self,
+        now: TimePoint,
+        target: &Target,
+        data_centre: &quincevalve_names::DataCentreName,
+    ) -> u32 {
+        let Some(pool) = self.pools.get(target) else { return 0 };
+        let usable = pool.local(data_centre).iter().map(|it| &self.servers[it.0 as usize]);
+        usable.filter(|it| it.takes_work(now)).map(|it| it.spec.slots).sum()
+    }
+
+    /// Servers known.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
+
+impl Server {
+    fn load_fill(&self) -> f64 {
+        f64::from(self.load()) / f64::from(self.spec.slots)
+    }
+}
+
+/// Seconds by which another data centre must be better before work leaves the own one.
+const SPILL_SECONDS: f64 = 0.005;
+
+/// A failing server is tried again after at most 2^6 times the first wait.
+const MAX_DOUBLINGS: u32 = 6;
--- /dev/null
+++ b/crates/quincevalve_standins/src/engine_model.rs
@@ -0,0 +1,206 @@
+//! A model engine in virtual time: slots, one prefill at a time, a prefix cache, priorities.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use quincevalve_names::{RequestId, Sequence, TimePoint};
+use rustc_hash::FxHashMap;
+
+use crate::lru::PrefixCache;
+
+/// How fast an engine is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpeed {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Prompt tokens that it processes in a second.
+    pub prefill_tokens_per_s: u32,
+    /// Time between two tokens of one answer.
+    pub token_time: Duration,
+    /// Prompt tokens that the prefix cache holds.
+    pub cache_tokens: u32,
+}
+
+/// Work for an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The request.
+    pub id: RequestId,
+    /// The prompt's prefix.
+    pub prefix: u64,
+    /// Tokens of the shared prefix.
+    pub prefix_tokens: u32,
+    /// Tokens of the prompt and of the part of the answer that exists already.
+    pub context_tokens: u32,
+    /// Tokens of context whose KV cache was imported.
+    pub imported_tokens: u32,
+    /// The first token to generate.
+    pub from: Sequence,
+    /// Tokens of the whole answer.
+    pub total: u32,
+    /// Higher goes first.
+    pub priority: u8,
+}
+
+/// What an engine did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ModelOutput {
+    /// A token was generated.
+    Token {
+        /// The request.
+        id: RequestId,
+        /// The position.
+        seq: Sequence,
+    },
+    /// The answer is whole.
+    End {
+        /// The request.
+        id: RequestId,
+        /// Tokens of the whole answer.
+        tokens: u32,
+    },
+    /// The prefix cache changed.
+    Cache {
+        /// The prefix.
+        prefix: u64,
+        /// Whether it is held now.
+        holds: bool,
+    },
+    /// A job's context went through the prefill.
+    Prefilled {
+        /// The request.
+        id: RequestId,
+        /// Tokens that had to be computed.
+        computed: u32,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    job: Job,
+    next: Sequence,
+}
+
+/// The model. `(now, event) -> outputs`, no clock of its own.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    speed: EngineSpeed,
+    waiting: BinaryHeap<(u8, Reverse<u64>)>,
+    waiting_jobs: FxHashMap<u64, Job>,
+    arrivals: u64,
+    running: FxHashMap<RequestId, Running>,
+    due: BinaryHeap<Reverse<(TimePoint, RequestId)>>,
+    prefill_free: TimePoint,
+    cache: PrefixCache,
+    computed_tokens: u64,
+}
+
+impl EngineModel {
+    /// Makes an idle engine.
+    pub fn new(speed: EngineSpeed) -> Self {
+        Self {
+            speed,
+            waiting: BinaryHeap::new(),
+            waiting_jobs: FxHashMap::default(),
+            arrivals: 0,
+            running: FxHashMap::default(),
+            due: BinaryHeap::new(),
+            prefill_free: TimePoint::ZERO,
+            cache: PrefixCache::new(speed.cache_tokens),
+            computed_tokens: 0,
+        }
+    }
+
+    /// Takes a job.
+    pub fn submit(&mut self, now: TimePoint, job: Job, outputs: &mut Vec<ModelOutput>) {
+        self.arrivals += 1;
+        self.waiting.push((job.priority, Reverse(self.arrivals)));
+        self.waiting_jobs.insert(self.arrivals, job);
+        self.start_waiting(now, outputs);
+    }
+
+    /// Drops a job, running or waiting.
+    pub fn cancel(&mut self, now: TimePoint, id: RequestId, outputs: &mut Vec<ModelOutput>) {
+        self.waiting_jobs.retain(|_, it| it.id != id);
+        self.running.remove(&id);
+        self.start_waiting(now, outputs);
+    }
+
+    /// When something happens next.
+    pub fn next_event(&self) -> Option<TimePoint> {
+        self.due.peek().map(|it| it.0.0)
+    }
+
+    /// Does all that is due.
+    pub fn advance(&mut self, now: TimePoint, outputs: &mut Vec<ModelOutput>) {
+        while let Some(Reverse((at, id))) = self.due.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.due.pop();
+            self.step(at, id, outputs);
+        }
+    }
+
+    fn step(&mut self, at: TimePoint, id: RequestId, outputs: &mut Vec<ModelOutput>) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let seq = running.next;
+        let total = running.job.total;
+        if seq.0 < total {
+            outputs.push(ModelOutput::Token { id, seq });
+            running.next = seq.next();
+        }
+        if running.next.0 < total {
+            self.due.push(Reverse((at + self.speed.token_time, id)));
+            return;
+        }
+        outputs.push(ModelOutput::End { id, tokens: total });
+        self.running.remove(&id);
+        self.start_waiting(at, outputs);
+    }
+
+    fn start_waiting(&mut self, now: TimePoint, outputs: &mut Vec<ModelOutput>) {
+        while self.running.len() < self.speed.slots as usize {
+            let Some((_, Reverse(arrival))) = self.waiting.pop() else { return };
+            // A cancelled job leaves its place in the heap behind.
+            if let Some(job) = self.waiting_jobs.remove(&arrival) {
+                self.start(now, job, outputs);
+            }
+        }
+    }
+
+    fn start(&mut self, now: TimePoint, job: Job, outputs: &mut Vec<ModelOutput>) {
+        let cached = self.cache.tokens(job.prefix).min(job.prefix_tokens).max(job.imported_tokens);
+        let computed = job.context_tokens.saturating_sub(cached);
+        self.computed_tokens += u64::from(computed);
+        outputs.push(ModelOutput::Prefilled { id: job.id, computed });
+        let seconds = f64::from(computed) / f64::from(self.speed.prefill_tokens_per_s);
+        let done = self.prefill_free.max(now) + Duration::from_secs_f64(seconds);
+        self.prefill_free = done;
+        for evicted in self.cache.insert(job.prefix, job.prefix_tokens) {
+            outputs.push(ModelOutput::Cache { prefix: evicted, holds: false });
+        }
+        outputs.push(ModelOutput::Cache { prefix: job.prefix, holds: true });
+        self.running.insert(job.id, Running { job, next: job.from });
+        self.due.push(Reverse((done + self.speed.token_time, job.id)));
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Context tokens that wait for the prefill.
+    pub fn queued_tokens(&self) -> u32 {
+        self.waiting_jobs.values().map(|it| it.context_tokens).sum()
+    }
+
+    /// Jobs that wait for a slot.
+    pub fn waiting(&self) -> u32 {
+        self.waiting_jobs.len() as u32
+    }
+
+    /// Tokens that went through the prefill since the start.
+    pub const fn computed_tokens(&self) -> u64 {
+        self.computed_tokens
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_timer/src/service.rs
@@ -0,0 +1,194 @@
+//! The service task and the handle that parts use to reach it.
+
+use std::{cmp::Reverse, collections::BinaryHeap, future::Future, time::Duration};
+
+use quincevalve_names::TimePoint;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+
+use crate::Subscription;
+
+/// The handle of the timer service; clones share one service.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// # tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?.block_on(async {
+/// let timer = quincevalve_timer::Timer::start();
+/// let mut subscription = timer.every(Duration::from_millis(5));
+/// let first = subscription.tick().await;
+/// assert_eq!(first.map(|it| it.as_micros()), Some(5_000));
+/// # });
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Timer {
+    origin: Instant,
+    orders: mpsc::UnboundedSender<Order>,
+}
+
+#[derive(Debug)]
+enum Order {
+    Every { period: Duration, ticks: mpsc::Sender<TimePoint> },
+    Once { at: Instant, fired: oneshot::Sender<()> },
+}
+
+enum Waiter {
+    Every { period: Duration, ticks: mpsc::Sender<TimePoint> },
+    Once(oneshot::Sender<()>),
+}
+
+impl Timer {
+    /// Starts the service on the current runtime. It ends when the last handle is dropped.
+    pub fn start() -> Self {
+        let (orders, rx) = mpsc::unbounded_channel();
+        let origin = Instant::now();
+        tokio::spawn(Service::new(origin, rx).run());
+        Self { origin, orders }
+    }
+
+    /// The present, in time since the service's start.
+    pub fn now(&self) -> TimePoint {
+        TimePoint(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Subscribes to a tick in each `period`.
+    pub fn every(&self, period: Duration) -> Subscription {
+        let (tx, ticks) = mpsc::channel(1);
+        let order = Order::Every { period, ticks: tx };
+        // A service that has ended drops the sender, and the subscriber's next tick is `None`.
+        let _ = self.orders.send(order);
+        Subscription { ticks }
+    }
+
+    /// A future that completes `delay` from now.
+    pub fn after(&self, delay: Duration) -> impl Future<Output = ()> + Send + use<> {
+        let (fired, rx) = oneshot::channel();
+        let _ = self.orders.send(Order::Once { at: Instant::now() + delay, fired });
+        async move {
+            // The service ends only with the process; then nobody waits any more.
+            let _ = rx.await;
+        }
+    }
+
+    /// Runs `work` for at most `limit`. `None` means that the time ran out.
+    pub async fn within<F>(&self, limit: Duration, work: F) -> Option<F::Output>
+    where
+        F: Future + Send,
+        F::Output: Send,
+    {
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = self.after(limit) => None,
+        }
+    }
+}
+
+struct Service {
+    origin: Instant,
+    orders: mpsc::UnboundedReceiver<Order>,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    waiters: std::collections::HashMap<u64, Waiter>,
+    next: u64,
+}
+
+impl Service {
+    fn new(origin: Instant, orders: mpsc::UnboundedReceiver<Order>) -> Self {
+        Self {
+            origin,
+            orders,
+            queue: BinaryHeap::new(),
+            waiters: std::collections::HashMap::new(),
+            next: 0,
+        }
+    }
+
+    async fn run(mut self) {
+        loop {
+            let due = self.queue.peek().map(|it| it.0.0);
+            tokio::select! {
+                biased;
+                order = self.orders.recv() => match order {
+                    Some(order) => self.take(order),
+                    None => return,
+                },
+                () = wait_until(due) => self.fire(Instant::now()),
+            }
+        }
+    }
+
+    fn take(&mut self, order: Order) {
+        match order {
+            Order::Every { period, ticks } => {
+                let at = Instant::now() + period;
+                self.push(at, Waiter::Every { period, ticks });
+            }
+            Order::Once { at, fired } => self.push(at, Waiter::Once(fired)),
+        }
+    }
+
+    fn push(&mut self, at: Instant, waiter: Waiter) {
+        self.next += 1;
+        self.queue.push(Reverse((at, self.next)));
+        self.waiters.insert(self.next, waiter);
+    }
+
+    fn fire(&mut self, now: Instant) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.queue.pop();
+            match self.waiters.remove(&id) {
+                Some(Waiter::Once(fired)) => drop(fired.send(())),
+                Some(Waiter::Every { period, ticks }) => self.tick(now, period, ticks),
+                None => {}
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant, period: Duration, ticks: mpsc::Sender<TimePoint>) {
+        let at = TimePoint(now.duration_since(self.origin).as_micros() as u64);
+        if let Err(mpsc::error::TrySendError::Closed(_)) = ticks.try_send(at) {
+            return;
+        }
+        self.push(now + period, Waiter::Every { period, ticks });
+    }
+}
+
+async fn wait_until(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_slow_subscriber_gets_one_merged_tick() {
+        let timer = Timer::start();
+        let mut subscription = timer.every(Duration::from_millis(10));
+        timer.after(Duration::from_millis(55)).await;
+        assert!(subscription.tick().await.is_some());
+        let next = subscription.tick().await.unwrap();
+        assert!(
+            next >= TimePoint::from_millis(60),
+            "a backlog of old ticks was delivered: {next:?}"
+        );
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn within_gives_up_at_the_limit() {
+        let timer = Timer::start();
+        let never = std::future::pending::<()>();
+        assert_eq!(timer.within(Duration::from_secs(3), never).await, None);
+        assert_eq!(timer.now(), TimePoint::from_millis(3_000));
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_trial/src/world.rs
@@ -0,0 +1,310 @@
+//! The machines of the trial: stand-ins, entry VMs, the network between them.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use quincevalve_entry::{EntrySettings, EntryVm, Limits, Pacing, View};
+use quincevalve_inventory::{Inventory, ReadError, Serves};
+use quincevalve_names::{DataCentreName, EntryVmName, Incarnation, Revision};
+use quincevalve_ports::cloud::{ListedVm, VmState};
+use quincevalve_program::{LogSettings, MetricsSettings};
+use quincevalve_standins::{Cuts, Engine, EngineSpeed, PlainService, Platform, Wire};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::{net::TcpListener, sync::mpsc};
+
+use crate::{
+    caller::{Balancer, Received, call_all},
+    fault::Fault,
+    options::Options,
+    vm_thread::VmThread,
+    workload,
+};
+
+/// The number of the platform's own network.
+pub(crate) const PLATFORM_ZONE: u8 = 200;
+const ENTRY_VMS_PER_DATA_CENTRE: u8 = 2;
+const SERVICE_WORK: Duration = Duration::from_millis(8);
+const CACHE_TOKENS: u32 = 60_000;
+
+/// The trial can't start.
+#[derive(Debug, Snafu)]
+pub(crate) enum WorldError {
+    #[snafu(display("{source}"))]
+    Inventory { source: ReadError },
+    #[snafu(display("no loopback address {address}: {source}"))]
+    Bind { address: SocketAddr, source: std::io::Error },
+    #[snafu(display("{name} did not start"))]
+    Start { name: String },
+}
+
+/// What runs on a backend server.
+pub(crate) enum Backend {
+    Engine(Box<Engine>),
+    Service(PlainService),
+}
+
+/// A backend server of the trial.
+pub(crate) struct BackendVm {
+    pub(crate) name: String,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) price_milli: u64,
+    pub(crate) backend: Backend,
+    pub(crate) wire: Wire,
+    pub(crate) thread: VmThread,
+    pub(crate) ended: Option<Instant>,
+}
+
+/// An entry VM of the trial.
+pub(crate) struct EntryThread {
+    pub(crate) name: EntryVmName,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) address: SocketAddr,
+    pub(crate) thread: VmThread,
+    stop: mpsc::UnboundedSender<()>,
+}
+
+impl EntryThread {
+    /// Asks for a graceful shutdown, as SIGTERM does.
+    pub(crate) fn stop(&self) {
+        let _ = self.stop.send(());
+    }
+}
+
+/// Everything.
+pub(crate) struct World {
+    pub(crate) platform: Platform,
+    pub(crate) cuts: Cuts,
+    pub(crate) backends: Vec<BackendVm>,
+    pub(crate) entries: Vec<EntryThread>,
+    pub(crate) inventory: Inventory,
+    pub(crate) started: Instant,
+    platform_thread: VmThread,
+    network: VmThread,
+}
+
+fn loopback(zone: u8, host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, zone, host))
+}
+
+/// Binds a port of the system's choice.
+fn bind(ip: IpAddr) -> Result<(std::net::TcpListener, SocketAddr), WorldError> {
+    let wanted = SocketAddr::new(ip, 0);
+    let bound = || -> std::io::Result<_> {
+        let listener = std::net::TcpListener::bind(wanted)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    };
+    bound().context(BindSnafu { address: wanted })
+}
+
+impl World {
+    pub(crate) fn start(options: &Options) -> Result<Self, WorldError> {
+        let mut inventory = options.user.inventory().context(InventorySnafu)?;
+        let cuts = Cuts::default();
+        let mut wires = Vec::new();
+        let (platform, platform_thread, platform_address) = start_platform(options.seed)?;
+        let wire = Wire::new(platform_address, PLATFORM_ZONE, cuts.clone());
+        let (listener, platform_address) = bind(loopback(PLATFORM_ZONE, 1))?;
+        wires.push((wire, listener));
+        let mut backends = Vec::new();
+        for position in 0..inventory.backend_server.len() {
+            let (vm, listener, address) = start_backend(&inventory, position, options.seed, &cuts)?;
+            wires.push((vm.wire.clone(), listener));
+            inventory.backend_server[position].address = address;
+            platform.list_vm_now(listed(&vm.name, &vm.data_centre));
+            backends.push(vm);
+        }
+        let network = start_network(wires)?;
+        let mut entries = Vec::new();
+        for (zone, data_centre) in inventory.data_centre.keys().enumerate() {
+            for number in 0..ENTRY_VMS_PER_DATA_CENTRE {
+                let zone = zone as u8 + 1;
+                let name = format!("entry-{data_centre}-{}", number + 1);
+                platform.list_vm_now(listed(&name, data_centre));
+                let ip = loopback(zone, 10 + number);
+                entries.push(start_entry(&name, data_centre, ip, platform_address, &inventory)?);
+            }
+        }
+        Ok(Self {
+            platform,
+            cuts,
+            backends,
+            entries,
+            inventory,
+            started: Instant::now(),
+            platform_thread,
+            network,
+        })
+    }
+
+    /// Sends all requests, switches the faults on and off, and returns what callers received.
+    pub(crate) fn run(&mut self, options: &Options) -> Vec<Received> {
+        let overload = options.faults.contains(&Fault::Overload);
+        let questions = workload::draw(options.user, options.requests, options.seed, overload);
+        let length = questions.last().map_or(Duration::ZERO, |it| it.at);
+        let balancer = Balancer::new(self.entries.iter().map(|it| it.address).collect());
+        let calling = std::thread::spawn(move || call_all(balancer, questions));
+        self.drive_faults(options, length);
+        let received = calling.join().unwrap_or_default();
+        self.end();
+        received
+    }
+
+    /// Each fault begins in the first half of the run, one after the other, and lasts a while.
+    fn drive_faults(&mut self, options: &Options, length: Duration) {
+        let begin = Instant::now();
+        let count = options.faults.len().max(1) as u32;
+        for (position, fault) in options.faults.iter().enumerate() {
+            let at = length / 5 + length * position as u32 / (2 * count);
+            std::thread::sleep(at.saturating_sub(begin.elapsed()));
+            crate::verdict::progress(&format!("fault {} on", fault.name()));
+            self.switch(*fault, position, options.seed);
+        }
+    }
+
+    fn end(&mut self) {
+        for entry in &mut self.entries {
+            entry.thread.kill();
+        }
+        for backend in &mut self.backends {
+            backend.thread.kill();
+        }
+        self.network.kill();
+        self.platform_thread.kill();
+    }
+}
+
+fn listed(name: &str, data_centre: &DataCentreName) -> ListedVm {
+    ListedVm {
+        name: name.to_owned(),
+        data_centre: data_centre.clone(),
+        incarnation: Incarnation(1),
+        state: VmState::Live,
+        peer_address: None,
+    }
+}
+
+fn start_platform(seed: u64) -> Result<(Platform, VmThread, SocketAddr), WorldError> {
+    let (listener, address) = bind(loopback(PLATFORM_ZONE, 2))?;
+    let started = VmThread::start(move |ready| async move {
+        let platform = Platform::new(seed);
+        let _ = ready.send(platform.clone());
+        if let Ok(listener) = TcpListener::from_std(listener) {
+            platform.serve(listener).await;
+        }
+    });
+    let (thread, platform) = started.context(StartSnafu { name: "platform" })?;
+    Ok((platform, thread, address))
+}
+
+type StartedBackend = (BackendVm, std::net::TcpListener, SocketAddr);
+
+fn start_backend(
+    inventory: &Inventory,
+    position: usize,
+    seed: u64,
+    cuts: &Cuts,
+) -> Result<StartedBackend, WorldError> {
+    let (name, server) = &inventory.backend_server.as_slice()[position..]
+        .first()
+        .context(StartSnafu { name: "backend" })?;
+    let zone = inventory.data_centre.get_index_of(&server.data_centre).unwrap_or(0) as u8 + 1;
+    let ip = loopback(zone, 100 + position as u8);
+    let (listener, real) = bind(ip)?;
+    let speed = EngineSpeed {
+        slots: server.slots,
+        prefill_tokens_per_s: server.prefill_tokens_per_s,
+        token_time: Duration::from_micros(u64::from(server.token_us)),
+        cache_tokens: CACHE_TOKENS,
+    };
+    let is_engine = matches!(server.serves, Serves::Model(_));
+    let seed = seed.wrapping_add(position as u64);
+    let started = VmThread::start(move |ready| async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        if is_engine {
+            let engine = Engine::new(speed, Incarnation(1), seed);
+            let _ = ready.send(Backend::Engine(Box::new(engine.clone())));
+            engine.serve(listener).await;
+        } else {
+            let service = PlainService::new(SERVICE_WORK);
+            let _ = ready.send(Backend::Service(service.clone()));
+            service.serve(listener).await;
+        }
+    });
+    let (thread, backend) = started.context(StartSnafu { name: name.as_str() })?;
+    let (listener, address) = bind(ip)?;
+    let prices = inventory.vm_class.get(&server.vm_class);
+    let price = prices.and_then(|it| it.price_milli.get(&server.data_centre));
+    let vm = BackendVm {
+        name: name.to_string(),
+        data_centre: server.data_centre.clone(),
+        price_milli: price.copied().unwrap_or(0),
+        backend,
+        wire: Wire::new(real, zone, cuts.clone()),
+        thread,
+        ended: None,
+    };
+    Ok((vm, listener, address))
+}
+
+fn start_network(wires: Vec<(Wire, std::net::TcpListener)>) -> Result<VmThread, WorldError> {
+    let started = VmThread::start(move |ready| async move {
+        for (wire, listener) in wires {
+            if let Ok(listener) = TcpListener::from_std(listener) {
+                tokio::spawn(wire.serve(listener));
+            }
+        }
+        let _ = ready.send(());
+        std::future::pending::<()>().await;
+    });
+    started.map(|it| it.0).context(StartSnafu { name: "network" })
+}
+
+fn start_entry(
+    name: &str,
+    data_centre: &DataCentreName,
+    ip: IpAddr,
+    platform: SocketAddr,
+    inventory: &Inventory,
+) -> Result<EntryThread, WorldError> {
+    let settings = EntrySettings {
+        name: name.into(),
+        data_centre: data_centre.clone(),
+        listen: SocketAddr::new(ip, 0),
+        inventory: "inventory.toml".into(),
+        platform,
+        limits: Limits::default(),
+        pacing: pacing(),
+        log: LogSettings::default(),
+        metrics: MetricsSettings::default(),
+    };
+    let view = View::new(Revision(1), inventory.clone());
+    let (stop, mut stopped) = mpsc::unbounded_channel();
+    let started = VmThread::start(move |ready| async move {
+        let Ok(vm) = EntryVm::start_with(settings, view).await else { return };
+        let _ = ready.send(vm.address());
+        stopped.recv().await;
+        vm.stop().await;
+    });
+    let (thread, address) = started.context(StartSnafu { name })?;
+    let name = name.into();
+    Ok(EntryThread { name, data_centre: data_centre.clone(), address, thread, stop })
+}
+
+/// Waits that suit stand-ins which answer in milliseconds.
+fn pacing() -> Pacing {
+    Pacing {
+        connect_ms: 300,
+        first_token_progress_ms: 1_500,
+        token_progress_ms: 600,
+        probe_ms: 300,
+        report_ms: 200,
+        reattach_ms: 5_000,
+        drain_ms: 20_000,
+        balancer_ms: 400,
+        platform_ms: 400,
+    }
+}
