Hand-over, re-attach and claims across entry VMs; silent connections found once

Change: control process with membership and configuration gossip over tarpc; records handed over by a core that gives the right up before sending; answers followed at other VMs; the claim ledger over the store; non-idempotent calls on new connections; a silent address is noted once for all requests. Ruled out: a hedge for the silent case; it would double load where the server itself is slow.

--- /dev/null
+++ b/crates/quincevalve_control/src/peer_service.rs
@@ -0,0 +1,49 @@
+//! What this control process does for its peers.
+
+use std::net::SocketAddr;
+
+use quincevalve_membership::Message;
+use quincevalve_names::Revision;
+use quincevalve_peers::{ControlPeer, RevisionBlob};
+use ractor::ActorRef;
+use tarpc::context::Context;
+
+use crate::{config_actor::ConfigMessage, gossip_actor::GossipMessage, shared::Shared};
+
+#[derive(Clone)]
+pub(crate) struct PeerService {
+    pub(crate) shared: Shared,
+    pub(crate) gossip: ActorRef<GossipMessage>,
+    pub(crate) config: ActorRef<ConfigMessage>,
+    pub(crate) hello: Message,
+}
+
+impl ControlPeer for PeerService {
+    async fn gossip(self, _: Context, message: Message) -> Message {
+        let (tx, rx) = tokio::sync::oneshot::channel();
+        let sent = self.gossip.cast(GossipMessage::Probed(Box::new(message), tx.into()));
+        if sent.is_err() {
+            return self.hello;
+        }
+        rx.await.unwrap_or(self.hello)
+    }
+
+    async fn probe_for(self, _: Context, target: SocketAddr) -> bool {
+        let limit = self.shared.settings.pacing.peer();
+        let hello = self.hello;
+        let call = self
+            .shared
+            .callers
+            .call(target, limit, |client, cx| async move { client.gossip(cx, hello).await });
+        call.await.is_ok()
+    }
+
+    async fn announce(self, _: Context, from: SocketAddr, revision: Revision) {
+        let _ = self.config.cast(ConfigMessage::Heard(from, revision));
+    }
+
+    async fn fetch(self, _: Context, than: Revision) -> Option<RevisionBlob> {
+        let config = self.shared.state.borrow().config.clone()?;
+        (config.revision > than).then(|| RevisionBlob::clone(&config))
+    }
+}
--- a/crates/quincevalve_entry/src/answer.rs
+++ b/crates/quincevalve_entry/src/answer.rs
@@ -7,7 +7,8 @@
 };
 
 use bytes::Bytes;
-use quincevalve_names::{RequestId, Sequence, TimePoint};
+use quincevalve_names::{BackendServerName, RequestId, Sequence, TimePoint};
+use tokio::sync::watch;
 
 use crate::refusal::Refusal;
 
@@ -42,6 +43,18 @@
     wakers: Vec<Waker>,
     readers: u32,
     unread_since: TimePoint,
+    server: Option<BackendServerName>,
+}
+
+/// Whether the right to go on with a request stays on this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Right {
+    /// It is here.
+    Held,
+    /// The hand-over asks for it.
+    Asked,
+    /// It was given up: nothing here sends the request anywhere any more.
+    GivenUp,
 }
 
 /// One answer. Appending wakes all readers.
@@ -49,11 +62,12 @@
 pub(crate) struct Answer {
     id: RequestId,
     state: Mutex<AnswerState>,
+    right: watch::Sender<Right>,
 }
 
 impl Answer {
     pub(crate) fn new(id: RequestId) -> Self {
-        Self { id, state: Mutex::default() }
+        Self { id, state: Mutex::default(), right: watch::Sender::new(Right::Held) }
     }
 
     pub(crate) const fn id(&self) -> RequestId {
@@ -101,6 +115,50 @@
         self.lock().end.clone()
     }
 
+    /// Notes the server that the request is being sent to; before the first byte goes out.
+    pub(crate) fn set_server(&self, server: &BackendServerName) {
+        self.lock().server = Some(server.clone());
+    }
+
+    pub(crate) fn server(&self) -> Option<BackendServerName> {
+        self.lock().server.clone()
+    }
+
+    /// Asks for the right to go on, and waits until it was given up. `false` if the answer ended first.
+    pub(crate) async fn take_right(&self) -> bool {
+        self.right.send_if_modified(|it| {
+            let held = *it == Right::Held;
+            if held {
+                *it = Right::Asked;
+            }
+            held
+        });
+        let mut right = self.right.subscribe();
+        tokio::select! {
+            given = right.wait_for(|it| *it == Right::GivenUp) => given.is_ok(),
+            _ = self.finished() => false,
+        }
+    }
+
+    /// Waits until the right is asked for.
+    pub(crate) async fn right_asked(&self) {
+        let mut right = self.right.subscribe();
+        let asked = right.wait_for(|it| *it == Right::Asked).await.is_ok();
+        if !asked {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Gives the right up.
+    pub(crate) fn give_up_right(&self) {
+        self.right.send_replace(Right::GivenUp);
+    }
+
+    /// Takes the right back: nobody else has the request.
+    pub(crate) fn regain_right(&self) {
+        self.right.send_replace(Right::Held);
+    }
+
     /// Bytes that keeping this answer takes.
     pub(crate) fn size(&self) -> usize {
         let state = self.lock();
--- a/crates/quincevalve_entry/src/answers.rs
+++ b/crates/quincevalve_entry/src/answers.rs
@@ -1,7 +1,7 @@
 //! All answers of this VM, running and kept for re-attaching.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -24,8 +24,12 @@
     by_key: HashMap<CallerKey, RequestId>,
     ended: VecDeque<RequestId>,
     ended_bytes: usize,
+    moved: HashSet<RequestId>,
 }
 
+/// Ended answers that are handed over when this VM is taken back.
+const KEPT_HANDED_OVER: usize = 2_000;
+
 /// What stands under a caller's key.
 pub(crate) enum KeyState {
     /// Nothing.
@@ -109,10 +113,28 @@
         }
     }
 
-    /// Requests that are still running.
+    /// Requests that are still running here.
     pub(crate) fn running(&self) -> Vec<Known> {
         let table = self.lock();
-        table.known.values().filter(|it| it.answer.ended().is_none()).cloned().collect()
+        let open = table.known.values().filter(|it| it.answer.ended().is_none());
+        open.filter(|it| !table.moved.contains(&it.request.id)).cloned().collect()
+    }
+
+    /// Notes that another VM has the request now.
+    pub(crate) fn moved(&self, id: RequestId) {
+        self.lock().moved.insert(id);
+    }
+
+    /// Whether another VM has the request now.
+    pub(crate) fn is_moved(&self, id: RequestId) -> bool {
+        self.lock().moved.contains(&id)
+    }
+
+    /// Ended answers under a caller's key, the newest first: what a caller is likeliest to ask again.
+    pub(crate) fn kept_with_key(&self) -> Vec<Known> {
+        let table = self.lock();
+        let kept = table.ended.iter().rev().filter_map(|it| table.known.get(it));
+        kept.filter(|it| it.request.key.is_some()).take(KEPT_HANDED_OVER).cloned().collect()
     }
 }
 
--- a/crates/quincevalve_entry/src/attempt.rs
+++ b/crates/quincevalve_entry/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use quincevalve_inventory::Execution;
-use quincevalve_names::{BackendServerName, Outcome, TimePoint};
+use quincevalve_names::{Outcome, TimePoint};
 use quincevalve_ports::engine::KvHandle;
 use quincevalve_recovery::Relay as RelayCore;
 use quincevalve_retries::{Failure, FailureReach, NextStep, RetryRules, decide};
@@ -26,7 +26,6 @@
     pub(crate) tried: Vec<ServerIndex>,
     pub(crate) resume_on: Option<ServerIndex>,
     pub(crate) import: Option<KvHandle>,
-    pub(crate) server: Option<BackendServerName>,
     pub(crate) first_token_at: Option<TimePoint>,
     pub(crate) resumes: u32,
 }
@@ -41,7 +40,6 @@
             tried: Vec::new(),
             resume_on: None,
             import: None,
-            server: None,
             first_token_at: None,
             resumes: 0,
         }
@@ -116,18 +114,33 @@
 
 /// Runs an accepted request to its end.
 pub(crate) async fn serve(shared: Arc<Shared>, accepted: Accepted) {
-    let Accepted { request, answer, place } = accepted;
+    let Accepted { request, answer, place, resume_on } = accepted;
     let route = Route { shared: Arc::clone(&shared) };
     let dispatch = Dispatch { shared: Arc::clone(&shared) };
     let relay = Relay { shared: Arc::clone(&shared) };
     let pipe = then(route, then(dispatch, relay));
 
     let mut attempt = Attempt::new(Arc::clone(&request), Arc::clone(&answer));
+    attempt.resume_on = resume_on;
     let mut attempts = 0;
-    let mut earlier = FailureReach::NotRun;
+    // A request that another VM had sent may have run there.
+    let mut earlier = match answer.server() {
+        Some(_) => FailureReach::MayHaveRun,
+        None => FailureReach::NotRun,
+    };
     let (end, first_token_at) = loop {
         attempts += 1;
-        match pipe.apply(attempt).await {
+        let applied = tokio::select! {
+            biased;
+            () = answer.right_asked() => {
+                // Whatever was under way ends here, and only then is the right given up.
+                drop(place);
+                answer.give_up_right();
+                return;
+            }
+            applied = pipe.apply(attempt) => applied,
+        };
+        match applied {
             Ok(done) => break (End::Whole, done.first_token_at),
             Err(failed) => {
                 let step = next_step(&shared, &failed, earlier, attempts);
--- a/crates/quincevalve_entry/src/filters/admit.rs
+++ b/crates/quincevalve_entry/src/filters/admit.rs
@@ -34,7 +34,7 @@
     type Error = Refusal;
 
     async fn apply(&self, request: Identified) -> Result<Admitted, Refusal> {
-        if self.shared.is_leaving() {
+        if self.shared.is_refusing() {
             let refusal = Refusal::new(RefusalKind::Leaving, Outcome::NotRun);
             return Err(refusal.with_retry_after(LEAVING_RETRY));
         }
@@ -130,6 +130,23 @@
         }
     }
 
+    /// A place for a request that another VM admitted: it is counted nowhere here.
+    pub(crate) fn taken_over(&self, request: &Identified) -> Place {
+        Place {
+            desk: self.clone(),
+            target: request.target(),
+            account: AccountIndex(0),
+            ticket: Ticket(0),
+            since: self.timer.now(),
+            state: PlaceState::Left,
+        }
+    }
+
+    /// Requests running and waiting, for the shares that peers compute.
+    pub(crate) fn demand(&self) -> u32 {
+        self.lock().cores.values().map(Admission::demand).sum()
+    }
+
     /// Enters now, or waits for a place.
     async fn enter(&self, request: &Identified, needs: Duration) -> Result<Place, Refusal> {
         let target = request.target();
--- a/crates/quincevalve_entry/src/filters/dispatch.rs
+++ b/crates/quincevalve_entry/src/filters/dispatch.rs
@@ -1,10 +1,11 @@
 //! Dispatch: send the attempt to its server.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use quincevalve_inventory::Execution;
 use quincevalve_names::{BackendServerName, Incarnation};
 use quincevalve_ports::{
     CallError, Reach,
@@ -80,10 +81,10 @@
 
     async fn apply(&self, routed: Routed) -> Result<Dispatched, Failed> {
         let sent = Sent::new(&self.shared, &routed);
-        let Routed { mut attempt, address, .. } = routed;
-        attempt.server = Some(sent.name.clone());
+        let Routed { attempt, address, .. } = routed;
+        attempt.answer.set_server(&sent.name);
         let request = Arc::clone(&attempt.request);
-        let progress = self.shared.settings.pacing.first_token_progress();
+        let progress = self.answer_limit(&request);
         let send = self.send(address, &request, &attempt);
         let answer = self.shared.timer.within(progress, send).await;
         match answer {
@@ -98,6 +99,18 @@
 }
 
 impl Dispatch {
+    /// How long to wait for the head of an answer: engines send it when they take an order, services
+    /// when they have done the work.
+    fn answer_limit(&self, request: &Identified) -> Duration {
+        match &request.work {
+            Work::Generate(_) => self.shared.settings.pacing.head(),
+            Work::Call(call) => {
+                let facts = request.view.inventory.service.get(&call.service);
+                facts.map_or(MAX_SERVICE_WAIT, |it| Duration::from_millis(it.progress_ms))
+            }
+        }
+    }
+
     async fn send(
         &self,
         address: SocketAddr,
@@ -126,7 +139,13 @@
             Work::Call(call) => {
                 let req =
                     call_request(address, call).map_err(|source| CallError::Form { source })?;
-                self.shared.engines.http().send(address, req).await
+                let http = self.shared.engines.http();
+                // A pooled connection can be silent, and then it stays unknown whether the call ran. For
+                // work that may not be repeated a new connection is cheaper than that.
+                match request.execution {
+                    Execution::NonIdempotent => http.send_fresh(address, req).await,
+                    Execution::Idempotent => http.send(address, req).await,
+                }
             }
         }
     }
@@ -173,14 +192,31 @@
     /// a new one, and is passed over only if that is silent too.
     async fn silent(&self, attempt: Attempt, sent: &Sent) -> Failed {
         let limit = self.shared.settings.pacing.probe();
-        if self.shared.engines.http().probe(sent.address, "/v1/load", limit).await {
-            return Failed::may_have_run(attempt, Cause::Silent);
+        let http = self.shared.engines.http();
+        http.note_silent(sent.address);
+        if http.probe(sent.address, "/v1/load", limit).await {
+            return ask_again(attempt, sent);
         }
         self.shared.router().failed(self.shared.timer.now(), sent.server);
         Failed::may_have_run(attempt.tried(sent.server), Cause::Silent)
     }
 }
 
+/// The server is well and the connection was not. An engine knows an order by the request's id, so
+/// sending it again on a new connection joins the same run, if there is one.
+fn ask_again(mut attempt: Attempt, sent: &Sent) -> Failed {
+    if matches!(attempt.request.work, Work::Call(_)) || attempt.resumes > MAX_ASKS {
+        return Failed::may_have_run(attempt, Cause::Silent);
+    }
+    attempt.resumes += 1;
+    attempt.resume_on = Some(sent.server);
+    Failed::may_have_run(attempt, Cause::Silent).announced().resumable()
+}
+
+/// The longest wait for a service that the inventory no longer has.
+const MAX_SERVICE_WAIT: Duration = Duration::from_secs(5);
+const MAX_ASKS: u32 = 2;
+
 fn header_is(headers: &HeaderMap, name: &str, value: &str) -> bool {
     headers.get(name).is_some_and(|it| it.as_bytes() == value.as_bytes())
 }
--- a/crates/quincevalve_entry/src/filters/relay.rs
+++ b/crates/quincevalve_entry/src/filters/relay.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quincevalve_inventory::Execution;
-use quincevalve_names::TimePoint;
+use quincevalve_names::{Sequence, TimePoint};
 use quincevalve_ports::{
     Event, EventBuffer,
     engine::{END_EVENT, EndEvent, TokenEvent},
@@ -49,6 +49,24 @@
     Leaving(TimePoint),
 }
 
+/// Whether a notice about the server still has to be weighed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeavingWatch {
+    Armed,
+    CheckedAt(Sequence),
+}
+
+impl LeavingWatch {
+    /// A notice is weighed once; and once more when the first token has come, since before it a billed
+    /// run can't be moved.
+    fn is_due(self, attempt: &Attempt) -> bool {
+        match self {
+            Self::Armed => true,
+            Self::CheckedAt(at) => at.0 == 0 && attempt.relay.next().0 > 0,
+        }
+    }
+}
+
 /// What the events in one read amounted to.
 enum Progress {
     More,
@@ -64,12 +82,13 @@
         mut sent: Sent,
     ) -> Result<Attempt, Failed> {
         let mut buffer = EventBuffer::default();
-        let mut watches_leaving = true;
+        let mut leaving = LeavingWatch::Armed;
         loop {
             if self.is_abandoned(&attempt) {
                 return Err(self.cancel(attempt, &sent).await);
             }
-            let step = self.next_step(&attempt, &mut body, &sent, watches_leaving).await;
+            let watches = leaving.is_due(&attempt);
+            let step = self.next_step(&attempt, &mut body, &sent, watches).await;
             match step {
                 Step::Bytes(bytes) => {
                     buffer.extend(&bytes);
@@ -90,7 +109,7 @@
                 }
                 Step::Silent => return Err(self.lost(attempt, &sent, Cause::Silent).await),
                 Step::Leaving(gone_at) => {
-                    watches_leaving = false;
+                    leaving = LeavingWatch::CheckedAt(attempt.relay.next());
                     if let Some(failed) = self.leave_server(&mut attempt, &sent, gone_at).await {
                         return Err(failed.into_failed(attempt));
                     }
@@ -165,6 +184,9 @@
     /// The stream is lost. The server is probed on a new connection: if it answers, it has the rest of
     /// the answer, and reading on there computes nothing again.
     async fn lost(&self, mut attempt: Attempt, sent: &Sent, cause: Cause) -> Failed {
+        if cause == Cause::Silent {
+            self.shared.engines.http().note_silent(sent.address);
+        }
         let limit = self.shared.settings.pacing.probe();
         let answers = self.shared.engines.http().probe(sent.address, "/v1/load", limit).await;
         let options = self.way_options(&attempt, sent, answers, None);
--- a/crates/quincevalve_entry/src/front.rs
+++ b/crates/quincevalve_entry/src/front.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,7 +17,6 @@
 
 use crate::{
     answer::{Answer, End},
-    answers::Known,
     attempt::serve,
     body::EntryBody,
     filters::{Admit, Claim, Identify},
@@ -25,6 +24,7 @@
     pipe::{Filter, then},
     reader::AnswerReader,
     refusal::{Refusal, RefusalKind, insert_request_id},
+    remote,
     request::{Claimed, Received, Shape},
     shared::Shared,
 };
@@ -114,7 +114,10 @@
         (Method::GET, "/readyz") => Ok(text(StatusCode::OK, "ready")),
         (Method::GET, "/internal/burn") => Ok(json(&shared.burn.report(shared.timer.now()))),
         (Method::GET, "/v1/models") => models(&shared, req.headers()),
-        (Method::GET, path) if path.starts_with(REQUESTS) => reattach(&shared, &req),
+        (Method::GET, path) if path.starts_with(REQUESTS) => {
+            let (head, _) = req.into_parts();
+            reattach(&shared, &head).await
+        }
         _ => serve_request(&shared, req).await,
     };
     let reply = reply.unwrap_or_else(Refusal::into_response);
@@ -319,34 +322,37 @@
 }
 
 /// `GET /v1/requests/{id}?from=N`: reads an answer on, from a position.
-fn reattach(shared: &Arc<Shared>, req: &Request<Incoming>) -> Result<Reply, Refusal> {
+///
+/// The answer may be at any entry VM: here, where it was accepted, or where it was handed over to.
+async fn reattach(shared: &Arc<Shared>, head: &Parts) -> Result<Reply, Refusal> {
     let view = shared.view();
-    let account = crate::filters::identify_account(&view, req.headers())?;
-    let text = req.uri().path().strip_prefix(REQUESTS).unwrap_or_default();
+    let account = crate::filters::identify_account(&view, &head.headers)?;
+    let text = head.uri.path().strip_prefix(REQUESTS).unwrap_or_default();
     let id = text.parse::<RequestId>().map_err(|error| RefusalKind::BadRequest {
         param: "id",
         message: format!("`{text}`: {error}"),
     })?;
-    let from = read_from(req.uri())?;
-    let known = shared.answers.find(id).filter(|it| it.request.account == *account);
-    let Some(Known { request, answer }) = known else {
+    let from = read_from(&head.uri)?;
+    let known = shared.answers.find(id);
+    let (answer, shape) = match known {
+        Some(it) if it.request.account == *account => (it.answer, it.request.shape),
         // Whoever asks about another account's request learns nothing, not even that it exists.
-        let refusal = Refusal::new(RefusalKind::NoSuchRequest, Outcome::MayHaveRun);
-        return Err(refusal.with_request(id));
-    };
-    let mut reply = match request.shape {
-        Shape::Bytes => bytes_reply(shared, &answer),
-        Shape::Stream(shape) | Shape::Whole(shape) => {
-            let reader =
-                AnswerReader::events(Arc::clone(&answer), shared.timer.clone(), from, shape);
-            let mut reply = Response::new(EntryBody::Answer(reader));
-            let value = HeaderValue::from_static("text/event-stream");
-            reply.headers_mut().insert(header::CONTENT_TYPE, value);
-            reply
+        Some(_) => return Err(no_such_request(id)),
+        None => {
+            let attached = remote::attach(shared, id, account).await;
+            let (answer, page) = attached.ok_or_else(|| no_such_request(id))?;
+            (answer, if page.is_call { Shape::Bytes } else { Shape::Stream(StreamShape::Chat) })
         }
     };
-    insert_request_id(reply.headers_mut(), id);
-    Ok(reply)
+    let shape = match shape {
+        Shape::Whole(shape) => Shape::Stream(shape),
+        shape => shape,
+    };
+    reply_from(shared, &answer, shape, from).await
+}
+
+fn no_such_request(id: RequestId) -> Refusal {
+    Refusal::new(RefusalKind::NoSuchRequest, Outcome::MayHaveRun).with_request(id)
 }
 
 fn read_from(uri: &http::Uri) -> Result<Sequence, RefusalKind> {
--- a/crates/quincevalve_entry/src/lib.rs
+++ b/crates/quincevalve_entry/src/lib.rs
@@ -9,14 +9,19 @@
 mod attempt;
 mod body;
 mod burn;
+mod control_link;
 mod departures;
 mod filters;
 mod front;
+mod hand_over;
 mod observe;
 mod openai;
+mod peer_service;
+mod peers;
 mod pipe;
 mod reader;
 mod refusal;
+mod remote;
 mod request;
 mod settings;
 mod shared;
@@ -26,7 +31,7 @@
 pub use crate::{
     burn::{BurnBucket, BurnReport, BurnRow},
     refusal::{Refusal, RefusalKind},
-    settings::{EntrySettings, Limits, Pacing},
+    settings::{EntrySettings, LedgerSettings, Limits, Pacing},
     start::{EntryVm, StartError},
     view::View,
 };
--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use quincevalve_admission::{Demand, own_share};
 use quincevalve_names::BackendServerName;
 use quincevalve_ports::{
     HttpClient,
@@ -38,6 +39,10 @@
             targets.push(target);
         }
     }
+    let own = Demand { requests: shared.admission.demand() };
+    let peers = shared.peers();
+    let near = peers.near(&shared.settings.data_centre);
+    let near: Vec<_> = near.map(|it| Demand { requests: it.demand }).collect();
     for target in targets {
         let local = shared.router().slots(now, &target, &shared.settings.data_centre);
         let all: u32 = {
@@ -46,7 +51,8 @@
         };
         // A data centre without such servers lives on the others' spare places.
         let slots = if local > 0 { local } else { all / 2 };
-        shared.admission.set_capacity(&target, slots + slots / 2);
+        let share = own_share(slots + slots / 2, own, &near);
+        shared.admission.set_capacity(&target, share);
     }
 }
 
--- a/crates/quincevalve_entry/src/request.rs
+++ b/crates/quincevalve_entry/src/request.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use quincevalve_inventory::{Execution, Promise};
 use quincevalve_names::{ClassName, ClientAccountName, IdempotencyKey, RequestId, TimePoint};
-use quincevalve_recovery::Work;
-use quincevalve_routing::{Target, Urgency};
+use quincevalve_recovery::{AnswerForm, Work};
+use quincevalve_routing::{ServerIndex, Target, Urgency};
 
 use crate::{answer::Answer, filters::Place, openai::StreamShape, view::View};
 
@@ -42,6 +42,30 @@
     Bytes,
 }
 
+impl From<Shape> for AnswerForm {
+    fn from(shape: Shape) -> Self {
+        match shape {
+            Shape::Stream(StreamShape::Chat) => Self::ChatStream,
+            Shape::Whole(StreamShape::Chat) => Self::ChatWhole,
+            Shape::Stream(StreamShape::Text) => Self::TextStream,
+            Shape::Whole(StreamShape::Text) => Self::TextWhole,
+            Shape::Bytes => Self::Bytes,
+        }
+    }
+}
+
+impl From<AnswerForm> for Shape {
+    fn from(form: AnswerForm) -> Self {
+        match form {
+            AnswerForm::ChatStream => Self::Stream(StreamShape::Chat),
+            AnswerForm::ChatWhole => Self::Whole(StreamShape::Chat),
+            AnswerForm::TextStream => Self::Stream(StreamShape::Text),
+            AnswerForm::TextWhole => Self::Whole(StreamShape::Text),
+            AnswerForm::Bytes => Self::Bytes,
+        }
+    }
+}
+
 impl Identified {
     pub(crate) fn target(&self) -> Target {
         match &self.work {
@@ -121,4 +145,5 @@
     pub(crate) request: Arc<Identified>,
     pub(crate) answer: Arc<Answer>,
     pub(crate) place: Place,
+    pub(crate) resume_on: Option<ServerIndex>,
 }
--- a/crates/quincevalve_entry/src/settings.rs
+++ b/crates/quincevalve_entry/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use quincevalve_ledger::{DeskSettings, SlotSettings};
 use quincevalve_names::{DataCentreName, EntryVmName};
+use quincevalve_peers::PeerTls;
 use quincevalve_program::{LogSettings, MetricsSettings};
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +18,14 @@
     pub data_centre: DataCentreName,
     /// Where callers reach it.
     pub listen: SocketAddr,
+    /// Where other entry VMs reach it.
+    pub peer_listen: SocketAddr,
+    /// The control process of the same VM; without it this VM knows no peers and no newer inventory.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// How peers are let in and called; without it plain TCP, on loopback only.
+    #[serde(default)]
+    pub peer_tls: Option<PeerTls>,
     /// The inventory to start from, until a newer revision comes.
     pub inventory: PathBuf,
     /// The platform's address.
@@ -23,6 +33,9 @@
     /// What callers may use.
     #[serde(default)]
     pub limits: Limits,
+    /// The claims of non-idempotent requests.
+    #[serde(default)]
+    pub ledger: LedgerSettings,
     /// Waits and periods.
     #[serde(default)]
     pub pacing: Pacing,
@@ -68,12 +81,46 @@
     }
 }
 
+/// The claims of non-idempotent requests. Every entry VM must have the same numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LedgerSettings {
+    /// Slots that claims are spread over; each is one key of the platform's store.
+    pub slots: u32,
+    /// Milliseconds between two writes of one slot.
+    pub pace_ms: u64,
+    /// Seconds for which a claim is kept. A key that is older counts as new.
+    pub retention_s: u64,
+    /// Milliseconds until a claim that can't be settled is refused.
+    pub give_up_ms: u64,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self { slots: 16, pace_ms: 200, retention_s: 3_600, give_up_ms: 2_000 }
+    }
+}
+
+impl From<LedgerSettings> for DeskSettings {
+    fn from(settings: LedgerSettings) -> Self {
+        let slot = SlotSettings {
+            pace: Duration::from_millis(settings.pace_ms),
+            retention_s: settings.retention_s,
+            ..SlotSettings::default()
+        };
+        let give_up = Duration::from_millis(settings.give_up_ms);
+        Self { slots: settings.slots.max(1), slot, give_up }
+    }
+}
+
 /// Waits and periods, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Pacing {
     /// The longest wait for a connection to a backend server.
     pub connect_ms: u64,
+    /// The longest wait for an engine to confirm that it took an order.
+    pub head_ms: u64,
     /// The longest time without a byte from an engine before its first token.
     pub first_token_progress_ms: u64,
     /// The longest time without a byte from an engine after its first token.
@@ -90,12 +137,15 @@
     pub balancer_ms: u64,
     /// The longest wait for the platform's answer.
     pub platform_ms: u64,
+    /// The longest wait for a peer's answer.
+    pub peer_ms: u64,
 }
 
 impl Default for Pacing {
     fn default() -> Self {
         Self {
             connect_ms: 500,
+            head_ms: 1_000,
             first_token_progress_ms: 10_000,
             token_progress_ms: 2_000,
             probe_ms: 500,
@@ -104,6 +154,7 @@
             drain_ms: 30_000,
             balancer_ms: 2_000,
             platform_ms: 1_000,
+            peer_ms: 1_000,
         }
     }
 }
@@ -113,6 +164,10 @@
         Duration::from_millis(self.connect_ms)
     }
 
+    pub(crate) const fn head(&self) -> Duration {
+        Duration::from_millis(self.head_ms)
+    }
+
     pub(crate) const fn first_token_progress(&self) -> Duration {
         Duration::from_millis(self.first_token_progress_ms)
     }
@@ -137,6 +192,14 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    pub(crate) const fn peer(&self) -> Duration {
+        Duration::from_millis(self.peer_ms)
+    }
+
+    pub(crate) const fn balancer(&self) -> Duration {
+        Duration::from_millis(self.balancer_ms)
+    }
+
     pub(crate) const fn platform(&self) -> Duration {
         Duration::from_millis(self.platform_ms)
     }
--- a/crates/quincevalve_entry/src/shared.rs
+++ b/crates/quincevalve_entry/src/shared.rs
@@ -2,21 +2,24 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use quincevalve_ledger::ClaimDesk;
 use quincevalve_names::{HomeTag, RequestId};
-use quincevalve_ports::engine::EngineClient;
+use quincevalve_peers::{Callers, EntryPeerClient};
+use quincevalve_ports::{engine::EngineClient, store::HttpStore};
 use quincevalve_program::Metrics;
+use quincevalve_recovery::{HandOverId, HandOverReceiver};
 use quincevalve_retries::{HedgeClock, RetryBudget};
-use quincevalve_routing::{LeavingEvidence, PredictedFirstToken, Router};
+use quincevalve_routing::{PredictedFirstToken, Router};
 use quincevalve_timer::Timer;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::watch;
 
 use crate::{
-    answers::Answers, burn::Burn, departures::Departures, filters::AdmissionDesk,
+    answers::Answers, burn::Burn, departures::Departures, filters::AdmissionDesk, peers::Peers,
     settings::EntrySettings, view::View,
 };
 
@@ -35,6 +38,12 @@
     pub(crate) metrics: Metrics,
     pub(crate) rng: Mutex<Pcg64Mcg>,
     pub(crate) leaving: AtomicBool,
+    pub(crate) refusing: AtomicBool,
+    pub(crate) peers: watch::Receiver<Arc<Peers>>,
+    pub(crate) callers: Callers<EntryPeerClient>,
+    pub(crate) claims: ClaimDesk<HttpStore>,
+    pub(crate) receiver: Mutex<HandOverReceiver>,
+    pub(crate) next_hand_over: AtomicU64,
 }
 
 impl Shared {
@@ -59,8 +68,33 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Shows the balancer that this VM goes, and takes no hand-overs any more. Requests are still
+    /// accepted until [`Shared::refuse`], since the balancer sends for a while.
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.receiver().leave();
+    }
+
+    /// Accepts nothing new any more.
+    pub(crate) fn refuse(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn receiver(&self) -> MutexGuard<'_, HandOverReceiver> {
+        self.receiver.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn peers(&self) -> Arc<Peers> {
+        self.peers.borrow().clone()
+    }
+
+    /// A hand-over id that this VM hasn't used.
+    pub(crate) fn new_hand_over_id(&self) -> HandOverId {
+        HandOverId(self.next_hand_over.fetch_add(1, Ordering::Relaxed))
     }
 
     pub(crate) fn new_request_id(&self) -> RequestId {
@@ -72,12 +106,7 @@
     pub(crate) fn take_servers(&self, view: &View) {
         let mut router = self.router();
         for spec in view.servers() {
-            let name = spec.name.clone();
-            let index = router.upsert(spec);
-            if view.inventory.backend_server.get(&name).is_some_and(|it| it.drain) {
-                let incarnation = router.incarnation(index);
-                router.leaving(index, incarnation, LeavingEvidence::Configuration);
-            }
+            router.upsert(spec);
         }
     }
 }
--- a/crates/quincevalve_entry/src/start.rs
+++ b/crates/quincevalve_entry/src/start.rs
@@ -3,13 +3,18 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64},
+    },
     time::Duration,
 };
 
 use quincevalve_inventory::{Format, ReadError, read_inventory};
-use quincevalve_names::{Revision, hash_text};
-use quincevalve_ports::{HttpClient, engine::EngineClient};
+use quincevalve_ledger::ClaimDesk;
+use quincevalve_names::hash_text;
+use quincevalve_peers::{BindError, Callers, EntryPeer, PeerListener, PeerSecurity, PeerTlsError};
+use quincevalve_ports::{HttpClient, engine::EngineClient, store::HttpStore};
 use quincevalve_program::{Metrics, MetricsError};
 use quincevalve_retries::{HedgeClock, RetryBudget};
 use quincevalve_routing::{PredictedFirstToken, Router};
@@ -20,9 +25,12 @@
 use crate::{
     answers::Answers,
     burn::Burn,
+    control_link::{self, Feeds, NO_REVISION},
     departures::Departures,
     filters::AdmissionDesk,
-    front, observe,
+    front, hand_over, observe,
+    peer_service::PeerService,
+    peers::Peers,
     settings::EntrySettings,
     shared::{Shared, seeded},
     view::View,
@@ -53,6 +61,18 @@
         /// Why.
         source: std::io::Error,
     },
+    /// Peers can't be let in.
+    #[snafu(display("{source}"))]
+    PeerTls {
+        /// Why.
+        source: PeerTlsError,
+    },
+    /// The address for peers can't be listened on.
+    #[snafu(display("peer_listen: {source}"))]
+    Peers {
+        /// Why.
+        source: BindError,
+    },
     /// Metrics can't be started.
     #[snafu(display("{source}"))]
     Metrics {
@@ -65,6 +85,7 @@
 pub struct EntryVm {
     shared: Arc<Shared>,
     address: SocketAddr,
+    peer_address: SocketAddr,
     stop: watch::Sender<bool>,
     front: tokio::task::JoinHandle<()>,
 }
@@ -76,7 +97,7 @@
         let text = std::fs::read_to_string(&file).context(InventoryFileSnafu { file: &file })?;
         let inventory = read_inventory(&file.display().to_string(), &text, Format::Toml)
             .context(InventorySnafu)?;
-        Self::start_with(settings, View::new(Revision(0), inventory)).await
+        Self::start_with(settings, View::new(NO_REVISION, inventory)).await
     }
 
     /// Starts on the current runtime, with a view.
@@ -85,28 +106,53 @@
         let listener = TcpListener::bind(listen).await.context(ListenSnafu { address: listen })?;
         let address = listener.local_addr().context(ListenSnafu { address: listen })?;
         let metrics = Metrics::start(&settings.metrics).context(MetricsSnafu)?;
-        let (_views, view) = watch::channel(Arc::new(view));
-        let shared = Arc::new(new_shared(settings, view, metrics));
+        let security = PeerSecurity::new(settings.peer_tls.clone(), settings.peer_listen.ip())
+            .context(PeerTlsSnafu)?;
+        let peer_listener = PeerListener::bind(settings.peer_listen).await.context(PeersSnafu)?;
+        let peer_address = peer_listener.address();
+        let (views, view) = watch::channel(Arc::new(view));
+        let (peers, peer_table) = watch::channel(Arc::default());
+        let feeds = Feeds { views, peers };
+        let shared = new_shared(settings, view, peer_table, security.clone(), metrics);
+        let shared = Arc::new(shared);
         let initial = shared.view();
         shared.take_servers(&initial);
         observe::set_capacities(&shared, &initial);
 
         let (stop, stopped) = watch::channel(false);
         let front = tokio::spawn(front::accept(Arc::clone(&shared), listener, stopped));
-        let vm = Self { shared, address, stop, front };
+        let service = PeerService { shared: Arc::clone(&shared) };
+        tokio::spawn(peer_listener.accept(security.clone(), move |stream| {
+            let service = service.clone();
+            async move { quincevalve_peers::serve_peer!(stream, service.serve()) }
+        }));
+        let vm = Self { shared, address, peer_address, stop, front };
         vm.start_observers();
+        vm.start_control_link(&security, feeds);
         Ok(vm)
     }
 
+    fn start_control_link(&self, security: &PeerSecurity, feeds: Feeds) {
+        let shared = &self.shared;
+        tokio::spawn(control_link::apply_views(Arc::clone(shared)));
+        let settings = shared.settings.clone();
+        let Some(address) = settings.control else { return };
+        let local = Some(settings.peer_listen.ip());
+        let callers = Callers::new(security.clone(), local, settings.pacing.connect());
+        tokio::spawn(control_link::report(Arc::clone(shared), address, callers.clone()));
+        let timer = shared.timer.clone();
+        tokio::spawn(control_link::follow(settings, address, callers, timer, feeds));
+    }
+
     fn start_observers(&self) {
         let shared = &self.shared;
         tokio::spawn(observe::watch_capacity(Arc::clone(shared)));
         tokio::spawn(observe::watch_loads(Arc::clone(shared)));
         tokio::spawn(observe::watch_list(Arc::clone(shared), observe::cloud_client(shared)));
         let own = Arc::clone(shared);
-        let on_own = move |left: Duration, _wave: Vec<String>| {
+        let on_own = move |left: Duration, wave: Vec<String>| {
             log::info!("{} is taken back in {left:?}", own.settings.name);
-            own.leave();
+            tokio::spawn(hand_over::leave(Arc::clone(&own), left, wave));
         };
         let cloud = observe::cloud_client(shared);
         tokio::spawn(observe::watch_notices(Arc::clone(shared), cloud, on_own));
@@ -117,26 +163,32 @@
         self.address
     }
 
-    /// A graceful shutdown: readiness drops, what runs is finished, then connections are closed.
+    /// Where peers reach it.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// A graceful shutdown: readiness drops, what runs is finished, what can't be finished in time is
+    /// handed over, then connections are closed.
     pub async fn stop(self) {
         self.shared.leave();
         let pacing = self.shared.settings.pacing;
         let deadline = self.shared.timer.now() + pacing.drain();
         // The balancer still sends until it has seen the readiness drop; those callers get an answer.
-        self.shared.timer.after(Duration::from_millis(pacing.balancer_ms)).await;
-        while !self.shared.answers.running().is_empty() && self.shared.timer.now() < deadline {
-            self.shared.timer.after(STOP_POLL).await;
-        }
+        self.shared.timer.after(pacing.balancer()).await;
+        self.shared.refuse();
+        hand_over::wait_until_idle(&self.shared, deadline).await;
+        hand_over::hand_over_all(&self.shared, deadline + pacing.balancer(), &[]).await;
         self.stop.send_replace(true);
         let _ = self.front.await;
     }
 }
 
-const STOP_POLL: Duration = Duration::from_millis(20);
-
 fn new_shared(
     settings: EntrySettings,
     view: watch::Receiver<Arc<View>>,
+    peers: watch::Receiver<Arc<Peers>>,
+    security: PeerSecurity,
     metrics: Metrics,
 ) -> Shared {
     let timer = Timer::start();
@@ -145,7 +197,18 @@
     // Two VMs, or two lives of one, must not draw the same request ids.
     let seed = hash_text(settings.name.as_str()) ^ nanos;
     let http = HttpClient::new(Some(settings.listen.ip()), settings.pacing.connect());
+    let store = HttpStore::new(http.clone(), settings.platform, settings.pacing.platform());
+    let writer = settings.name.as_str();
+    let claims = ClaimDesk::new(store, timer.clone(), writer, settings.ledger.into());
+    let local = Some(settings.peer_listen.ip());
     Shared {
+        callers: Callers::new(security, local, settings.pacing.connect()),
+        claims,
+        peers,
+        receiver: Mutex::default(),
+        // Ids of two lives of a VM must differ, since receivers remember them.
+        next_hand_over: AtomicU64::new(nanos),
+        refusing: AtomicBool::new(false),
         router: Mutex::new(Router::new(PredictedFirstToken, seed)),
         admission: AdmissionDesk::new(timer.clone()),
         budget: Mutex::new(RetryBudget::default()),
--- a/crates/quincevalve_entry/src/view.rs
+++ b/crates/quincevalve_entry/src/view.rs
@@ -51,6 +51,7 @@
                 prefill_tokens_per_s: server.prefill_tokens_per_s,
                 token_time: std::time::Duration::from_micros(u64::from(server.token_us)),
                 reclaimable: tenure == Some(quincevalve_inventory::Tenure::Reclaimable),
+                drained: server.drain,
             }
         })
     }
--- a/crates/quincevalve_ports/src/http_client.rs
+++ b/crates/quincevalve_ports/src/http_client.rs
@@ -1,8 +1,10 @@
 //! The HTTP client that all ports share.
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -95,6 +97,7 @@
 pub struct HttpClient {
     pooled: Client<HttpConnector, Full<Bytes>>,
     fresh: Client<HttpConnector, Full<Bytes>>,
+    silent: Arc<Mutex<HashMap<SocketAddr, Instant>>>,
 }
 
 impl HttpClient {
@@ -103,16 +106,37 @@
         Self {
             pooled: build(local, connect_limit, usize::MAX),
             fresh: build(local, connect_limit, 0),
+            silent: Arc::default(),
         }
     }
 
-    /// Sends a request on a pooled connection.
+    /// Notes that a pooled connection to `address` gave no answer.
+    ///
+    /// Failure: something on the way lost track of all open connections at once. Symptom: each request
+    /// waits its limit on one of them before it learns that. Until every connection that was idle then
+    /// has timed out, requests to the address take new ones; so one request waits, and the others don't.
+    pub fn note_silent(&self, address: SocketAddr) {
+        self.lock_silent().insert(address, Instant::now());
+    }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let mut silent = self.lock_silent();
+        silent.retain(|_, since| since.elapsed() <= IDLE_LIMIT);
+        silent.contains_key(&address)
+    }
+
+    fn lock_silent(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a request on a pooled connection, or on a new one where pooled ones may be silent.
     pub async fn send(
         &self,
         address: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
-        self.pooled.request(req).await.context(TransportSnafu { address })
+        let client = if self.is_silent(address) { &self.fresh } else { &self.pooled };
+        client.request(req).await.context(TransportSnafu { address })
     }
 
     /// Sends a request on a new connection.
@@ -165,7 +189,10 @@
             collect(address, response).await
         };
         let outcome = tokio::time::timeout(limit, exchange).await;
-        outcome.unwrap_or(Err(CallError::TimedOut { address, limit }))
+        outcome.unwrap_or_else(|_| {
+            self.note_silent(address);
+            Err(CallError::TimedOut { address, limit })
+        })
     }
 
     /// Probes a server on a new connection: `true` if it answers at all within `limit`.
--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -9,7 +9,7 @@
     hand_over::{
         HandOverAction, HandOverId, HandOverReceiver, HandOverSender, ReceiverVerdict, SendOutcome,
     },
-    record::{AnswerRecord, Call, Generation, RecordState, Work},
+    record::{AnswerForm, AnswerRecord, Call, Generation, RecordState, Work},
     relay::{Relay, RelayError, RelayStep},
     ways::{Costs, Way, WayOptions, choose_way},
 };
--- a/crates/quincevalve_recovery/src/record.rs
+++ b/crates/quincevalve_recovery/src/record.rs
@@ -47,6 +47,21 @@
     pub body: Bytes,
 }
 
+/// The form in which the caller wants the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerForm {
+    /// A stream of chat chunks.
+    ChatStream,
+    /// One chat answer.
+    ChatWhole,
+    /// A stream of text chunks.
+    TextStream,
+    /// One text answer.
+    TextWhole,
+    /// A service's bytes.
+    Bytes,
+}
+
 /// How far a request has come.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordState {
@@ -78,14 +93,20 @@
     pub execution: Execution,
     /// What it asks for.
     pub work: Work,
+    /// The form of the answer.
+    pub form: AnswerForm,
     /// How far it has come.
     pub state: RecordState,
-    /// The answer's tokens so far, or the bytes of a whole service answer.
+    /// The answer's tokens so far.
     pub tokens: Vec<String>,
-    /// The status of a service's answer.
+    /// The status of a service's answer, 0 until it is known.
     pub status: u16,
-    /// Milliseconds that are left until its deadline.
-    pub left_ms: u64,
+    /// The headers of a service's answer.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The bytes of a service's whole answer.
+    pub bytes: Bytes,
+    /// Milliseconds since it arrived.
+    pub age_ms: u64,
 }
 
 impl AnswerRecord {
--- a/crates/quincevalve_routing/src/leaving.rs
+++ b/crates/quincevalve_routing/src/leaving.rs
@@ -9,8 +9,6 @@
     Notice,
     /// The platform's list of VMs.
     VmList,
-    /// The operators' configuration.
-    Configuration,
     /// The server's own answer.
     OwnAnswer,
 }
--- a/crates/quincevalve_routing/src/router.rs
+++ b/crates/quincevalve_routing/src/router.rs
@@ -80,6 +80,7 @@
 ///     prefill_tokens_per_s: 8_000,
 ///     token_time: Duration::from_millis(30),
 ///     reclaimable: true,
+///     drained: false,
 /// });
 /// let ask = Ask {
 ///     now: TimePoint::ZERO,
--- a/crates/quincevalve_routing/src/server.rs
+++ b/crates/quincevalve_routing/src/server.rs
@@ -27,6 +27,8 @@
     pub token_time: Duration,
     /// Whether the cloud may take it back.
     pub reclaimable: bool,
+    /// Whether operators took it out of service. Unlike other evidence this can be taken back.
+    pub drained: bool,
 }
 
 /// A server's own report of its load. It lags.
@@ -69,7 +71,7 @@
 
     /// Whether new work may go here.
     pub(crate) fn takes_work(&self, now: TimePoint) -> bool {
-        !self.leaving.is_leaving() && self.shunned_until <= now
+        !self.spec.drained && !self.leaving.is_leaving() && self.shunned_until <= now
     }
 
     /// Requests believed to be on the server.
--- a/crates/quincevalve_trial/src/fault.rs
+++ b/crates/quincevalve_trial/src/fault.rs
@@ -63,6 +63,20 @@
             .collect()
     }
 
+    /// Whether an accepted request may end without a whole answer, if the truth is told: only where
+    /// something went without notice.
+    pub(crate) const fn is_unannounced(self) -> bool {
+        matches!(
+            self,
+            Self::CrashBackend
+                | Self::CrashEntry
+                | Self::StoreOutage
+                | Self::StoreAmbiguous
+                | Self::SilentConnection
+                | Self::Partition
+        )
+    }
+
     /// Whether an entry VM dies without notice: only then may a caller lose track of an answer.
     pub(crate) const fn crashes_entry(self) -> bool {
         matches!(self, Self::CrashEntry)
--- a/crates/quincevalve_trial/src/report.rs
+++ b/crates/quincevalve_trial/src/report.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     caller::{Ending, Received},
+    fault::Fault,
     options::Options,
     verdict::{Verdict, percentile},
     world::World,
@@ -17,6 +18,7 @@
     received: Vec<Received>,
     title: String,
     store_calls: (u64, u64),
+    faults: Vec<Fault>,
 }
 
 impl Report {
@@ -32,11 +34,17 @@
             world.backends.len(),
         );
         let verdict = Verdict::count(options, world, &received);
-        Self { verdict, received, title, store_calls: world.platform.store_calls() }
+        Self {
+            verdict,
+            received,
+            title,
+            store_calls: world.platform.store_calls(),
+            faults: options.faults.clone(),
+        }
     }
 
-    pub(crate) const fn is_clean(&self) -> bool {
-        self.verdict.is_clean()
+    pub(crate) fn is_clean(&self) -> bool {
+        self.verdict.is_clean(&self.faults)
     }
 
     #[expect(clippy::print_stdout, reason = "the report is what the program is for")]
@@ -72,7 +80,7 @@
             self.store_calls.0,
             self.store_calls.1,
         );
-        println!("{}", if it.is_clean() { "clean" } else { "NOT CLEAN" });
+        println!("{}", if self.is_clean() { "clean" } else { "NOT CLEAN" });
         if json {
             println!("{}", serde_json::to_string(it).unwrap_or_default());
         }
