--- a/crates/quincevalve_entry/src/filters/dispatch.rs
+++ b/crates/quincevalve_entry/src/filters/dispatch.rs
@@ -221,9 +221,9 @@
     headers.get(name).is_some_and(|it| it.as_bytes() == value.as_bytes())
 }
 
-fn incarnation_of(headers: &HeaderMap) -> Incarnation {
+fn incarnation_of(headers: &HeaderMap) -> Option<Incarnation> {
     let text = headers.get(INCARNATION_HEADER).and_then(|it| it.to_str().ok());
-    Incarnation(text.and_then(|it| it.parse().ok()).unwrap_or(0))
+    text.and_then(|it| it.parse().ok()).map(Incarnation)
 }
 
 fn call_request(
--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -96,7 +96,7 @@
     let mut router = shared.router();
     let at = shared.timer.now();
     if load.leaving {
-        router.leaving(index, load.incarnation, LeavingEvidence::OwnAnswer);
+        router.leaving(index, Some(load.incarnation), LeavingEvidence::OwnAnswer);
     } else {
         router.live(index, load.incarnation);
     }
@@ -138,8 +138,7 @@
         let mut router = shared.router();
         for vm in &notice.vms {
             if let Some(index) = router.find(&vm.as_str().into()) {
-                let incarnation = router.incarnation(index);
-                router.leaving(index, incarnation, LeavingEvidence::Notice);
+                router.leaving(index, None, LeavingEvidence::Notice);
             }
         }
     }
@@ -159,7 +158,7 @@
             let Some(index) = router.find(&vm.name.as_str().into()) else { continue };
             match vm.state {
                 VmState::Leaving => {
-                    router.leaving(index, vm.incarnation, LeavingEvidence::VmList);
+                    router.leaving(index, Some(vm.incarnation), LeavingEvidence::VmList);
                 }
                 VmState::Live => router.live(index, vm.incarnation),
             }
--- a/crates/quincevalve_routing/src/router.rs
+++ b/crates/quincevalve_routing/src/router.rs
@@ -307,10 +307,12 @@
     }
 
     /// Takes evidence that a server leaves. From here on it gets nothing new.
+    ///
+    /// `None` stands for whichever incarnation there is now.
     pub fn leaving(
         &mut self,
         server: ServerIndex,
-        incarnation: Incarnation,
+        incarnation: Option<Incarnation>,
         evidence: LeavingEvidence,
     ) {
         self.servers[server.0 as usize].leaving.saw_leaving(incarnation, evidence);
@@ -321,11 +323,6 @@
         self.servers[server.0 as usize].leaving.saw_live(incarnation);
     }
 
-    /// The incarnation that is known of a server.
-    pub fn incarnation(&self, server: ServerIndex) -> Incarnation {
-        self.servers[server.0 as usize].leaving.incarnation()
-    }
-
     /// Whether the server is known to leave.
     pub fn is_leaving(&self, server: ServerIndex) -> bool {
         self.servers[server.0 as usize].leaving.is_leaving()
