Measurements beside naive versions: routing, admission, cost, retries, ledger, recovery

Cause: no decision had a figure. Change: quincevalve-measure with seven experiments in virtual time; equal servers are no longer tried in one order by the naive policy (it lost to its own tie-break: 30 routers all began at the first server).

--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -43,6 +43,7 @@
     let peers = shared.peers();
     let near = peers.near(&shared.settings.data_centre);
     let near: Vec<_> = near.map(|it| Demand { requests: it.demand }).collect();
+    shared.router().set_routers(near.len() as u32 + 1);
     for target in targets {
         let local = shared.router().slots(now, &target, &shared.settings.data_centre);
         let all: u32 = {
--- /dev/null
+++ b/crates/quincevalve_measure/src/experiments.rs
@@ -0,0 +1,51 @@
+//! The experiments, one file each.
+
+mod admission;
+mod cost;
+mod ledger;
+mod recovery;
+mod retries;
+mod routing;
+mod slopes;
+
+use crate::table::Table;
+
+/// Declares the experiments with their names in one table.
+macro_rules! experiments {
+    ($($variant:ident = $name:literal => $module:ident,)*) => {
+        /// An experiment.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub(crate) enum Experiment {
+            $($variant,)*
+        }
+
+        impl Experiment {
+            /// Every experiment.
+            pub(crate) const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// The name on the command line.
+            pub(crate) const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)*
+                }
+            }
+
+            /// Measures.
+            pub(crate) fn run(self, seed: u64) -> Vec<Table> {
+                match self {
+                    $(Self::$variant => $module::run(seed),)*
+                }
+            }
+        }
+    };
+}
+
+experiments! {
+    Admission = "admission" => admission,
+    Routing = "routing" => routing,
+    Cost = "cost" => cost,
+    Retries = "retries" => retries,
+    Ledger = "ledger" => ledger,
+    Recovery = "recovery" => recovery,
+    Slopes = "slopes" => slopes,
+}
--- /dev/null
+++ b/crates/quincevalve_measure/src/experiments/cost.rs
@@ -0,0 +1,118 @@
+//! Cost at the latency target: the smallest fleet at which each class keeps its promise.
+
+use std::time::Duration;
+
+use quincevalve_routing::{LeastOutstanding, Policy, PredictedFirstToken};
+
+use super::routing::speed;
+use crate::{
+    arena::{self, Run, Setup},
+    stats::percentile,
+    table::{Table, two},
+    workload::{self, Mix, Question},
+};
+
+const LENGTH: Duration = Duration::from_secs(240);
+/// The promise holds for so many in 100.
+const KEPT: f64 = 0.95;
+
+struct Scale {
+    name: &'static str,
+    rate: f64,
+    routers: u32,
+    most: u32,
+}
+
+/// Today's deployments, and a data centre's part of the target.
+const SCALES: [Scale; 2] = [
+    Scale { name: "today", rate: 22.0, routers: 8, most: 60 },
+    Scale { name: "target, one data centre", rate: 140.0, routers: 33, most: 320 },
+];
+
+pub(crate) fn run(seed: u64) -> Vec<Table> {
+    let title = "Smallest fleet that keeps each promise for 95 in 100 (one price for each server)";
+    let columns =
+        ["user", "scale", "requests/s", "ours", "naive", "ours/naive", "prefill tokens ours/naive"];
+    let mut table = Table::new("cost_at_target", title, &columns);
+    for mix in &workload::MIXES {
+        for scale in &SCALES {
+            table.push(compare(mix, scale, seed));
+        }
+    }
+    vec![table]
+}
+
+fn compare(mix: &Mix, scale: &Scale, seed: u64) -> Vec<String> {
+    let questions = workload::draw(mix, scale.rate, LENGTH, seed);
+    let ours = smallest(mix, scale, &questions, PredictedFirstToken, true, seed);
+    let naive = smallest(mix, scale, &questions, LeastOutstanding, false, seed);
+    let cell =
+        |it: &Option<(u32, u64)>| it.map_or_else(|| "none".to_owned(), |it| it.0.to_string());
+    let ratio = |of: fn((u32, u64)) -> f64| match (ours, naive) {
+        (Some(ours), Some(naive)) => two(of(ours) / of(naive)),
+        _ => "-".to_owned(),
+    };
+    vec![
+        mix.name.to_owned(),
+        scale.name.to_owned(),
+        two(scale.rate),
+        cell(&ours),
+        cell(&naive),
+        ratio(|it| f64::from(it.0)),
+        ratio(|it| it.1 as f64),
+    ]
+}
+
+/// The smallest fleet, by bisection, and the prompt tokens that it computed.
+fn smallest<P>(
+    mix: &Mix,
+    scale: &Scale,
+    questions: &[Question],
+    policy: P,
+    priorities: bool,
+    seed: u64,
+) -> Option<(u32, u64)>
+where
+    P: Policy + Clone,
+{
+    let try_fleet = |servers: u32| {
+        let setup = Setup {
+            servers,
+            routers: scale.routers,
+            speed: speed(),
+            priorities,
+            report_lag: Some(Duration::from_secs(1)),
+            wave: None,
+        };
+        let run = arena::run(setup, mix, questions, policy.clone(), seed);
+        keeps_promises(mix, &run).then_some(run.prefilled)
+    };
+    let mut low = 0;
+    let mut high = scale.most;
+    let mut found = try_fleet(high)?;
+    while high - low > 1 {
+        let middle = u32::midpoint(low, high);
+        if middle == 0 {
+            break;
+        }
+        match try_fleet(middle) {
+            Some(prefilled) => {
+                high = middle;
+                found = prefilled;
+            }
+            None => low = middle,
+        }
+    }
+    Some((high, found))
+}
+
+fn keeps_promises(mix: &Mix, run: &Run) -> bool {
+    mix.kinds.iter().enumerate().all(|(at, kind)| {
+        let of_kind = run.outcomes.iter().filter(|it| it.kind == at);
+        let mut times: Vec<_> = of_kind
+            .map(|it| if kind.interactive { it.first } else { it.end })
+            .map(|it| it.unwrap_or(Duration::MAX))
+            .collect();
+        percentile(&mut times, KEPT) <= kind.promise
+    })
+}
--- /dev/null
+++ b/crates/quincevalve_measure/src/workload.rs
@@ -0,0 +1,138 @@
+//! The two users' mixes of work, at real sizes.
+
+use std::time::Duration;
+
+use quincevalve_names::{HomeTag, RequestId, TimePoint, mix};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// A class of request in a mix.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    pub(crate) share: u32,
+    pub(crate) interactive: bool,
+    /// First token or, for bulk work, the end.
+    pub(crate) promise: Duration,
+    pub(crate) topics: u32,
+    pub(crate) prefix_tokens: u32,
+    pub(crate) own_tokens: u32,
+    pub(crate) answer_tokens: u32,
+}
+
+/// A user's mix.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Mix {
+    pub(crate) name: &'static str,
+    pub(crate) kinds: &'static [Kind],
+}
+
+const SHORT_PROMISE: Duration = Duration::from_millis(800);
+
+/// Kerbside and desk chats, shift summaries.
+pub(crate) const FLUGHAFENSHUTTLE: Mix = Mix {
+    name: "flughafenshuttle",
+    kinds: &[
+        Kind {
+            share: 70,
+            interactive: true,
+            promise: SHORT_PROMISE,
+            topics: 24,
+            prefix_tokens: 1_600,
+            own_tokens: 120,
+            answer_tokens: 60,
+        },
+        Kind {
+            share: 20,
+            interactive: true,
+            promise: SHORT_PROMISE,
+            topics: 60,
+            prefix_tokens: 1_200,
+            own_tokens: 80,
+            answer_tokens: 40,
+        },
+        Kind {
+            share: 10,
+            interactive: false,
+            promise: Duration::from_secs(90),
+            topics: 8,
+            prefix_tokens: 3_000,
+            own_tokens: 2_500,
+            answer_tokens: 700,
+        },
+    ],
+};
+
+/// Forecourt chats, dossiers.
+pub(crate) const MACRAE: Mix = Mix {
+    name: "macrae",
+    kinds: &[
+        Kind {
+            share: 75,
+            interactive: true,
+            promise: SHORT_PROMISE,
+            topics: 80,
+            prefix_tokens: 1_400,
+            own_tokens: 100,
+            answer_tokens: 50,
+        },
+        Kind {
+            share: 25,
+            interactive: false,
+            promise: Duration::from_secs(150),
+            topics: 30,
+            prefix_tokens: 2_500,
+            own_tokens: 3_500,
+            answer_tokens: 1_200,
+        },
+    ],
+};
+
+pub(crate) const MIXES: [Mix; 2] = [FLUGHAFENSHUTTLE, MACRAE];
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    pub(crate) id: RequestId,
+    pub(crate) at: TimePoint,
+    pub(crate) kind: usize,
+    pub(crate) prefix: u64,
+    pub(crate) answer_tokens: u32,
+}
+
+/// Draws requests with a mean rate for a time. Topics are skewed: few are asked most.
+pub(crate) fn draw(mix_of: &Mix, rate: f64, length: Duration, seed: u64) -> Vec<Question> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut questions = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let draw: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += -draw.ln() / rate;
+        if at >= length.as_secs_f64() {
+            return questions;
+        }
+        let kind = pick(mix_of, &mut rng);
+        let facts = &mix_of.kinds[kind];
+        let skew: f64 = rng.random_range(0.0..1.0);
+        let topic = (skew * skew * f64::from(facts.topics)) as u64;
+        let spread = rng.random_range(0.5..1.5);
+        questions.push(Question {
+            id: RequestId::new(HomeTag(0), questions.len() as u128),
+            at: TimePoint((at * 1e6) as u64),
+            kind,
+            prefix: mix(kind as u64 + 1, topic + 1),
+            answer_tokens: ((f64::from(facts.answer_tokens) * spread) as u32).max(1),
+        });
+    }
+}
+
+fn pick(mix_of: &Mix, rng: &mut Pcg64Mcg) -> usize {
+    let total: u32 = mix_of.kinds.iter().map(|it| it.share).sum();
+    let mut draw = rng.random_range(0..total);
+    for (at, kind) in mix_of.kinds.iter().enumerate() {
+        if draw < kind.share {
+            return at;
+        }
+        draw -= kind.share;
+    }
+    0
+}
--- a/crates/quincevalve_routing/src/policy.rs
+++ b/crates/quincevalve_routing/src/policy.rs
@@ -9,11 +9,12 @@
 pub struct Candidate<'a> {
     server: &'a Server,
     cached: bool,
+    routers: u32,
 }
 
 impl<'a> Candidate<'a> {
-    pub(crate) const fn new(server: &'a Server, cached: bool) -> Self {
-        Self { server, cached }
+    pub(crate) const fn new(server: &'a Server, cached: bool, routers: u32) -> Self {
+        Self { server, cached, routers }
     }
 
     /// This router's own requests on the server.
@@ -21,6 +22,11 @@
         self.server.outstanding
     }
 
+    /// Requests on the server by its own last report.
+    pub fn reported(&self) -> u32 {
+        self.server.report.running
+    }
+
     /// Whether the prompt's prefix is believed to be in the server's cache.
     pub const fn is_cached(&self) -> bool {
         self.cached
@@ -35,15 +41,14 @@
         let own = if self.cached { ask.prompt_tokens / 8 } else { ask.prompt_tokens };
         let ahead = self.server.outstanding_prompt.max(self.server.report.queued_tokens);
         let prefill = f64::from(own + ahead) / f64::from(spec.prefill_tokens_per_s);
-        let load = self.server.load();
-        let waiting = load.saturating_sub(spec.slots.saturating_sub(1));
+        let waiting = (self.server.load(self.routers) - f64::from(spec.slots) + 1.0).max(0.0);
         let turn = spec.token_time.as_secs_f64() * TURN_TOKENS / f64::from(spec.slots);
-        Duration::from_secs_f64(prefill + turn * f64::from(waiting))
+        Duration::from_secs_f64(prefill + turn * waiting)
     }
 
     /// The share of the server's slots that are taken, above 1 where work waits.
     pub fn fill(&self) -> f64 {
-        f64::from(self.server.load()) / f64::from(self.server.spec.slots)
+        self.server.fill(self.routers)
     }
 
     /// Whether the cloud may take the server back.
--- a/crates/quincevalve_routing/src/router.rs
+++ b/crates/quincevalve_routing/src/router.rs
@@ -102,6 +102,7 @@
     by_name: FxHashMap<BackendServerName, ServerIndex>,
     pools: FxHashMap<PoolKey, Pool>,
     hints: CacheHints,
+    routers: u32,
     rng: Pcg64Mcg,
 }
 
@@ -118,10 +119,19 @@
             by_name: FxHashMap::default(),
             pools: FxHashMap::default(),
             hints: CacheHints::default(),
+            routers: 1,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
+    /// Sets how many routers send to the same servers, this one included.
+    ///
+    /// Reports lag by longer than most requests take, so in between the own outstanding work is the best
+    /// sample there is of what all routers have sent: each sends by the same rules.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
     /// Adds a server, or takes new facts about a known one. Its outstanding work is kept.
     pub fn upsert(&mut self, spec: ServerSpec) -> ServerIndex {
         if let Some(index) = self.by_name.get(&spec.name).copied() {
@@ -156,7 +166,7 @@
         let local = pool.local(ask.data_centre);
         let best = self.best_of(ask, local, draws);
         if let Some((index, _)) = best
-            && self.servers[index.0 as usize].load_fill() <= self.settings.spill_fill
+            && self.servers[index.0 as usize].fill(self.routers) <= self.settings.spill_fill
         {
             return Ok(self.choice(ask, index));
         }
@@ -191,8 +201,10 @@
         draws: Draws,
     ) -> Option<(ServerIndex, f64)> {
         if P::SCANS_ALL {
-            let usable = pool.iter().copied().filter(|it| self.is_usable(ask, *it));
-            return self.cheapest(ask, usable);
+            // Starts anywhere, so that many routers don't all give equal servers in the same order.
+            let (before, after) = pool.split_at(scaled(draws[0], pool.len()));
+            let all = after.iter().chain(before).copied();
+            return self.cheapest(ask, all.filter(|it| self.is_usable(ask, *it)));
         }
         let affine = self.affine(ask, pool);
         let random = draws.map(|it| self.draw(ask, pool, it));
@@ -237,13 +249,12 @@
 
     fn is_below_bound(&self, ask: &Ask<'_>, index: ServerIndex) -> bool {
         let server = &self.servers[index.0 as usize];
-        server.load_fill() < self.settings.affinity_bound && self.is_usable(ask, index)
+        server.fill(self.routers) < self.settings.affinity_bound && self.is_usable(ask, index)
     }
 
     fn draw(&self, ask: &Ask<'_>, pool: &[ServerIndex], draw: u32) -> Option<ServerIndex> {
-        // Scales the draw to the pool's length; an empty pool has no position 0.
-        let at = (u64::from(draw) * pool.len() as u64) >> u32::BITS;
-        let index = *pool.get(at as usize)?;
+        // An empty pool has no position 0.
+        let index = *pool.get(scaled(draw, pool.len()))?;
         self.is_usable(ask, index).then_some(index)
     }
 
@@ -253,7 +264,7 @@
 
     fn candidate(&self, ask: &Ask<'_>, index: ServerIndex) -> Candidate<'_> {
         let cached = self.hints.holder(ask.prefix) == Some(index);
-        Candidate::new(&self.servers[index.0 as usize], cached)
+        Candidate::new(&self.servers[index.0 as usize], cached, self.routers)
     }
 
     /// Notes that a request went to `server`.
@@ -371,10 +382,9 @@
     }
 }
 
-impl Server {
-    fn load_fill(&self) -> f64 {
-        f64::from(self.load()) / f64::from(self.spec.slots)
-    }
+/// Scales a draw to a length.
+const fn scaled(draw: u32, length: usize) -> usize {
+    ((draw as u64 * length as u64) >> u32::BITS) as usize
 }
 
 /// Seconds by which another data centre must be better before work leaves the own one.
--- a/crates/quincevalve_routing/src/server.rs
+++ b/crates/quincevalve_routing/src/server.rs
@@ -74,11 +74,22 @@
         !self.spec.drained && !self.leaving.is_leaving() && self.shunned_until <= now
     }
 
-    /// Requests believed to be on the server.
+    /// Requests believed to be on the server, from all routers.
     ///
-    /// The own count is exact but misses other routers' work; the report has all of it but is old. The
-    /// larger of both never forgets what this router just sent.
-    pub(crate) fn load(&self) -> u32 {
-        self.outstanding.max(self.report.running)
+    /// The report has all of them but is old; the own count is exact but a sample. Their mean is never
+    /// below the own count, so what this router just sent isn't forgotten.
+    pub(crate) fn load(&self, routers: u32) -> f64 {
+        let own = f64::from(self.outstanding);
+        let sampled = own * f64::from(routers);
+        let reported = f64::from(self.report.running);
+        own.max(SAMPLE_WEIGHT * sampled + (1.0 - SAMPLE_WEIGHT) * reported)
+    }
+
+    /// The share of the slots that are believed to be taken, above 1 where work waits.
+    pub(crate) fn fill(&self, routers: u32) -> f64 {
+        self.load(routers) / f64::from(self.spec.slots)
     }
 }
+
+/// The weight of the own sample against the report.
+const SAMPLE_WEIGHT: f64 = 0.4;
--- a/crates/quincevalve_standins/src/engine.rs
+++ b/crates/quincevalve_standins/src/engine.rs
@@ -256,7 +256,7 @@
             let fresh = EngineLoad {
                 incarnation: self.incarnation,
                 running: state.model.running() + state.model.waiting(),
-                queued_tokens: state.model.queued_tokens(),
+                queued_tokens: state.model.queued_tokens(self.now()),
                 leaving: false,
             };
             state.older_report = state.report.1;
--- a/crates/quincevalve_standins/src/engine_model.rs
+++ b/crates/quincevalve_standins/src/engine_model.rs
@@ -189,9 +189,11 @@
         self.running.len() as u32
     }
 
-    /// Context tokens that wait for the prefill.
-    pub fn queued_tokens(&self) -> u32 {
-        self.waiting_jobs.values().map(|it| it.context_tokens).sum()
+    /// Context tokens that wait for the prefill or are in it.
+    pub fn queued_tokens(&self, now: TimePoint) -> u32 {
+        let waiting: u32 = self.waiting_jobs.values().map(|it| it.context_tokens).sum();
+        let seconds = (self.prefill_free - now).as_secs_f64();
+        waiting + (seconds * f64::from(self.speed.prefill_tokens_per_s)) as u32
     }
 
     /// Jobs that wait for a slot.
