Membership: reminders reach whom news missed; summaries in turn. Admin and burn programs

Cause: news is passed on a bounded number of times; after 46% of nodes went at once, 27 in 100 survivors at 40 nodes believed wrong members for good. Each message carried all 11 summaries. Change: each message names three members in turn, and three summaries in turn; quincevalve-admin, quincevalve-burn; the engine stand-in's prefill honours priorities; routing by mean reports, hot prefixes kept on several servers, bulk held while servers are full.

--- /dev/null
+++ b/crates/quincevalve_admin/src/main.rs
@@ -0,0 +1,32 @@
+//! `quincevalve-admin`: the operators' command line.
+
+mod client;
+mod commands;
+mod options;
+
+use std::process::ExitCode;
+
+use crate::{commands::Failure, options::Options};
+
+fn main() -> ExitCode {
+    let options = match Options::parse(std::env::args_os().skip(1).collect()) {
+        Ok(Some(options)) => options,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quincevalve-admin: {error}");
+            return ExitCode::from(options::USAGE);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let outcome = match runtime {
+        Ok(runtime) => runtime.block_on(commands::run(&options)),
+        Err(source) => Err(Failure::Runtime { source }),
+    };
+    match outcome {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("quincevalve-admin: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
--- a/crates/quincevalve_entry/src/front.rs
+++ b/crates/quincevalve_entry/src/front.rs
@@ -105,6 +105,30 @@
     reply
 }
 
+/// Serves operators' tools until the runtime ends. A listener of its own, since what it tells names
+/// every account, and callers must not read it.
+pub(crate) async fn serve_status(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let shared = Arc::clone(&shared);
+        let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+            let shared = Arc::clone(&shared);
+            async move {
+                Ok::<_, Infallible>(match req.uri().path() {
+                    "/internal/burn" => json(&shared.burn.report(shared.timer.now())),
+                    _ => Refusal::from(RefusalKind::NoSuchPath).into_response(),
+                })
+            }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // A tool that goes away in the middle is not an error of this VM.
+            let _ = connection.await;
+        });
+    }
+}
+
 async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
     let leaving = shared.is_leaving();
     let path = req.uri().path().to_owned();
@@ -112,7 +136,6 @@
         (Method::GET, "/healthz") => Ok(text(StatusCode::OK, "ok")),
         (Method::GET, "/readyz") if leaving => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "leaving")),
         (Method::GET, "/readyz") => Ok(text(StatusCode::OK, "ready")),
-        (Method::GET, "/internal/burn") => Ok(json(&shared.burn.report(shared.timer.now()))),
         (Method::GET, "/v1/models") => models(&shared, req.headers()),
         (Method::GET, path) if path.starts_with(REQUESTS) => {
             let (head, _) = req.into_parts();
--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -85,10 +85,9 @@
     let Ok(load) = shared.engines.load(address, limit).await else { return };
     take_load(shared, index, load);
     let Ok(events) = shared.engines.cache_events(address, *after, limit).await else { return };
-    let now = shared.timer.now();
     let mut router = shared.router();
     for event in events {
-        router.cached(now, index, event.prefix, event.holds);
+        router.cached(index, event.prefix, event.holds);
         *after = event.number.max(*after);
     }
 }
--- a/crates/quincevalve_entry/src/settings.rs
+++ b/crates/quincevalve_entry/src/settings.rs
@@ -18,6 +18,9 @@
     pub data_centre: DataCentreName,
     /// Where callers reach it.
     pub listen: SocketAddr,
+    /// Where operators' tools read counts; without it they can't. Callers never reach it.
+    #[serde(default)]
+    pub status_listen: Option<SocketAddr>,
     /// Where other entry VMs reach it.
     pub peer_listen: SocketAddr,
     /// The control process of the same VM; without it this VM knows no peers and no newer inventory.
--- a/crates/quincevalve_entry/src/start.rs
+++ b/crates/quincevalve_entry/src/start.rs
@@ -86,6 +86,7 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     peer_address: SocketAddr,
+    status_address: Option<SocketAddr>,
     stop: watch::Sender<bool>,
     front: tokio::task::JoinHandle<()>,
 }
@@ -121,12 +122,18 @@
 
         let (stop, stopped) = watch::channel(false);
         let front = tokio::spawn(front::accept(Arc::clone(&shared), listener, stopped));
+        let mut status_address = None;
+        if let Some(address) = shared.settings.status_listen {
+            let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+            status_address = listener.local_addr().ok();
+            tokio::spawn(front::serve_status(Arc::clone(&shared), listener));
+        }
         let service = PeerService { shared: Arc::clone(&shared) };
         tokio::spawn(peer_listener.accept(security.clone(), move |stream| {
             let service = service.clone();
             async move { quincevalve_peers::serve_peer!(stream, service.serve()) }
         }));
-        let vm = Self { shared, address, peer_address, stop, front };
+        let vm = Self { shared, address, peer_address, status_address, stop, front };
         vm.start_observers();
         vm.start_control_link(&security, feeds);
         Ok(vm)
@@ -163,6 +170,11 @@
         self.address
     }
 
+    /// Where operators' tools read counts.
+    pub const fn status_address(&self) -> Option<SocketAddr> {
+        self.status_address
+    }
+
     /// Where peers reach it.
     pub const fn peer_address(&self) -> SocketAddr {
         self.peer_address
--- a/crates/quincevalve_measure/src/arena.rs
+++ b/crates/quincevalve_measure/src/arena.rs
@@ -5,7 +5,8 @@
 use quincevalve_names::{RequestId, Sequence, TimePoint};
 use quincevalve_recovery::{Costs, Way, WayOptions, choose_way};
 use quincevalve_routing::{
-    Ask, LeavingEvidence, LoadReport, Policy, Router, ServerIndex, ServerSpec, Target, Urgency,
+    Ask, LeavingEvidence, LoadReport, NoServer, Policy, Router, ServerIndex, ServerSpec, Target,
+    Urgency,
 };
 use quincevalve_standins::{EngineModel, EngineSpeed, Job, ModelOutput};
 use rustc_hash::FxHashMap;
@@ -59,6 +60,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
+    /// Bulk work asks again.
+    Hold {
+        question: usize,
+        router: usize,
+        from: u32,
+        imported: u32,
+    },
     Report,
     Engine(u32),
     Notice,
@@ -158,6 +166,9 @@
         while let Some(Reverse((now, event))) = self.queue.pop() {
             match event {
                 Event::Arrive(question) => self.arrive(now, question),
+                Event::Hold { question, router, from, imported } => {
+                    self.dispatch(now, question, router, from, imported);
+                }
                 Event::Report => self.report(now),
                 Event::Engine(server) => self.advance(now, server as usize),
                 Event::Notice => self.notice(now),
@@ -196,7 +207,14 @@
             urgency: if facts.interactive { Urgency::Interactive } else { Urgency::Bulk },
             tried: &[],
         };
-        let Ok(choice) = self.routers[router].choose(&ask) else { return };
+        let choice = match self.routers[router].choose(&ask) {
+            Ok(choice) => choice,
+            Err(NoServer::Busy) => {
+                let later = Event::Hold { question, router, from, imported };
+                return self.queue.push(Reverse((now + HOLD, later)));
+            }
+            Err(_) => return,
+        };
         self.routers[router].sent(now, choice.server, asked.prefix, prompt + from);
         let job = Job {
             id: asked.id,
@@ -235,7 +253,7 @@
                 ModelOutput::Cache { prefix, holds } => {
                     let index = ServerIndex(server as u32);
                     for router in &mut self.routers {
-                        router.cached(now, index, prefix, holds);
+                        router.cached(index, prefix, holds);
                     }
                 }
             }
@@ -428,3 +446,5 @@
 
 const DATA_CENTRE: &str = "one";
 const REPORT_MS: u64 = 250;
+/// How long held bulk work waits before it asks again.
+const HOLD: Duration = Duration::from_millis(200);
--- a/crates/quincevalve_measure/src/main.rs
+++ b/crates/quincevalve_measure/src/main.rs
@@ -5,6 +5,7 @@
 
 mod arena;
 mod experiments;
+mod fleet;
 mod options;
 mod stats;
 mod table;
--- a/crates/quincevalve_membership/src/membership.rs
+++ b/crates/quincevalve_membership/src/membership.rs
@@ -8,7 +8,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use rustc_hash::{FxBuildHasher, FxHashMap};
+use rustc_hash::FxBuildHasher;
 
 use crate::{
     member::{Load, Member, MemberState},
@@ -110,10 +110,14 @@
     settings: MembershipSettings,
     own: Member,
     others: IndexMap<EntryVmName, Known, FxBuildHasher>,
-    summaries: FxHashMap<DataCentreName, Summary>,
+    summaries: IndexMap<DataCentreName, Summary, FxBuildHasher>,
     seeds: Vec<SocketAddr>,
     news: News,
     order: Vec<EntryVmName>,
+    /// The member that was named last as a reminder.
+    reminded: usize,
+    /// The summary that the next message begins with.
+    summary_turn: usize,
     rng: Pcg64Mcg,
 }
 
@@ -124,10 +128,12 @@
             settings,
             own,
             others: IndexMap::default(),
-            summaries: FxHashMap::default(),
+            summaries: IndexMap::default(),
             seeds: Vec::new(),
             news: News::default(),
             order: Vec::new(),
+            reminded: 0,
+            summary_turn: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -256,13 +262,43 @@
     }
 
     fn message(&mut self) -> Message {
-        let names = self.news.take(self.settings.news, self.others.len() + 1);
+        let mut names = self.news.take(self.settings.news, self.others.len() + 1);
+        self.add_reminders(&mut names);
         let updates = names.iter().filter_map(|it| self.others.get(it)).map(|it| it.member.clone());
         let updates = updates.collect();
-        let summaries = self.summaries.values().cloned().collect();
+        let summaries = self.some_summaries();
         Message { sender: self.own.clone(), updates, summaries }
     }
 
+    /// Adds members that are no news, in turn.
+    ///
+    /// Failure: news is passed on a bounded number of times, and by bad luck doesn't reach somebody.
+    /// Symptom: that node never learns of a member, or never of its end. Reminders reach everybody in
+    /// the end, whatever was missed, at a cost that doesn't grow with the fleet.
+    fn add_reminders(&mut self, names: &mut Vec<EntryVmName>) {
+        let count = self.others.len();
+        for _ in 0..REMINDERS.min(count) {
+            self.reminded = (self.reminded + 1) % count;
+            if let Some((name, _)) = self.others.get_index(self.reminded)
+                && !names.contains(name)
+            {
+                names.push(name.clone());
+            }
+        }
+    }
+
+    /// The own summary and a few others, in turn.
+    fn some_summaries(&mut self) -> Vec<Summary> {
+        let count = self.summaries.len();
+        let chosen = SUMMARIES.min(count);
+        let first = self.summary_turn;
+        self.summary_turn = self.summary_turn.wrapping_add(chosen);
+        (0..chosen)
+            .filter_map(|it| self.summaries.get_index((first + it) % count))
+            .map(|it| it.1.clone())
+            .collect()
+    }
+
     /// Whether this node speaks for its data centre: the first few in rendezvous order do.
     pub fn is_delegate(&self) -> bool {
         if !self.own.takes_work() {
@@ -458,4 +494,9 @@
 /// sight of each other find together again.
 const SEED_TURN: u32 = 10;
 
+/// Members in a message that are no news.
+const REMINDERS: usize = 3;
+/// Summaries in a message.
+const SUMMARIES: usize = 3;
+
 const DELEGATE_KEY: u64 = 0x6465_6c65_6761_7465;
--- a/crates/quincevalve_routing/src/cache_hints.rs
+++ b/crates/quincevalve_routing/src/cache_hints.rs
@@ -4,17 +4,24 @@
 
 use crate::ServerIndex;
 
-/// Slots of the table; a power of two. At 16 bytes each the table is 1 MiB per router.
+/// Slots of the table; a power of two. At 40 bytes each the table is 2.5 MiB per router.
 const SLOTS: usize = 1 << 16;
 
 #[derive(Clone, Copy, Debug)]
 struct Hint {
     prefix: u64,
-    server: ServerIndex,
+    /// Where it is believed to be cached, the newest first.
+    servers: [ServerIndex; HOLDERS],
     at_seconds: u32,
+    /// Uses, halved every [`HALF_LIFE_S`].
+    heat: f32,
 }
 
-const EMPTY: Hint = Hint { prefix: 0, server: ServerIndex(u32::MAX), at_seconds: 0 };
+/// Servers that are remembered for one prefix: a hot one is cached in many places.
+const HOLDERS: usize = 6;
+const NOBODY: ServerIndex = ServerIndex(u32::MAX);
+const EMPTY: Hint = Hint { prefix: 0, servers: [NOBODY; HOLDERS], at_seconds: 0, heat: 0.0 };
+const HALF_LIFE_S: f32 = 10.0;
 
 /// A bounded table of hints, newest wins.
 ///
@@ -32,24 +39,52 @@
 }
 
 impl CacheHints {
-    pub(crate) fn learn(&mut self, prefix: u64, server: ServerIndex, now: TimePoint) {
+    /// Notes that a server holds a prefix.
+    pub(crate) fn learn(&mut self, prefix: u64, server: ServerIndex) {
+        let slot = self.slot(prefix);
+        let held = slot.servers.iter().position(|it| *it == server).unwrap_or(HOLDERS - 1);
+        slot.servers[..=held].rotate_right(1);
+        slot.servers[0] = server;
+    }
+
+    /// Notes that a prefix was asked for.
+    pub(crate) fn used(&mut self, prefix: u64, now: TimePoint) {
         let at_seconds = seconds(now);
+        let slot = self.slot(prefix);
+        let passed = at_seconds.saturating_sub(slot.at_seconds) as f32;
+        slot.heat = slot.heat * (-passed / HALF_LIFE_S).exp2() + 1.0;
+        slot.at_seconds = at_seconds;
+    }
+
+    fn slot(&mut self, prefix: u64) -> &mut Hint {
         let slot = &mut self.slots[slot_of(prefix)];
-        if slot.prefix != prefix || slot.at_seconds <= at_seconds {
-            *slot = Hint { prefix, server, at_seconds };
+        if slot.prefix != prefix {
+            *slot = Hint { prefix, ..EMPTY };
         }
+        slot
     }
 
     pub(crate) fn forget(&mut self, prefix: u64, server: ServerIndex) {
         let slot = &mut self.slots[slot_of(prefix)];
-        if slot.prefix == prefix && slot.server == server {
-            *slot = EMPTY;
+        if slot.prefix == prefix
+            && let Some(held) = slot.servers.iter().position(|it| *it == server)
+        {
+            slot.servers[held..].rotate_left(1);
+            slot.servers[HOLDERS - 1] = NOBODY;
         }
     }
 
-    pub(crate) fn holder(&self, prefix: u64) -> Option<ServerIndex> {
-        let hint = self.slots[slot_of(prefix)];
-        (hint.prefix == prefix && hint.server != EMPTY.server).then_some(hint.server)
+    /// Where a prefix is believed to be cached, the newest first.
+    pub(crate) fn holders(&self, prefix: u64) -> impl Iterator<Item = ServerIndex> {
+        let hint = &self.slots[slot_of(prefix)];
+        let known = if hint.prefix == prefix { &hint.servers[..] } else { &[] };
+        known.iter().copied().filter(|it| *it != NOBODY)
+    }
+
+    /// Uses of a prefix in a second, as this router sees them.
+    pub(crate) fn rate(&self, prefix: u64) -> f32 {
+        let hint = &self.slots[slot_of(prefix)];
+        if hint.prefix == prefix { hint.heat * std::f32::consts::LN_2 / HALF_LIFE_S } else { 0.0 }
     }
 }
 
--- a/crates/quincevalve_routing/src/policy.rs
+++ b/crates/quincevalve_routing/src/policy.rs
@@ -9,12 +9,11 @@
 pub struct Candidate<'a> {
     server: &'a Server,
     cached: bool,
-    routers: u32,
 }
 
 impl<'a> Candidate<'a> {
-    pub(crate) const fn new(server: &'a Server, cached: bool, routers: u32) -> Self {
-        Self { server, cached, routers }
+    pub(crate) const fn new(server: &'a Server, cached: bool) -> Self {
+        Self { server, cached }
     }
 
     /// This router's own requests on the server.
@@ -39,16 +38,15 @@
     pub fn predicted_first_token(&self, ask: &Ask<'_>) -> Duration {
         let spec = &self.server.spec;
         let own = if self.cached { ask.prompt_tokens / 8 } else { ask.prompt_tokens };
-        let ahead = self.server.outstanding_prompt.max(self.server.report.queued_tokens);
-        let prefill = f64::from(own + ahead) / f64::from(spec.prefill_tokens_per_s);
-        let waiting = (self.server.load(self.routers) - f64::from(spec.slots) + 1.0).max(0.0);
-        let turn = spec.token_time.as_secs_f64() * TURN_TOKENS / f64::from(spec.slots);
-        Duration::from_secs_f64(prefill + turn * waiting)
+        let prefill = (f64::from(own) + self.server.queue()) / f64::from(spec.prefill_tokens_per_s);
+        let slots = f64::from(spec.slots);
+        let turn = spec.token_time.as_secs_f64() * TURN_TOKENS / slots;
+        Duration::from_secs_f64(prefill + turn * expected_excess(self.server.load(), slots))
     }
 
     /// The share of the server's slots that are taken, above 1 where work waits.
     pub fn fill(&self) -> f64 {
-        self.server.fill(self.routers)
+        self.server.fill()
     }
 
     /// Whether the cloud may take the server back.
@@ -57,6 +55,15 @@
     }
 }
 
+/// The expected number of requests above the slots, where the load is only known roughly: near the
+/// limit some moments are above it though the mean is below.
+fn expected_excess(load: f64, slots: f64) -> f64 {
+    let spread = load.sqrt().max(1.0) / 2.0;
+    let over = (load + 1.0 - slots) / spread;
+    // A smooth maximum of zero and `over`.
+    spread * f64::midpoint(over, (over * over + 1.0).sqrt())
+}
+
 /// Tokens that a running answer is assumed to have left when its slot is waited for.
 const TURN_TOKENS: f64 = 64.0;
 
@@ -67,6 +74,9 @@
 
     /// Whether the whole pool is looked at, and not just a few candidates.
     const SCANS_ALL: bool;
+
+    /// Whether bulk work waits while servers are full.
+    const HOLDS_BULK: bool;
 }
 
 /// The lowest predicted time to the first token among a few candidates.
@@ -75,6 +85,7 @@
 
 impl Policy for PredictedFirstToken {
     const SCANS_ALL: bool = false;
+    const HOLDS_BULK: bool = true;
 
     fn cost(&self, ask: &Ask<'_>, candidate: &Candidate<'_>) -> f64 {
         let predicted = candidate.predicted_first_token(ask).as_secs_f64();
@@ -99,6 +110,7 @@
 
 impl Policy for LeastOutstanding {
     const SCANS_ALL: bool = true;
+    const HOLDS_BULK: bool = false;
 
     fn cost(&self, _ask: &Ask<'_>, candidate: &Candidate<'_>) -> f64 {
         f64::from(candidate.outstanding())
--- a/crates/quincevalve_routing/src/router.rs
+++ b/crates/quincevalve_routing/src/router.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use quincevalve_names::{BackendServerName, Incarnation, TimePoint, rendezvous_score};
+use quincevalve_names::{BackendServerName, Incarnation, TimePoint, mix, rendezvous_score};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 use snafu::Snafu;
 
 use crate::{
-    Ask, LeavingEvidence, LoadReport, PoolKey, ServerIndex, ServerSpec, Target,
+    Ask, LeavingEvidence, LoadReport, PoolKey, ServerIndex, ServerSpec, Target, Urgency,
     cache_hints::CacheHints,
     policy::{Candidate, Policy},
     pool::Pool,
@@ -27,8 +27,8 @@
 /// Settings of a router.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouterSettings {
-    /// Load above which an affine server is passed over, as a multiple of its slots.
-    pub affinity_bound: f64,
+    /// Fill above which bulk work waits instead of starting, so that interactive work finds a slot.
+    pub bulk_fill: f64,
     /// Fill of the cheapest local server above which other data centres are asked.
     pub spill_fill: f64,
     /// How long a server is passed over after its first failure; doubles with each further one.
@@ -37,7 +37,7 @@
 
 impl Default for RouterSettings {
     fn default() -> Self {
-        Self { affinity_bound: 1.25, spill_fill: 1.5, shun: Duration::from_millis(500) }
+        Self { bulk_fill: 0.7, spill_fill: 1.5, shun: Duration::from_millis(500) }
     }
 }
 
@@ -56,6 +56,9 @@
     /// The inventory has no server for it.
     #[snafu(display("nothing in the inventory serves this"))]
     Unknown,
+    /// Bulk work has to wait: starting it now would keep interactive work waiting.
+    #[snafu(display("no server has room for bulk work now"))]
+    Busy,
     /// Every server leaves, failed just now, or was tried.
     #[snafu(display("no server can take the request now"))]
     Unavailable,
@@ -165,14 +168,46 @@
         let pool = self.pools.get(ask.pool).ok_or(NoServer::Unknown)?;
         let local = pool.local(ask.data_centre);
         let best = self.best_of(ask, local, draws);
+        if P::HOLDS_BULK && ask.urgency == Urgency::Bulk {
+            return self.choose_bulk(ask, best, draws);
+        }
         if let Some((index, _)) = best
-            && self.servers[index.0 as usize].fill(self.routers) <= self.settings.spill_fill
+            && self.servers[index.0 as usize].fill() <= self.settings.spill_fill
         {
             return Ok(self.choice(ask, index));
         }
         self.spill(ask, best).ok_or(NoServer::Unavailable)
     }
 
+    /// Bulk work starts only where enough slots stay free.
+    ///
+    /// Failure: long answers fill every slot. Symptom: an interactive request waits for seconds, and the
+    /// fleet has to be larger for it. Long work has time, so it waits for a server below the fill.
+    fn choose_bulk(
+        &mut self,
+        ask: &Ask<'_>,
+        local: Option<(ServerIndex, f64)>,
+        draws: Draws,
+    ) -> Result<Choice, NoServer> {
+        let has_room =
+            |it: &ServerIndex| self.servers[it.0 as usize].fill() <= self.settings.bulk_fill;
+        if let Some((index, _)) = local.filter(|it| has_room(&it.0)) {
+            return Ok(self.choice(ask, index));
+        }
+        let pool = self.pools.get(ask.pool).ok_or(NoServer::Unknown)?;
+        let (before, after) = {
+            let all = pool.local(ask.data_centre);
+            all.split_at(scaled(draws[1], all.len()))
+        };
+        let anywhere = after.iter().chain(before).copied();
+        let found = anywhere.filter(|it| self.is_usable(ask, *it)).find(has_room);
+        match (found, local) {
+            (Some(index), _) => Ok(self.choice(ask, index)),
+            (None, Some(_)) => Err(NoServer::Busy),
+            (None, None) => self.spill(ask, None).ok_or(NoServer::Unavailable),
+        }
+    }
+
     /// Looks in other data centres, and stays local unless one of them is cheaper.
     fn spill(&mut self, ask: &Ask<'_>, local: Option<(ServerIndex, f64)>) -> Option<Choice> {
         let draws = self.rng.random();
@@ -206,13 +241,9 @@
             let all = after.iter().chain(before).copied();
             return self.cheapest(ask, all.filter(|it| self.is_usable(ask, *it)));
         }
-        let affine = self.affine(ask, pool);
+        let affine = self.affine(ask, pool, draws[0]);
         let random = draws.map(|it| self.draw(ask, pool, it));
-        let hinted = self.hints.holder(ask.prefix).filter(|it| {
-            self.is_usable(ask, *it)
-                && self.servers[it.0 as usize].spec.data_centre == *ask.data_centre
-        });
-        let few = affine.into_iter().chain(random).chain([hinted]).flatten();
+        let few = affine.into_iter().chain(random).flatten();
         // Where draws hit only unusable servers, the pool is walked: a choice is never missed.
         self.cheapest(ask, few).or_else(|| {
             let usable = pool.iter().copied().filter(|it| self.is_usable(ask, *it));
@@ -230,26 +261,36 @@
             .min_by(|left, right| left.1.total_cmp(&right.1))
     }
 
-    /// The servers with the highest rendezvous scores that are below the affinity bound.
-    fn affine(&self, ask: &Ask<'_>, pool: &[ServerIndex]) -> [Option<ServerIndex>; AFFINE] {
-        let mut best = [(0, None); AFFINE];
-        for index in pool.iter().copied() {
-            let server = &self.servers[index.0 as usize];
-            let score = rendezvous_score(ask.prefix, server.hash);
-            if score <= best[AFFINE - 1].0 || !self.is_below_bound(ask, index) {
-                continue;
-            }
-            best[AFFINE - 1] = (score, Some(index));
-            if best[AFFINE - 1].0 > best[0].0 {
-                best.swap(0, AFFINE - 1);
-            }
-        }
-        best.map(|it| it.1)
+    /// Two of the servers that this prefix is kept on.
+    ///
+    /// A prefix is kept on as many servers as its traffic fills, each of them the rendezvous choice for
+    /// the prefix and a number below that count. Two numbers are drawn: their better server takes the
+    /// request, so a hot prefix spreads evenly over its servers.
+    fn affine(
+        &self,
+        ask: &Ask<'_>,
+        pool: &[ServerIndex],
+        draw: u32,
+    ) -> [Option<ServerIndex>; AFFINE] {
+        let spread = self.spread(ask, pool);
+        let first = scaled(draw, spread);
+        let second = (first + 1 + scaled(draw.rotate_left(16), spread - 1)) % spread;
+        [first, second].map(|it| self.keeper(ask, pool, it as u64))
     }
 
-    fn is_below_bound(&self, ask: &Ask<'_>, index: ServerIndex) -> bool {
-        let server = &self.servers[index.0 as usize];
-        server.fill(self.routers) < self.settings.affinity_bound && self.is_usable(ask, index)
+    /// On how many servers a prefix is kept: what all routers have of it at once, by the own rate, over
+    /// half a server's slots.
+    fn spread(&self, ask: &Ask<'_>, pool: &[ServerIndex]) -> usize {
+        let rate = f64::from(self.hints.rate(ask.prefix)) * f64::from(self.routers);
+        let slots = pool.first().map_or(1, |it| self.servers[it.0 as usize].spec.slots);
+        let servers = rate * HOLD_SECONDS / (f64::from(slots) * KEPT_FILL);
+        (servers.ceil() as usize).clamp(AFFINE, pool.len().max(AFFINE))
+    }
+
+    fn keeper(&self, ask: &Ask<'_>, pool: &[ServerIndex], number: u64) -> Option<ServerIndex> {
+        let key = mix(ask.prefix, number);
+        let scored = pool.iter().copied().filter(|it| self.is_usable(ask, *it));
+        scored.max_by_key(|it| rendezvous_score(key, self.servers[it.0 as usize].hash))
     }
 
     fn draw(&self, ask: &Ask<'_>, pool: &[ServerIndex], draw: u32) -> Option<ServerIndex> {
@@ -263,8 +304,8 @@
     }
 
     fn candidate(&self, ask: &Ask<'_>, index: ServerIndex) -> Candidate<'_> {
-        let cached = self.hints.holder(ask.prefix) == Some(index);
-        Candidate::new(&self.servers[index.0 as usize], cached, self.routers)
+        let cached = self.hints.holders(ask.prefix).any(|it| it == index);
+        Candidate::new(&self.servers[index.0 as usize], cached)
     }
 
     /// Notes that a request went to `server`.
@@ -272,7 +313,8 @@
         let entry = &mut self.servers[server.0 as usize];
         entry.outstanding += 1;
         entry.outstanding_prompt += prompt_tokens;
-        self.hints.learn(prefix, server, now);
+        self.hints.used(prefix, now);
+        self.hints.learn(prefix, server);
     }
 
     /// Notes that the prompt passed the prefill: the first token arrived, or the request ended first.
@@ -304,14 +346,14 @@
     pub fn reported(&mut self, server: ServerIndex, report: LoadReport) {
         let entry = &mut self.servers[server.0 as usize];
         if report.at >= entry.report.at {
-            entry.report = report;
+            entry.take_report(report);
         }
     }
 
     /// Takes a cache event: `server` holds, or lost, the prefix.
-    pub fn cached(&mut self, now: TimePoint, server: ServerIndex, prefix: u64, holds: bool) {
+    pub fn cached(&mut self, server: ServerIndex, prefix: u64, holds: bool) {
         if holds {
-            self.hints.learn(prefix, server, now);
+            self.hints.learn(prefix, server);
         } else {
             self.hints.forget(prefix, server);
         }
@@ -356,7 +398,7 @@
 
     /// The believed holder of a prefix, where it can take work now.
     pub fn prefix_holder(&self, now: TimePoint, prefix: u64) -> Option<ServerIndex> {
-        self.hints.holder(prefix).filter(|it| self.servers[it.0 as usize].takes_work(now))
+        self.hints.holders(prefix).find(|it| self.servers[it.0 as usize].takes_work(now))
     }
 
     /// Slots of all servers of a target in a data centre that take work now.
@@ -382,6 +424,11 @@
     }
 }
 
+/// Seconds that a request is assumed to hold a slot, for the spread of a prefix.
+const HOLD_SECONDS: f64 = 2.0;
+/// The part of a server's slots that one prefix may fill.
+const KEPT_FILL: f64 = 0.5;
+
 /// Scales a draw to a length.
 const fn scaled(draw: u32, length: usize) -> usize {
     ((draw as u64 * length as u64) >> u32::BITS) as usize
--- a/crates/quincevalve_routing/src/server.rs
+++ b/crates/quincevalve_routing/src/server.rs
@@ -49,6 +49,8 @@
     pub(crate) outstanding: u32,
     pub(crate) outstanding_prompt: u32,
     pub(crate) report: LoadReport,
+    pub(crate) mean_running: f32,
+    pub(crate) mean_queue: f32,
     pub(crate) leaving: Leaving,
     pub(crate) failures: u32,
     pub(crate) shunned_until: TimePoint,
@@ -63,6 +65,8 @@
             outstanding: 0,
             outstanding_prompt: 0,
             report: LoadReport::default(),
+            mean_running: 0.0,
+            mean_queue: 0.0,
             leaving: Leaving::default(),
             failures: 0,
             shunned_until: TimePoint::ZERO,
@@ -74,22 +78,31 @@
         !self.spec.drained && !self.leaving.is_leaving() && self.shunned_until <= now
     }
 
-    /// Requests believed to be on the server, from all routers.
+    /// Takes a report into the running means.
     ///
-    /// The report has all of them but is old; the own count is exact but a sample. Their mean is never
-    /// below the own count, so what this router just sent isn't forgotten.
-    pub(crate) fn load(&self, routers: u32) -> f64 {
-        let own = f64::from(self.outstanding);
-        let sampled = own * f64::from(routers);
-        let reported = f64::from(self.report.running);
-        own.max(SAMPLE_WEIGHT * sampled + (1.0 - SAMPLE_WEIGHT) * reported)
+    /// Failure: every router sends to whichever server the last report showed as idle, and a second
+    /// later that one is full (a herd). The mean over a few reports shows which servers are loaded for
+    /// good, long answers most of all, and is blind to what a report is too old to tell.
+    pub(crate) fn take_report(&mut self, report: LoadReport) {
+        self.report = report;
+        self.mean_running += REPORT_GAIN * (report.running as f32 - self.mean_running);
+        self.mean_queue += REPORT_GAIN * (report.queued_tokens as f32 - self.mean_queue);
+    }
+
+    /// Requests believed to be on the server: what was reported of late, and never below the own count.
+    pub(crate) fn load(&self) -> f64 {
+        f64::from(self.outstanding).max(f64::from(self.mean_running))
+    }
+
+    /// Prompt tokens believed to be ahead of a new request.
+    pub(crate) fn queue(&self) -> f64 {
+        f64::from(self.outstanding_prompt).max(f64::from(self.mean_queue))
     }
 
     /// The share of the slots that are believed to be taken, above 1 where work waits.
-    pub(crate) fn fill(&self, routers: u32) -> f64 {
-        self.load(routers) / f64::from(self.spec.slots)
+    pub(crate) fn fill(&self) -> f64 {
+        self.load() / f64::from(self.spec.slots)
     }
 }
 
-/// The weight of the own sample against the report.
-const SAMPLE_WEIGHT: f64 = 0.4;
+const REPORT_GAIN: f32 = 0.3;
--- a/crates/quincevalve_standins/src/engine_model.rs
+++ b/crates/quincevalve_standins/src/engine_model.rs
@@ -1,4 +1,5 @@
-//! A model engine in virtual time: slots, one prefill at a time, a prefix cache, priorities.
+//! A model engine in virtual time: slots, a prefill that higher priorities go through first, a prefix
+//! cache.
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
@@ -78,6 +79,8 @@
 struct Running {
     job: Job,
     next: Sequence,
+    /// For low priority: the time on the low clock at which the prefill is done.
+    prefilled_at: Option<TimePoint>,
 }
 
 /// The model. `(now, event) -> outputs`, no clock of its own.
@@ -89,7 +92,12 @@
     arrivals: u64,
     running: FxHashMap<RequestId, Running>,
     due: BinaryHeap<Reverse<(TimePoint, RequestId)>>,
-    prefill_free: TimePoint,
+    /// When the prefill has no more work of high priority.
+    high_free: TimePoint,
+    /// All prefill work of high priority so far.
+    high_work: Duration,
+    /// When the prefill has no more work of low priority, on the low clock.
+    low_free: TimePoint,
     cache: PrefixCache,
     computed_tokens: u64,
 }
@@ -104,7 +112,9 @@
             arrivals: 0,
             running: FxHashMap::default(),
             due: BinaryHeap::new(),
-            prefill_free: TimePoint::ZERO,
+            high_free: TimePoint::ZERO,
+            high_work: Duration::ZERO,
+            low_free: TimePoint::ZERO,
             cache: PrefixCache::new(speed.cache_tokens),
             computed_tokens: 0,
         }
@@ -142,7 +152,16 @@
     }
 
     fn step(&mut self, at: TimePoint, id: RequestId, outputs: &mut Vec<ModelOutput>) {
+        let low_clock = self.low_clock(at);
         let Some(running) = self.running.get_mut(&id) else { return };
+        if let Some(until) = running.prefilled_at {
+            // Work of high priority came in between; the rest of the prefill is still to be done.
+            if low_clock < until {
+                self.due.push(Reverse((at + (until - low_clock), id)));
+                return;
+            }
+            running.prefilled_at = None;
+        }
         let seq = running.next;
         let total = running.job.total;
         if seq.0 < total {
@@ -174,16 +193,40 @@
         self.computed_tokens += u64::from(computed);
         outputs.push(ModelOutput::Prefilled { id: job.id, computed });
         let seconds = f64::from(computed) / f64::from(self.speed.prefill_tokens_per_s);
-        let done = self.prefill_free.max(now) + Duration::from_secs_f64(seconds);
-        self.prefill_free = done;
+        let (done, prefilled_at) =
+            self.prefill(now, job.priority, Duration::from_secs_f64(seconds));
         for evicted in self.cache.insert(job.prefix, job.prefix_tokens) {
             outputs.push(ModelOutput::Cache { prefix: evicted, holds: false });
         }
         outputs.push(ModelOutput::Cache { prefix: job.prefix, holds: true });
-        self.running.insert(job.id, Running { job, next: job.from });
+        self.running.insert(job.id, Running { job, next: job.from, prefilled_at });
         self.due.push(Reverse((done + self.speed.token_time, job.id)));
     }
 
+    /// Time in which the prefill was free for work of low priority.
+    fn low_clock(&self, now: TimePoint) -> TimePoint {
+        let done = self.high_work.saturating_sub(self.high_free - now);
+        TimePoint(now.as_micros().saturating_sub(done.as_micros() as u64))
+    }
+
+    /// Puts work into the prefill; returns when it is done, as far as is known now.
+    fn prefill(
+        &mut self,
+        now: TimePoint,
+        priority: u8,
+        work: Duration,
+    ) -> (TimePoint, Option<TimePoint>) {
+        if priority > 0 {
+            self.high_free = self.high_free.max(now) + work;
+            self.high_work += work;
+            return (self.high_free, None);
+        }
+        let low_clock = self.low_clock(now);
+        self.low_free = self.low_free.max(low_clock) + work;
+        let wait = (self.high_free - now) + (self.low_free - low_clock);
+        (now + wait, Some(self.low_free))
+    }
+
     /// Requests running.
     pub fn running(&self) -> u32 {
         self.running.len() as u32
@@ -192,7 +235,8 @@
     /// Context tokens that wait for the prefill or are in it.
     pub fn queued_tokens(&self, now: TimePoint) -> u32 {
         let waiting: u32 = self.waiting_jobs.values().map(|it| it.context_tokens).sum();
-        let seconds = (self.prefill_free - now).as_secs_f64();
+        let low = self.low_free - self.low_clock(now);
+        let seconds = ((self.high_free - now) + low).as_secs_f64();
         waiting + (seconds * f64::from(self.speed.prefill_tokens_per_s)) as u32
     }
 
--- a/crates/quincevalve_trial/src/world.rs
+++ b/crates/quincevalve_trial/src/world.rs
@@ -339,6 +339,7 @@
             name: self.name.as_str().into(),
             data_centre: self.data_centre.clone(),
             listen: free,
+            status_listen: Some(free),
             peer_listen: free,
             control: Some(control),
             peer_tls: None,
