Membership: no islands; recovery weighs the time that caches need to leave a server

Cause: nodes that start together knew only their island (at 360 nodes not one had the right members); moving a KV cache was counted as instant. Change: while the list shows a place of the data centre that nobody known has, it is asked; caches leave a server one after the other at 30,000 tokens a second; bulk work waits for a server with room. Ruled out: more random candidates a decision (6 or 12 instead of 2): the fleet grew by 1 to 2 servers in 24, since all routers then follow the same old reports.

--- a/crates/quincevalve_control/src/gossip_actor.rs
+++ b/crates/quincevalve_control/src/gossip_actor.rs
@@ -5,13 +5,18 @@
 use quincevalve_membership::{Membership, MembershipAction, Message};
 use quincevalve_names::{EntryVmName, Revision};
 use quincevalve_peers::CallFailure;
+use quincevalve_ports::cloud::{CloudClient, VmState};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
 use crate::{config_actor::ConfigMessage, shared::Shared};
 
 pub(crate) enum GossipMessage {
     Tick,
-    Seeds(Vec<SocketAddr>),
+    /// Listed places: of the own data centre, and of others.
+    Seeds {
+        near: Vec<SocketAddr>,
+        far: Vec<SocketAddr>,
+    },
     /// A peer's probe.
     Probed(Box<Message>, RpcReplyPort<Message>),
     /// An answer to an own probe.
@@ -63,7 +68,7 @@
                 let actions = state.core.tick(now);
                 state.act(&myself, actions);
             }
-            GossipMessage::Seeds(seeds) => state.core.seed(&seeds),
+            GossipMessage::Seeds { near, far } => state.core.seed(&near, &far),
             GossipMessage::Probed(message, reply) => {
                 let answer = state.core.answer(now, &message);
                 let _ = reply.send(answer);
@@ -177,18 +182,19 @@
 }
 
 /// Reads seeds from the platform's list now and then.
-pub(crate) async fn watch_list(
-    shared: Shared,
-    cloud: quincevalve_ports::cloud::CloudClient,
-    actor: ActorRef<GossipMessage>,
-) {
+pub(crate) async fn watch_list(shared: Shared, cloud: CloudClient, actor: ActorRef<GossipMessage>) {
     let mut ticks = shared.clock.timer().every(shared.settings.pacing.list());
     loop {
-        let mut seeds = shared.settings.seeds.clone();
-        if let Ok(list) = cloud.list().await {
-            seeds.extend(list.into_iter().filter_map(|it| it.peer_address));
+        let mut near = Vec::new();
+        let mut far = shared.settings.seeds.clone();
+        for vm in cloud.list().await.unwrap_or_default() {
+            let Some(address) = vm.peer_address.filter(|_| vm.state == VmState::Live) else {
+                continue;
+            };
+            let is_near = vm.data_centre == shared.settings.data_centre;
+            if is_near { near.push(address) } else { far.push(address) }
         }
-        let _ = actor.cast(GossipMessage::Seeds(seeds));
+        let _ = actor.cast(GossipMessage::Seeds { near, far });
         if ticks.tick().await.is_none() {
             return;
         }
--- a/crates/quincevalve_entry/src/filters/admit.rs
+++ b/crates/quincevalve_entry/src/filters/admit.rs
@@ -57,7 +57,8 @@
             data_centre: &self.shared.settings.data_centre,
             prefix: request.prefix(),
             prompt_tokens: request.prompt_tokens(),
-            urgency: request.urgency(),
+            // Bulk work may have to wait for a server; what is asked here is how long it takes then.
+            urgency: quincevalve_routing::Urgency::Interactive,
             tried: &[],
         };
         let mut router = self.shared.router();
--- a/crates/quincevalve_entry/src/filters/relay.rs
+++ b/crates/quincevalve_entry/src/filters/relay.rs
@@ -220,7 +220,10 @@
             Work::Call(_) => (0, 0),
         };
         let answer_tokens = attempt.relay.next().0;
+        // The others on the server move at the same time; on average half of them are ahead.
+        let others = router.outstanding(sent.server).saturating_sub(1);
         WayOptions {
+            move_ahead_tokens: others * (prompt_tokens + answer_tokens) / 2,
             server_answers,
             server_left,
             prefix_held: holder.is_some_and(|it| it != sent.server),
--- a/crates/quincevalve_entry/src/filters/route.rs
+++ b/crates/quincevalve_entry/src/filters/route.rs
@@ -1,9 +1,9 @@
 //! Route: which backend server gets this attempt?
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use quincevalve_names::BackendServerName;
-use quincevalve_routing::{Ask, ServerIndex};
+use quincevalve_routing::{Ask, NoServer, ServerIndex, Urgency};
 
 use crate::{
     attempt::{Attempt, Cause, Failed},
@@ -29,10 +29,10 @@
 
     async fn apply(&self, attempt: Attempt) -> Result<Routed, Failed> {
         let chosen = match attempt.resume_on {
-            Some(server) => Some(server),
-            None => self.choose(&attempt),
+            Some(server) => Ok(server),
+            None => self.choose_patiently(&attempt).await,
         };
-        let Some(server) = chosen else { return Err(Failed::not_run(attempt, Cause::NoServer)) };
+        let Ok(server) = chosen else { return Err(Failed::not_run(attempt, Cause::NoServer)) };
         let name = self.shared.router().name(server).clone();
         match attempt.request.view.address(&name) {
             Some(address) => Ok(Routed { attempt, server, name, address }),
@@ -41,8 +41,29 @@
     }
 }
 
+/// How long held bulk work waits before it asks again.
+const HOLD: Duration = Duration::from_millis(100);
+
 impl Route {
-    fn choose(&self, attempt: &Attempt) -> Option<ServerIndex> {
+    /// Waits while every server is too full for bulk work, as long as the promise leaves time.
+    async fn choose_patiently(&self, attempt: &Attempt) -> Result<ServerIndex, NoServer> {
+        let request = &attempt.request;
+        let timer = &self.shared.timer;
+        loop {
+            let chosen = self.choose(attempt, request.urgency());
+            if chosen != Err(NoServer::Busy) {
+                return chosen;
+            }
+            // Past half of its promise it goes wherever there is a server.
+            let waited = timer.now() - request.arrived;
+            if waited >= request.promise.limit() / 2 {
+                return self.choose(attempt, Urgency::Interactive);
+            }
+            timer.after(HOLD).await;
+        }
+    }
+
+    fn choose(&self, attempt: &Attempt, urgency: Urgency) -> Result<ServerIndex, NoServer> {
         let request = &attempt.request;
         let target = request.target();
         let ask = |tried| Ask {
@@ -51,12 +72,15 @@
             data_centre: &self.shared.settings.data_centre,
             prefix: request.prefix(),
             prompt_tokens: request.prompt_tokens() + attempt.relay.next().0,
-            urgency: request.urgency(),
+            urgency,
             tried,
         };
         let mut router = self.shared.router();
         // Where every server was tried, a tried one that isn't shunned is better than none.
-        let choice = router.choose(&ask(&attempt.tried)).or_else(|_| router.choose(&ask(&[])));
-        choice.ok().map(|it| it.server)
+        let choice = match router.choose(&ask(&attempt.tried)) {
+            Err(NoServer::Unavailable) => router.choose(&ask(&[])),
+            other => other,
+        };
+        choice.map(|it| it.server)
     }
 }
--- a/crates/quincevalve_measure/src/arena.rs
+++ b/crates/quincevalve_measure/src/arena.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use quincevalve_names::{RequestId, Sequence, TimePoint};
-use quincevalve_recovery::{Costs, Way, WayOptions, choose_way};
+use quincevalve_recovery::{Costs, Way, WayOptions, choose_way, move_time};
 use quincevalve_routing::{
     Ask, LeavingEvidence, LoadReport, NoServer, Policy, Router, ServerIndex, ServerSpec, Target,
     Urgency,
@@ -70,6 +70,8 @@
     Report,
     Engine(u32),
     Notice,
+    /// The KV cache of one answer has arrived elsewhere.
+    Moved(usize),
     Gone,
 }
 
@@ -172,6 +174,7 @@
                 Event::Report => self.report(now),
                 Event::Engine(server) => self.advance(now, server as usize),
                 Event::Notice => self.notice(now),
+                Event::Moved(question) => self.moved(now, question),
                 Event::Gone => self.gone(now),
             }
         }
@@ -351,11 +354,23 @@
                 router.leaving(ServerIndex(server), None, LeavingEvidence::Notice);
             }
         }
+        // The caches of one server leave it one after the other.
+        let mut ahead: FxHashMap<ServerIndex, u32> = FxHashMap::default();
         for id in self.flights_on_wave() {
-            self.weigh(now, id, Some(wave.notice));
+            let Some(server) = self.flights.get(&id).map(|it| it.server) else { continue };
+            let ahead = ahead.entry(server).or_default();
+            *ahead += self.weigh(now, id, Some(wave.notice), *ahead);
         }
     }
 
+    fn moved(&mut self, now: TimePoint, question: usize) {
+        let id = self.questions[question].id;
+        let Some(flight) = self.flights.get(&id) else { return };
+        let facts = self.kind(question);
+        let context = facts.prefix_tokens + facts.own_tokens + flight.tokens;
+        self.go_on(now, id, context);
+    }
+
     fn flights_on_wave(&self) -> Vec<RequestId> {
         let wave = self.wave_servers();
         let mut ids: Vec<_> = self
@@ -368,9 +383,9 @@
         ids
     }
 
-    /// Chooses the way to go on for one answer.
-    fn weigh(&mut self, now: TimePoint, id: RequestId, left: Option<Duration>) {
-        let Some(flight) = self.flights.get(&id) else { return };
+    /// Chooses the way to go on for one answer; returns the context tokens that it moves.
+    fn weigh(&mut self, now: TimePoint, id: RequestId, left: Option<Duration>, ahead: u32) -> u32 {
+        let Some(flight) = self.flights.get(&id) else { return 0 };
         let facts = self.kind(flight.question);
         let asked = &self.questions[flight.question];
         let holder = self.routers[flight.router].prefix_holder(now, asked.prefix);
@@ -380,16 +395,22 @@
             prefix_held: holder.is_some(),
             prompt_tokens: facts.prefix_tokens + facts.own_tokens,
             answer_tokens: flight.tokens,
+            move_ahead_tokens: ahead,
             remaining_tokens: facts.answer_tokens * 3 / 2 - flight.tokens.min(facts.answer_tokens),
             token_time: self.setup.speed.token_time,
         };
         let way = choose_way(&options, &Costs::default());
         let context = options.prompt_tokens + flight.tokens;
         match way {
-            Way::Finish | Way::Resume => {}
-            Way::MoveCache => self.go_on(now, id, context),
+            Way::Finish | Way::Resume => return 0,
+            Way::MoveCache => {
+                let arrives = now + move_time(&options, &Costs::default());
+                self.queue.push(Reverse((arrives, Event::Moved(flight.question))));
+                return context;
+            }
             Way::PrefixHolder | Way::Rebuild => self.go_on(now, id, 0),
         }
+        0
     }
 
     fn go_on(&mut self, now: TimePoint, id: RequestId, imported: u32) {
@@ -413,7 +434,7 @@
         }
         for id in self.flights_on_wave() {
             if wave.weighs {
-                self.weigh(now, id, None);
+                self.weigh(now, id, None, 0);
             } else {
                 self.start_over(now, id);
             }
--- a/crates/quincevalve_measure/src/fleet.rs
+++ b/crates/quincevalve_measure/src/fleet.rs
@@ -119,11 +119,16 @@
     pub(crate) fn new(setup: FleetSetup, seed: u64) -> Self {
         let members: Vec<_> = (0..setup.nodes).map(|it| member(it, setup.data_centres)).collect();
         let by_address = members.iter().enumerate().map(|(at, it)| (it.control, at)).collect();
-        let seeds: Vec<_> = members.iter().map(|it| it.control).collect();
+        let places: Vec<_> =
+            members.iter().map(|it| (it.control, it.data_centre.clone())).collect();
         let nodes = members.into_iter().enumerate().map(|(at, member)| {
             let seed = mix(seed, at as u64);
+            let (near, far): (Vec<_>, Vec<_>) =
+                places.iter().partition(|it| it.1 == member.data_centre);
+            let addresses = |it: Vec<&(SocketAddr, _)>| it.into_iter().map(|it| it.0).collect();
+            let (near, far): (Vec<_>, Vec<_>) = (addresses(near), addresses(far));
             let mut membership = Membership::new(member, MembershipSettings::default(), seed);
-            membership.seed(&seeds);
+            membership.seed(&near, &far);
             Node {
                 membership,
                 distribution: Distribution::new(DistributionSettings::default(), seed),
--- a/crates/quincevalve_membership/src/membership.rs
+++ b/crates/quincevalve_membership/src/membership.rs
@@ -111,7 +111,8 @@
     own: Member,
     others: IndexMap<EntryVmName, Known, FxBuildHasher>,
     summaries: IndexMap<DataCentreName, Summary, FxBuildHasher>,
-    seeds: Vec<SocketAddr>,
+    near_seeds: Vec<SocketAddr>,
+    far_seeds: Vec<SocketAddr>,
     news: News,
     order: Vec<EntryVmName>,
     /// The member that was named last as a reminder.
@@ -129,7 +130,8 @@
             own,
             others: IndexMap::default(),
             summaries: IndexMap::default(),
-            seeds: Vec::new(),
+            near_seeds: Vec::new(),
+            far_seeds: Vec::new(),
             news: News::default(),
             order: Vec::new(),
             reminded: 0,
@@ -138,9 +140,11 @@
         }
     }
 
-    /// Takes addresses from the platform's list. It lags, so they are only places to ask.
-    pub fn seed(&mut self, addresses: &[SocketAddr]) {
-        self.seeds = addresses.to_vec();
+    /// Takes addresses from the platform's list: of the own data centre, and of others. The list lags,
+    /// so they are only places to ask.
+    pub fn seed(&mut self, near: &[SocketAddr], far: &[SocketAddr]) {
+        self.near_seeds = near.to_vec();
+        self.far_seeds = far.to_vec();
     }
 
     /// This node as it sees itself.
@@ -186,9 +190,7 @@
                 actions.extend(self.probe(&name));
             }
         }
-        if actions.is_empty() || self.rng.random_range(0..SEED_TURN) == 0 {
-            actions.extend(self.probe_seed());
-        }
+        actions.extend(self.probe_unknown());
         if self.is_delegate() {
             self.refresh_own_summary(now);
             actions.extend(self.probe_other_data_centre());
@@ -249,15 +251,17 @@
         Some(MembershipAction::Probe { name: Some(name.clone()), to, message })
     }
 
-    fn probe_seed(&mut self) -> Option<MembershipAction> {
-        let count = self.seeds.len();
-        if count == 0 {
-            return None;
-        }
-        let to = self.seeds[self.rng.random_range(0..count)];
-        if to == self.own.control {
-            return None;
-        }
+    /// Asks one listed place of the data centre where no known member is.
+    ///
+    /// Failure: nodes that start together find a few others each, and form islands whose members know
+    /// only each other. Symptom: each island plans and serves as if it were the whole data centre. As
+    /// long as the list shows a place that nobody known has, somebody is asked there in each round.
+    fn probe_unknown(&mut self) -> Option<MembershipAction> {
+        let known = |it: &SocketAddr| {
+            *it == self.own.control || self.others.values().any(|other| other.member.control == *it)
+        };
+        let unknown: Vec<_> = self.near_seeds.iter().copied().filter(|it| !known(it)).collect();
+        let to = pick(&mut self.rng, &unknown)?;
         Some(MembershipAction::Probe { name: None, to, message: self.message() })
     }
 
@@ -329,12 +333,14 @@
     }
 
     fn probe_other_data_centre(&mut self) -> Option<MembershipAction> {
-        let others: Vec<&Summary> =
-            self.summaries.values().filter(|it| it.data_centre != self.own.data_centre).collect();
-        if others.is_empty() {
-            return self.probe_seed();
+        let own = &self.own.data_centre;
+        let others: Vec<_> =
+            self.summaries.values().filter(|it| it.data_centre != *own).cloned().collect();
+        if others.is_empty() || self.rng.random_range(0..SEED_TURN) == 0 {
+            let to = pick(&mut self.rng, &self.far_seeds)?;
+            return Some(MembershipAction::Probe { name: None, to, message: self.message() });
         }
-        let summary = others[self.rng.random_range(0..others.len())];
+        let summary = &others[self.rng.random_range(0..others.len())];
         if summary.contacts.is_empty() {
             return None;
         }
@@ -490,8 +496,13 @@
     }
 }
 
-/// One round in so many also asks a place from the platform's list, so that two halves that have lost
-/// sight of each other find together again.
+fn pick(rng: &mut Pcg64Mcg, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+    let at = rng.random_range(0..addresses.len().max(1));
+    addresses.get(at).copied()
+}
+
+/// One round in so many a delegate asks a listed place of another data centre and not one that a summary
+/// names, so that two halves that have lost sight of each other find together again.
 const SEED_TURN: u32 = 10;
 
 /// Members in a message that are no news.
--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -11,5 +11,5 @@
     },
     record::{AnswerForm, AnswerRecord, Call, Generation, RecordState, Work},
     relay::{Relay, RelayError, RelayStep},
-    ways::{Costs, Way, WayOptions, choose_way},
+    ways::{Costs, Way, WayOptions, choose_way, move_time},
 };
--- a/crates/quincevalve_recovery/src/ways.rs
+++ b/crates/quincevalve_recovery/src/ways.rs
@@ -30,6 +30,8 @@
     pub prompt_tokens: u32,
     /// Tokens of the answer so far.
     pub answer_tokens: u32,
+    /// Context tokens of other answers whose KV cache leaves the server first.
+    pub move_ahead_tokens: u32,
     /// The most tokens that are still to come.
     pub remaining_tokens: u32,
     /// Time between two tokens.
@@ -50,7 +52,8 @@
 impl Default for Costs {
     fn default() -> Self {
         Self {
-            move_tokens_per_s: 200_000.0,
+            // 320 KB a token over 10 GB/s (80 layers, 8 heads of 128 for keys and values, 2 bytes each).
+            move_tokens_per_s: 30_000.0,
             move_fixed: Duration::from_millis(20),
             margin: Duration::from_millis(100),
         }
@@ -71,6 +74,7 @@
 ///     prefix_held: true,
 ///     prompt_tokens: 6_000,
 ///     answer_tokens: 900,
+///     move_ahead_tokens: 0,
 ///     remaining_tokens: 2_000,
 ///     token_time: Duration::from_millis(30),
 /// };
@@ -90,8 +94,9 @@
     if options.prefix_held { Way::PrefixHolder } else { Way::Rebuild }
 }
 
-/// The predicted time to move the KV cache of prompt and answer so far.
-fn move_time(options: &WayOptions, costs: &Costs) -> Duration {
-    let context = f64::from(options.prompt_tokens + options.answer_tokens);
+/// The predicted time to move the KV cache of prompt and answer so far, after those ahead of it.
+pub fn move_time(options: &WayOptions, costs: &Costs) -> Duration {
+    let own = options.prompt_tokens + options.answer_tokens;
+    let context = f64::from(options.move_ahead_tokens + own);
     costs.move_fixed + Duration::from_secs_f64(context / costs.move_tokens_per_s)
 }
--- a/crates/quincevalve_routing/src/router.rs
+++ b/crates/quincevalve_routing/src/router.rs
@@ -37,7 +37,7 @@
 
 impl Default for RouterSettings {
     fn default() -> Self {
-        Self { bulk_fill: 0.7, spill_fill: 1.5, shun: Duration::from_millis(500) }
+        Self { bulk_fill: 0.9, spill_fill: 1.5, shun: Duration::from_millis(500) }
     }
 }
 
@@ -381,6 +381,11 @@
         self.servers[server.0 as usize].leaving.is_leaving()
     }
 
+    /// This router's own requests on a server.
+    pub fn outstanding(&self, server: ServerIndex) -> u32 {
+        self.servers[server.0 as usize].outstanding
+    }
+
     /// The server's name.
     pub fn name(&self, server: ServerIndex) -> &BackendServerName {
         &self.servers[server.0 as usize].spec.name
