Relay: one watchdog for a stream instead of an alarm for each read

Cause: each read of a stream set a new alarm at the timer service and subscribed anew to departures; the service's heap held every alarm until its time. Change: Timer::watchdog notes progress and sets its alarm anew when it fires early; a read's tokens are kept in one text.

--- a/crates/quincevalve_entry/src/filters/relay.rs
+++ b/crates/quincevalve_entry/src/filters/relay.rs
@@ -49,6 +49,18 @@
     Leaving(TimePoint),
 }
 
+type ReadFrame = Option<Result<http_body::Frame<bytes::Bytes>, hyper::Error>>;
+
+impl From<ReadFrame> for Step {
+    fn from(frame: ReadFrame) -> Self {
+        match frame {
+            Some(Ok(frame)) => Self::Bytes(frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => Self::Broken,
+            None => Self::Ended,
+        }
+    }
+}
+
 /// Whether a notice about the server still has to be weighed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeavingWatch {
@@ -81,21 +93,34 @@
         mut body: Incoming,
         mut sent: Sent,
     ) -> Result<Attempt, Failed> {
+        let pacing = self.shared.settings.pacing;
         let mut buffer = EventBuffer::default();
         let mut leaving = LeavingWatch::Armed;
+        let name = sent.name.clone();
+        let announced = self.shared.departures.announced(name.as_str());
+        tokio::pin!(announced);
+        let mut watchdog = self.shared.timer.watchdog(pacing.first_token_progress());
         loop {
             if self.is_abandoned(&attempt) {
                 return Err(self.cancel(attempt, &sent).await);
             }
-            let watches = leaving.is_due(&attempt);
-            let step = self.next_step(&attempt, &mut body, &sent, watches).await;
+            let step = tokio::select! {
+                biased;
+                frame = body.frame() => Step::from(frame),
+                gone_at = announced.as_mut(), if leaving.is_due(&attempt) => Step::Leaving(gone_at),
+                () = watchdog.barked() => Step::Silent,
+            };
             match step {
                 Step::Bytes(bytes) => {
+                    watchdog.pat();
                     buffer.extend(&bytes);
-                    match take_events(&mut attempt, &mut buffer) {
-                        Progress::More => self.note_first(&mut attempt, &mut sent),
+                    let progress = take_events(&mut attempt, &mut buffer);
+                    if self.note_first(&mut attempt, &mut sent) {
+                        watchdog.pat_with(pacing.token_progress());
+                    }
+                    match progress {
+                        Progress::More => {}
                         Progress::Whole => {
-                            self.note_first(&mut attempt, &mut sent);
                             self.shared.router().succeeded(sent.server);
                             return Ok(attempt);
                         }
@@ -110,6 +135,8 @@
                 Step::Silent => return Err(self.lost(attempt, &sent, Cause::Silent).await),
                 Step::Leaving(gone_at) => {
                     leaving = LeavingWatch::CheckedAt(attempt.relay.next());
+                    // A completed wait can't be asked again; the next one finds the notice at once.
+                    announced.set(self.shared.departures.announced(name.as_str()));
                     if let Some(failed) = self.leave_server(&mut attempt, &sent, gone_at).await {
                         return Err(failed.into_failed(attempt));
                     }
@@ -118,39 +145,10 @@
         }
     }
 
-    async fn next_step(
-        &self,
-        attempt: &Attempt,
-        body: &mut Incoming,
-        sent: &Sent,
-        watches_leaving: bool,
-    ) -> Step {
-        let pacing = &self.shared.settings.pacing;
-        let progress = match attempt.relay.next().0 {
-            0 => pacing.first_token_progress(),
-            _ => pacing.token_progress(),
-        };
-        let leaving = async {
-            if !watches_leaving {
-                return std::future::pending().await;
-            }
-            self.shared.departures.announced(sent.name.as_str()).await
-        };
-        tokio::select! {
-            biased;
-            frame = body.frame() => match frame {
-                Some(Ok(frame)) => frame.into_data().map_or(Step::Bytes(bytes::Bytes::new()), Step::Bytes),
-                Some(Err(_)) => Step::Broken,
-                None => Step::Ended,
-            },
-            gone_at = leaving => Step::Leaving(gone_at),
-            () = self.shared.timer.after(progress) => Step::Silent,
-        }
-    }
-
-    fn note_first(&self, attempt: &mut Attempt, sent: &mut Sent) {
+    /// Notes the first token's time; `true` if that is now.
+    fn note_first(&self, attempt: &mut Attempt, sent: &mut Sent) -> bool {
         if attempt.first_token_at.is_some() || attempt.relay.next().0 == 0 {
-            return;
+            return false;
         }
         sent.prompt_done();
         let now = self.shared.timer.now();
@@ -158,6 +156,7 @@
         let waited = now - attempt.request.arrived;
         self.shared.hedge().observe(waited);
         self.shared.metrics.time("first_token", waited);
+        true
     }
 
     /// Whether nobody reads any more and nobody came back.
@@ -330,9 +329,28 @@
     }
 }
 
+/// The tokens of one read that passed, one after the other in one text.
+#[derive(Default)]
+struct Passed {
+    text: String,
+    ends: Vec<usize>,
+}
+
+impl Passed {
+    fn push(&mut self, token: &str) {
+        self.text.push_str(token);
+        self.ends.push(self.text.len());
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &str> {
+        let starts = std::iter::once(0).chain(self.ends.iter().copied());
+        starts.zip(&self.ends).map(|(start, end)| &self.text[start..*end])
+    }
+}
+
 /// Takes all whole events of a read, and appends what passed with one wake-up of the readers.
 fn take_events(attempt: &mut Attempt, buffer: &mut EventBuffer) -> Progress {
-    let mut passed: Vec<String> = Vec::new();
+    let mut passed = Passed::default();
     let progress = loop {
         match buffer.next_event() {
             Ok(Some(event)) => match take_event(attempt, &event, &mut passed) {
@@ -343,13 +361,13 @@
             Err(_) => break Progress::Unsound,
         }
     };
-    if !passed.is_empty() {
-        attempt.answer.push_tokens(passed.iter().map(String::as_str));
+    if !passed.ends.is_empty() {
+        attempt.answer.push_tokens(passed.iter());
     }
     if attempt.relay.is_whole() { Progress::Whole } else { progress }
 }
 
-fn take_event(attempt: &mut Attempt, event: &Event, passed: &mut Vec<String>) -> Progress {
+fn take_event(attempt: &mut Attempt, event: &Event, passed: &mut Passed) -> Progress {
     if event.kind == END_EVENT.as_bytes() {
         let Ok(end) = serde_json::from_slice::<EndEvent>(&event.data) else {
             return Progress::Unsound;
@@ -364,9 +382,9 @@
     };
     match attempt.relay.token(token.id, token.seq, &token.text) {
         Ok(RelayStep::Pass) => {
-            passed.push(token.text.into_owned());
+            passed.push(&token.text);
             while let Some(held) = attempt.relay.next_held() {
-                passed.push(held.into());
+                passed.push(&held);
             }
             Progress::More
         }
--- a/crates/quincevalve_entry/tests/refusals.rs
+++ b/crates/quincevalve_entry/tests/refusals.rs
@@ -119,7 +119,9 @@
 fn shown(answer: &str) -> String {
     let lines = answer.lines().filter(|it| !it.starts_with("date:"));
     let shown: Vec<_> = lines
-        .map(|it| if it.starts_with("quincevalve-request:") { "quincevalve-request: (an id)" } else { it })
+        .map(|it| {
+            if it.starts_with("quincevalve-request:") { "quincevalve-request: (an id)" } else { it }
+        })
         .collect();
     shown.join("\n") + "\n"
 }
--- a/crates/quincevalve_measure/src/experiments.rs
+++ b/crates/quincevalve_measure/src/experiments.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod cost;
 mod ledger;
+mod path;
 mod recovery;
 mod retries;
 mod routing;
@@ -48,4 +49,5 @@
     Ledger = "ledger" => ledger,
     Recovery = "recovery" => recovery,
     Slopes = "slopes" => slopes,
+    Path = "path" => path,
 }
--- a/crates/quincevalve_timer/src/service.rs
+++ b/crates/quincevalve_timer/src/service.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use crate::Subscription;
+use crate::{Alarm, Subscription, Watchdog};
 
 /// The handle of the timer service; clones share one service.
 ///
@@ -65,13 +65,15 @@
     }
 
     /// A future that completes `delay` from now.
-    pub fn after(&self, delay: Duration) -> impl Future<Output = ()> + Send + use<> {
+    pub fn after(&self, delay: Duration) -> Alarm {
         let (fired, rx) = oneshot::channel();
         let _ = self.orders.send(Order::Once { at: Instant::now() + delay, fired });
-        async move {
-            // The service ends only with the process; then nobody waits any more.
-            let _ = rx.await;
-        }
+        Alarm { fired: rx }
+    }
+
+    /// A watchdog that barks after `limit` without [`Watchdog::pat`].
+    pub fn watchdog(&self, limit: Duration) -> Watchdog {
+        Watchdog::new(self.clone(), limit)
     }
 
     /// Runs `work` for at most `limit`. `None` means that the time ran out.
