The plan: cheapest mix that survives the loss of a data centre, buying, fenced orders

Cause: nothing decided what to hold where. In the trial, two operators race each other under load (operator-race).

--- a/crates/quincevalve_measure/src/experiments.rs
+++ b/crates/quincevalve_measure/src/experiments.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod ledger;
 mod path;
+mod plan;
 mod recovery;
 mod retries;
 mod routing;
@@ -49,5 +50,6 @@
     Ledger = "ledger" => ledger,
     Recovery = "recovery" => recovery,
     Slopes = "slopes" => slopes,
+    Plan = "plan" => plan,
     Path = "path" => path,
 }
--- a/crates/quincevalve_trial/src/fault.rs
+++ b/crates/quincevalve_trial/src/fault.rs
@@ -42,6 +42,7 @@
     CloudRefusal = "cloud-refusal",
     PlannedStop = "planned-stop",
     Overload = "overload",
+    OperatorRace = "operator-race",
 }
 
 /// A name that is no fault.
--- a/crates/quincevalve_trial/src/faults.rs
+++ b/crates/quincevalve_trial/src/faults.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     fault::Fault,
+    operator,
     world::{Backend, BackendVm, PLATFORM_ZONE, World},
 };
 
@@ -34,6 +35,11 @@
             Fault::PlannedStop => self.planned_stop(pick),
             // The workload itself is the fault.
             Fault::Overload => {}
+            Fault::OperatorRace => {
+                let race = operator::race(self);
+                crate::verdict::progress(&race.to_string());
+                self.races.push(race);
+            }
         }
     }
 
--- a/crates/quincevalve_trial/src/main.rs
+++ b/crates/quincevalve_trial/src/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod fault;
 mod faults;
+mod operator;
 mod options;
 mod report;
 mod verdict;
--- a/crates/quincevalve_trial/src/report.rs
+++ b/crates/quincevalve_trial/src/report.rs
@@ -7,6 +7,7 @@
 use crate::{
     caller::{Ending, Received},
     fault::Fault,
+    operator::Race,
     options::Options,
     verdict::{Verdict, percentile},
     world::World,
@@ -19,6 +20,7 @@
     title: String,
     store_calls: (u64, u64),
     faults: Vec<Fault>,
+    races: Vec<Race>,
 }
 
 impl Report {
@@ -40,11 +42,12 @@
             title,
             store_calls: world.platform.store_calls(),
             faults: options.faults.clone(),
+            races: world.races.clone(),
         }
     }
 
     pub(crate) fn is_clean(&self) -> bool {
-        self.verdict.is_clean(&self.faults)
+        self.verdict.is_clean(&self.faults) && self.races.iter().all(Race::is_clean)
     }
 
     #[expect(clippy::print_stdout, reason = "the report is what the program is for")]
@@ -80,6 +83,9 @@
             self.store_calls.0,
             self.store_calls.1,
         );
+        for race in &self.races {
+            println!("{race}");
+        }
         println!("{}", if self.is_clean() { "clean" } else { "NOT CLEAN" });
         if json {
             println!("{}", serde_json::to_string(it).unwrap_or_default());
--- a/crates/quincevalve_trial/src/world.rs
+++ b/crates/quincevalve_trial/src/world.rs
@@ -18,6 +18,7 @@
 use crate::{
     caller::{Balancer, Received, call_all},
     fault::Fault,
+    operator::Race,
     options::Options,
     vm_thread::VmThread,
     workload,
@@ -84,6 +85,7 @@
     pub(crate) entries: Vec<EntryThread>,
     pub(crate) inventory: Inventory,
     pub(crate) started: Instant,
+    pub(crate) races: Vec<Race>,
     platform_thread: VmThread,
     network: VmThread,
 }
@@ -150,6 +152,7 @@
             entries,
             inventory,
             started: Instant::now(),
+            races: Vec::new(),
             platform_thread,
             network,
         })
