--- a/crates/quincevalve_control/src/change.rs
+++ b/crates/quincevalve_control/src/change.rs
@@ -281,3 +281,6 @@
         compare(path, old.get(key).unwrap_or(&null), new.get(key).unwrap_or(&null), all);
     }
 }
+
+#[cfg(test)]
+mod tests;
