--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -1,8 +1,9 @@
 //! What an entry VM learns by asking: load reports, cache events, notices, the VM list.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use quincevalve_admission::{Demand, own_share};
+use quincevalve_inventory::Serves;
 use quincevalve_names::BackendServerName;
 use quincevalve_ports::{
     HttpClient,
@@ -57,27 +58,38 @@
     }
 }
 
-/// Asks this VM's part of the data centre's servers for their load, in each period.
+/// Engines that are asked in one period, in turn. What a VM spends on asking so doesn't grow with the
+/// data centre; where it has more engines, their reports get older, which routing allows for.
+const ASKED_IN_A_PERIOD: usize = 8;
+
+/// Asks engines of the data centre for their load and cache events.
 pub(crate) async fn watch_loads(shared: Arc<Shared>) {
     let mut ticks = shared.timer.every(shared.settings.pacing.report());
     let mut after: HashMap<BackendServerName, u64> = HashMap::new();
+    let mut turn = 0;
     while ticks.tick().await.is_some() {
         let view = shared.view();
-        let local = view.inventory.backend_server.iter();
-        let local = local.filter(|it| it.1.data_centre == shared.settings.data_centre);
-        for (name, server) in local {
-            if let quincevalve_inventory::Serves::Model(_) = server.serves {
-                let after = after.entry(name.clone()).or_default();
-                ask_engine(&shared, name, server.address, after).await;
-            }
+        let engines = local_engines(&shared, &view);
+        for _ in 0..ASKED_IN_A_PERIOD.min(engines.len()) {
+            let (name, address) = &engines[turn % engines.len()];
+            turn = turn.wrapping_add(1);
+            let after = after.entry(name.clone()).or_default();
+            ask_engine(&shared, name, *address, after).await;
         }
     }
 }
 
+fn local_engines(shared: &Shared, view: &View) -> Vec<(BackendServerName, SocketAddr)> {
+    let all = view.inventory.backend_server.iter();
+    let local = all.filter(|it| it.1.data_centre == shared.settings.data_centre);
+    let engines = local.filter(|it| matches!(it.1.serves, Serves::Model(_)));
+    engines.map(|(name, server)| (name.clone(), server.address)).collect()
+}
+
 async fn ask_engine(
     shared: &Shared,
     name: &BackendServerName,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     after: &mut u64,
 ) {
     let limit = shared.settings.pacing.probe();
@@ -166,7 +178,7 @@
     }
 }
 
-const LIST_PERIOD: Duration = Duration::from_secs(2);
+const LIST_PERIOD: Duration = Duration::from_secs(10);
 
 /// The client of the cloud API that the settings name.
 pub(crate) fn cloud_client(shared: &Shared) -> CloudClient {
--- a/crates/quincevalve_measure/src/experiments.rs
+++ b/crates/quincevalve_measure/src/experiments.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod ledger;
 mod path;
+mod peers;
 mod plan;
 mod recovery;
 mod retries;
@@ -51,5 +52,6 @@
     Recovery = "recovery" => recovery,
     Slopes = "slopes" => slopes,
     Plan = "plan" => plan,
+    Peers = "peers" => peers,
     Path = "path" => path,
 }
--- a/crates/quincevalve_measure/src/experiments/path.rs
+++ b/crates/quincevalve_measure/src/experiments/path.rs
@@ -254,7 +254,7 @@
 }
 
 /// Processor time of a thread, user and system, from the kernel's count in hundredths of a second.
-fn busy_seconds(task: &str) -> f64 {
+pub(super) fn busy_seconds(task: &str) -> f64 {
     let text = std::fs::read_to_string(task).unwrap_or_default();
     let fields: Vec<_> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
     let field = |at: usize| fields.get(at).and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.0);
--- a/crates/quincevalve_measure/src/table.rs
+++ b/crates/quincevalve_measure/src/table.rs
@@ -53,6 +53,10 @@
         self.rows.push(row);
     }
 
+    pub(crate) fn extend(&mut self, row: Option<Vec<String>>) {
+        self.rows.extend(row);
+    }
+
     #[expect(clippy::print_stdout, reason = "the tables are what the program is for")]
     pub(crate) fn print(&self) {
         println!("\n{} ({})", self.title, self.name);
--- a/crates/quincevalve_program/src/logs.rs
+++ b/crates/quincevalve_program/src/logs.rs
@@ -6,6 +6,7 @@
 use logforth::{
     append::Stderr,
     layout::{JsonLayout, TextLayout},
+    record::{Level, LevelFilter as RecordFilter},
 };
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,17 @@
     }
 }
 
+impl From<LogLevel> for Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::Error,
+            LogLevel::Warn => Self::Warn,
+            LogLevel::Info => Self::Info,
+            LogLevel::Debug => Self::Debug,
+        }
+    }
+}
+
 /// The `[log]` section of a settings file.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -58,11 +70,18 @@
 
 /// Starts logging for the whole process. A second call changes nothing.
 pub fn start_logs(settings: &LogSettings) {
+    // Libraries log what they call a span at the trace level past the process-wide limit, so each
+    // record is held against the level once more.
+    let filter = RecordFilter::MoreSevereEqual(settings.level.into());
+    let text = || Stderr::default().with_layout(TextLayout::default());
+    let json = || Stderr::default().with_layout(JsonLayout::default());
     let builder = match settings.format {
-        LogFormat::Text => logforth::starter_log::builder()
-            .dispatch(|it| it.append(Stderr::default().with_layout(TextLayout::default()))),
-        LogFormat::Json => logforth::starter_log::builder()
-            .dispatch(|it| it.append(Stderr::default().with_layout(JsonLayout::default()))),
+        LogFormat::Text => {
+            logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(text()))
+        }
+        LogFormat::Json => {
+            logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(json()))
+        }
     };
     if builder.try_apply().is_ok() {
         log::set_max_level(settings.level.into());
