--- a/crates/quincevalve_admin/src/commands.rs
+++ b/crates/quincevalve_admin/src/commands.rs
@@ -25,8 +25,8 @@
 pub(crate) enum Failure {
     #[snafu(display("{}: {source}", file.display()))]
     File { file: PathBuf, source: std::io::Error },
-    #[snafu(display("{}: {problem}", file.display()))]
-    Syntax { file: PathBuf, problem: String },
+    #[snafu(display("{}: {source}", file.display()))]
+    Syntax { file: PathBuf, source: Box<toml::de::Error> },
     #[snafu(display("{source}"))]
     Client { source: ClientError },
     #[snafu(display("the server has no revision to build on"))]
@@ -127,15 +127,10 @@
     if file.extension().is_some_and(|it| it == "json") {
         return Ok(text);
     }
-    let value: Value = toml_to_json(&text)
-        .map_err(|problem| Failure::Syntax { file: file.to_owned(), problem })?;
+    let value: Value = toml::from_str(&text).map_err(Box::new).context(SyntaxSnafu { file })?;
     Ok(value.to_string())
 }
 
-fn toml_to_json(text: &str) -> Result<Value, String> {
-    toml::from_str(text).map_err(|it| it.to_string())
-}
-
 /// Prints an answer and returns the exit code.
 fn show(options: &Options, answer: &Answer) -> u8 {
     print_answer(options, answer);
--- a/crates/quincevalve_control/src/change/tests.rs
+++ b/crates/quincevalve_control/src/change/tests.rs
@@ -204,7 +204,8 @@
                 continue;
             }
             3 => {
-                drop(nodes[node].hear(now, address(peer), Revision(rng.random_range(0..=newest.0))))
+                let heard = Revision(rng.random_range(0..=newest.0));
+                drop(nodes[node].hear(now, address(peer), heard));
             }
             4 => nodes[node].fetch_failed(address(peer)),
             _ => {
--- a/crates/quincevalve_control/src/settings.rs
+++ b/crates/quincevalve_control/src/settings.rs
@@ -5,7 +5,7 @@
 use quincevalve_membership::MembershipSettings;
 use quincevalve_names::{DataCentreName, EntryVmName};
 use quincevalve_peers::PeerTls;
-use quincevalve_program::{LogSettings, MetricsSettings};
+use quincevalve_program::{LogSettings, MetricsSettings, ProgramSettings};
 use serde::{Deserialize, Serialize};
 
 use crate::admin::Team;
@@ -119,3 +119,9 @@
         self.peer_advertise.unwrap_or(self.peer_listen)
     }
 }
+
+impl ProgramSettings for ControlSettings {
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
--- a/crates/quincevalve_entry/src/settings.rs
+++ b/crates/quincevalve_entry/src/settings.rs
@@ -5,7 +5,7 @@
 use quincevalve_ledger::{DeskSettings, SlotSettings};
 use quincevalve_names::{DataCentreName, EntryVmName};
 use quincevalve_peers::PeerTls;
-use quincevalve_program::{LogSettings, MetricsSettings};
+use quincevalve_program::{LogSettings, MetricsSettings, ProgramSettings};
 use serde::{Deserialize, Serialize};
 
 /// The settings file of `quincevalve-entry`.
@@ -207,3 +207,9 @@
         Duration::from_millis(self.platform_ms)
     }
 }
+
+impl ProgramSettings for EntrySettings {
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
--- a/crates/quincevalve_program/src/lib.rs
+++ b/crates/quincevalve_program/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every program of quincevalve shares: command line, settings files, logs and metrics.
 
 mod arguments;
+mod launch;
 mod logs;
 mod metrics;
 mod settings;
@@ -8,6 +9,7 @@
 
 pub use crate::{
     arguments::{ArgumentError, Invocation, Program, parse_arguments},
+    launch::{ProgramSettings, launch},
     logs::{LogFormat, LogLevel, LogSettings, start_logs},
     metrics::{Metrics, MetricsError, MetricsSettings},
     settings::{SettingsError, parse_settings, read_settings},
