The control process orders engines' model versions under a lease

Cause: the plan's cores ran nowhere; an operator's new model version reached no engine. Change: two control processes of a data centre try for its lease; the holder tells engines what to hold, two at a time, through the order core (intent and waiting out where an engine ignores fencing numbers).

--- a/crates/quincevalve_control/src/config_actor.rs
+++ b/crates/quincevalve_control/src/config_actor.rs
@@ -132,7 +132,7 @@
 const RELAYS: usize = 2;
 
 /// Whether this VM is one of its data centre's relays.
-fn is_relay(shared: &Shared) -> bool {
+pub(crate) fn is_relay(shared: &Shared) -> bool {
     const KEY: u64 = 0x72_656c_6179;
     let state = shared.state.borrow();
     let score = |it: &Member| rendezvous_score(KEY, it.hash());
--- a/crates/quincevalve_control/src/lib.rs
+++ b/crates/quincevalve_control/src/lib.rs
@@ -12,6 +12,7 @@
 mod gossip_actor;
 mod local_service;
 mod peer_service;
+mod plan_task;
 mod settings;
 mod shared;
 mod start;
@@ -19,6 +20,6 @@
 pub use crate::{
     admin::{AdminRole, Team},
     change::{ChangeAnswer, ChangeId, Difference, HistoryRow},
-    settings::{ControlPacing, ControlSettings},
+    settings::{ControlPacing, ControlSettings, PlanPacing},
     start::{ControlError, ControlProcess},
 };
--- a/crates/quincevalve_control/src/settings.rs
+++ b/crates/quincevalve_control/src/settings.rs
@@ -44,6 +44,9 @@
     /// Waits and periods.
     #[serde(default)]
     pub pacing: ControlPacing,
+    /// The plan's lease and orders.
+    #[serde(default)]
+    pub plan: PlanPacing,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
@@ -83,6 +86,38 @@
     }
 }
 
+/// The plan's lease and orders, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlanPacing {
+    /// Between two rounds of planning; well below the lease.
+    pub period_ms: u64,
+    /// How long the lease lasts.
+    pub lease_ms: u64,
+    /// The longest time between deciding to send an order and its arrival.
+    pub flight_ms: u64,
+}
+
+impl Default for PlanPacing {
+    fn default() -> Self {
+        Self { period_ms: 3_000, lease_ms: 10_000, flight_ms: 2_000 }
+    }
+}
+
+impl PlanPacing {
+    pub(crate) const fn period(&self) -> Duration {
+        Duration::from_millis(self.period_ms)
+    }
+
+    pub(crate) const fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+
+    pub(crate) const fn flight(&self) -> Duration {
+        Duration::from_millis(self.flight_ms)
+    }
+}
+
 impl ControlPacing {
     pub(crate) const fn period(&self) -> Duration {
         Duration::from_millis(self.period_ms)
--- a/crates/quincevalve_control/src/start.rs
+++ b/crates/quincevalve_control/src/start.rs
@@ -25,6 +25,7 @@
     gossip_actor::{self, GossipActor, GossipMessage, GossipState},
     local_service::LocalService,
     peer_service::PeerService,
+    plan_task,
     settings::ControlSettings,
     shared::{LocalState, Shared},
 };
@@ -93,6 +94,8 @@
         serve_peers(&shared, security.clone(), peers, &gossip, &config);
         serve_local(&shared, &security, local, &gossip);
         let admin = start_admin(&shared).await?;
+        let http = HttpClient::new(Some(own), CONNECT);
+        tokio::spawn(plan_task::run(shared.clone(), http));
         tokio::spawn(reload_tls(shared.clock.timer().clone(), security));
         Ok(Self { peers: peer_address, local: local_address, admin })
     }
--- a/crates/quincevalve_trial/src/world.rs
+++ b/crates/quincevalve_trial/src/world.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use quincevalve_control::{AdminRole, ControlPacing, ControlProcess, ControlSettings, Team};
+use quincevalve_control::{
+    AdminRole, ControlPacing, ControlProcess, ControlSettings, PlanPacing, Team,
+};
 use quincevalve_entry::{EntrySettings, EntryVm, LedgerSettings, Limits, Pacing, View};
 use quincevalve_inventory::{Inventory, KeyHash, ReadError, Serves};
 use quincevalve_names::{DataCentreName, EntryVmName, Incarnation, Revision};
@@ -331,6 +333,7 @@
                 key_sha256: KeyHash::of(OPERATOR_KEY),
             }],
             pacing: control_pacing(),
+            plan: PlanPacing::default(),
             log: LogSettings::default(),
             metrics: MetricsSettings::default(),
         }
