Public documentation links only to public items

Cause: cargo doc -D warnings refused links to the private modules of the inventory's checks. Change: the check modules are public, so that what each finds is part of the documentation. Measured: cargo doc is clean. Conclusion: kept.

--- a/crates/quincevalve_inventory/src/checks.rs
+++ b/crates/quincevalve_inventory/src/checks.rs
@@ -1,12 +1,12 @@
 //! The checks on a whole inventory: one file each, listed in [`Check::ALL`].
 
-mod account_keys;
-mod addresses;
-mod capacity;
-mod class_promises;
-mod names;
-mod prices;
-mod references;
+pub mod account_keys;
+pub mod addresses;
+pub mod capacity;
+pub mod class_promises;
+pub mod names;
+pub mod prices;
+pub mod references;
 
 use std::fmt;
 
