Ledger: segments of a slot are read side by side when it is taken over

Cause: 633 kept segments were read one after the other, 4 ms each; claims waited longer than their limit. Change: up to 16 reads at once; a late read of an immutable segment is always welcome.

--- a/crates/quincevalve_ledger/src/desk.rs
+++ b/crates/quincevalve_ledger/src/desk.rs
@@ -223,7 +223,7 @@
             SlotAction::ReadHead => Some(SlotEvent::HeadRead(self.read(&head_key).await)),
             SlotAction::ReadSegment(number) => {
                 let outcome = self.read(&segment_key(number)).await;
-                Some(SlotEvent::SegmentRead(without_version(outcome)))
+                Some(SlotEvent::SegmentRead(number, without_version(outcome)))
             }
             SlotAction::WriteSegment(number, segment) => {
                 let outcome = self.swap(&segment_key(number), KeyVersion::ABSENT, &segment).await;
--- a/crates/quincevalve_ledger/src/slot.rs
+++ b/crates/quincevalve_ledger/src/slot.rs
@@ -73,7 +73,7 @@
     /// [`SlotAction::ReadHead`] ended.
     HeadRead(ReadOutcome<(KeyVersion, Head)>),
     /// [`SlotAction::ReadSegment`] ended.
-    SegmentRead(ReadOutcome<Segment>),
+    SegmentRead(u64, ReadOutcome<Segment>),
     /// [`SlotAction::WriteSegment`] ended.
     SegmentWritten(SwapOutcome),
     /// [`SlotAction::SwapHead`] ended.
@@ -82,7 +82,8 @@
     Tick,
 }
 
-/// What a slot wants done. At most one store call is under way at a time.
+/// What a slot wants done. At most one store call is under way at a time, but for segments, which never
+/// change and are read side by side.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SlotAction {
     /// Read the head.
@@ -117,8 +118,8 @@
     Unread,
     /// The head is being read.
     ReadingHead,
-    /// Segments are being read, this one now.
-    ReadingSegments { version: KeyVersion, head: Head, next: u64 },
+    /// Segments are being read, several at a time; `asked` is the first that wasn't asked for yet.
+    ReadingSegments { version: KeyVersion, head: Head, asked: u64 },
     /// Known, up to this version.
     Ready { version: KeyVersion },
     /// A full head is being sealed into a segment.
@@ -174,7 +175,9 @@
                 self.pending.push_back(Pending { ticket, claim, give_up_at });
             }
             SlotEvent::HeadRead(outcome) => self.head_read(now, outcome, actions),
-            SlotEvent::SegmentRead(outcome) => self.segment_read(now, outcome, actions),
+            SlotEvent::SegmentRead(number, outcome) => {
+                self.segment_read(now, number, outcome, actions);
+            }
             SlotEvent::SegmentWritten(outcome) => self.segment_written(now, outcome, actions),
             SlotEvent::HeadSwapped(outcome) => self.head_swapped(now, outcome, actions),
             SlotEvent::Tick => {}
@@ -320,20 +323,49 @@
     }
 
     /// Reads the segments that aren't known yet; segments never change, so known ones needn't be read.
+    ///
+    /// Failure: a slot with hundreds of segments is taken over, and they are read one after the other.
+    /// Symptom: claims wait for seconds and are refused as unsettled. Side by side it takes a tenth.
     fn read_segments(&mut self, version: KeyVersion, head: Head, actions: &mut Vec<SlotAction>) {
-        let numbers = head.first_segment..head.next_segment;
-        match numbers.into_iter().find(|it| !self.segment_newest.contains_key(it)) {
-            Some(next) => {
-                self.phase = Phase::ReadingSegments { version, head, next };
-                actions.push(SlotAction::ReadSegment(next));
+        let mut asked = head.first_segment;
+        let mut under_way = 0;
+        while asked < head.next_segment && under_way < SEGMENTS_AT_ONCE {
+            if !self.segment_newest.contains_key(&asked) {
+                actions.push(SlotAction::ReadSegment(asked));
+                under_way += 1;
             }
-            None => self.become_ready(version, head, actions),
+            asked += 1;
+        }
+        if under_way == 0 {
+            return self.become_ready(version, head, actions);
+        }
+        self.phase = Phase::ReadingSegments { version, head, asked };
+    }
+
+    /// Asks for the next segment, or finishes when the last one has come.
+    fn read_next_segment(
+        &mut self,
+        version: KeyVersion,
+        head: Head,
+        asked: u64,
+        actions: &mut Vec<SlotAction>,
+    ) {
+        let unknown = |it: &u64| !self.segment_newest.contains_key(it);
+        if let Some(next) = (asked..head.next_segment).find(unknown) {
+            actions.push(SlotAction::ReadSegment(next));
+            self.phase = Phase::ReadingSegments { version, head, asked: next + 1 };
+        } else if (head.first_segment..head.next_segment).any(|it| unknown(&it)) {
+            let asked = head.next_segment;
+            self.phase = Phase::ReadingSegments { version, head, asked };
+        } else {
+            self.become_ready(version, head, actions);
         }
     }
 
     fn segment_read(
         &mut self,
         now: TimePoint,
+        number: u64,
         outcome: ReadOutcome<Segment>,
         actions: &mut Vec<SlotAction>,
     ) {
@@ -341,16 +373,26 @@
         // A missing segment was dropped by a newer head, so that newer head has to be read; the phase
         // is `Unread` for that.
         match (phase, outcome) {
-            (Phase::ReadingSegments { version, head, next }, ReadOutcome::Found(Some(segment))) => {
-                self.learn_segment(next, &segment.entries);
-                self.read_segments(version, head, actions);
+            (
+                Phase::ReadingSegments { version, head, asked },
+                ReadOutcome::Found(Some(segment)),
+            ) => {
+                self.learn_segment(number, &segment.entries);
+                self.read_next_segment(version, head, asked, actions);
             }
-            (Phase::CheckingSeal { version, number }, ReadOutcome::Found(Some(segment))) => {
+            (
+                Phase::CheckingSeal { version, number: sealed },
+                ReadOutcome::Found(Some(segment)),
+            ) if sealed == number => {
                 self.seal_checked(version, number, &segment, actions);
             }
-            (Phase::ReadingSegments { .. } | Phase::CheckingSeal { .. }, _) => {
+            (Phase::ReadingSegments { .. }, _) => {
+                self.next_write_at = now + self.settings.pace;
+            }
+            (Phase::CheckingSeal { number: sealed, .. }, _) if sealed == number => {
                 self.next_write_at = now + self.settings.pace;
             }
+            // A read that was asked for before something else went wrong.
             (phase, _) => self.phase = phase,
         }
     }
@@ -463,6 +505,9 @@
     }
 }
 
+/// Segments that are read at the same time.
+const SEGMENTS_AT_ONCE: u32 = 16;
+
 fn verdict_of(entry: &Entry, claim: &Claim) -> Verdict {
     if entry.request == claim.request {
         return Verdict::Granted;
--- a/crates/quincevalve_ledger/tests/interleavings.rs
+++ b/crates/quincevalve_ledger/tests/interleavings.rs
@@ -149,10 +149,11 @@
             SlotAction::ReadHead => SlotEvent::HeadRead(self.read("head")),
             SlotAction::ReadSegment(number) => {
                 let outcome = self.read::<Segment>(&format!("segment-{number}"));
-                SlotEvent::SegmentRead(match outcome {
+                let outcome = match outcome {
                     ReadOutcome::Found(found) => ReadOutcome::Found(found.map(|it| it.1)),
                     ReadOutcome::Failed => ReadOutcome::Failed,
-                })
+                };
+                SlotEvent::SegmentRead(*number, outcome)
             }
             SlotAction::WriteSegment(..) => SlotEvent::SegmentWritten(self.troubled_write(&action)),
             SlotAction::SwapHead { .. } => SlotEvent::HeadSwapped(self.troubled_write(&action)),
--- a/crates/quincevalve_measure/src/experiments/ledger.rs
+++ b/crates/quincevalve_measure/src/experiments/ledger.rs
@@ -25,7 +25,7 @@
 const CALL: Duration = Duration::from_millis(4);
 
 pub(crate) fn run(seed: u64) -> Vec<Table> {
-    vec![writes(seed), takeover(seed)]
+    vec![writes(seed), takeover(seed), full_takeover()]
 }
 
 /// Claims by slot and time.
@@ -135,7 +135,7 @@
             SlotAction::ReadSegment(number) => {
                 let found = self.store.get(&format!("{head}-{number}"));
                 let found = found.and_then(|it| serde_json::from_str(&it.value).ok());
-                SlotEvent::SegmentRead(ReadOutcome::Found(found))
+                SlotEvent::SegmentRead(*number, ReadOutcome::Found(found))
             }
             SlotAction::WriteSegment(number, segment) => {
                 let value = serde_json::to_string(segment).unwrap_or_default();
@@ -385,3 +385,50 @@
     }
     takeover_row("leased owner, no fence", 0, &mut tries, &mut times, doubled)
 }
+
+/// How long the first claim waits when a slot with many kept segments is taken over.
+fn full_takeover() -> Table {
+    let title =
+        "The first claim after a slot with kept segments is taken over, 256 claims a segment";
+    let columns = ["kept segments", "kept claims", "reads", "ms until granted"];
+    let mut table = Table::new("ledger_full_takeover", title, &columns);
+    for segments in [0, 10, 100, 633] {
+        let slot = Slot::new(SlotSettings::default(), "taker");
+        let mut desk = Desk::new(vec![slot], vec!["slot-0".to_owned()]);
+        fill(&mut desk.store, segments);
+        let request = RequestId::new(HomeTag(1), u128::MAX);
+        let claim = Claim { key: ClaimKey(u128::MAX), request, fingerprint: 0, at: 1 };
+        let claims = [(TimePoint::ZERO, claim)];
+        desk.push(TimePoint::ZERO, Happening::Claim(0));
+        let before = desk.store.reads;
+        desk.run(&claims, |_| 0);
+        let granted = desk.granted.first().map(|it| it.1 - TimePoint::ZERO);
+        table.push(vec![
+            segments.to_string(),
+            (segments * SEGMENT_CLAIMS).to_string(),
+            (desk.store.reads - before).to_string(),
+            granted.map_or_else(|| "never".to_owned(), millis),
+        ]);
+    }
+    table
+}
+
+const SEGMENT_CLAIMS: u64 = 256;
+
+fn fill(store: &mut StoreModel, segments: u64) {
+    for number in 0..segments {
+        let entry = |it: u64| quincevalve_ledger::Entry {
+            key: ClaimKey(u128::from(number * SEGMENT_CLAIMS + it)),
+            request: RequestId::new(HomeTag(1), u128::from(it)),
+            fingerprint: 0,
+            at: 1,
+        };
+        let segment =
+            quincevalve_ledger::Segment { entries: (0..SEGMENT_CLAIMS).map(entry).collect() };
+        let value = serde_json::to_string(&segment).unwrap_or_default();
+        let _ = store.swap(&format!("slot-0-{number}"), KeyVersion::ABSENT, &value);
+    }
+    let head = quincevalve_ledger::Head { next_segment: segments, ..Default::default() };
+    let value = serde_json::to_string(&head).unwrap_or_default();
+    let _ = store.swap("slot-0", KeyVersion::ABSENT, &value);
+}
