A billed run whose server is unknown here is not started elsewhere; gauges

Cause: a record handed over as sent to a server that the receiver's inventory doesn't have was routed anew; for a billed run that is a second run. Found by reading. Change: the truth (may-have-run) is told instead; gauges demand and revision.

--- a/crates/quincevalve_entry/src/hand_over.rs
+++ b/crates/quincevalve_entry/src/hand_over.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt, stream};
 use quincevalve_inventory::Execution;
-use quincevalve_names::{EntryVmName, Outcome, TimePoint};
+use quincevalve_names::{BackendServerName, EntryVmName, Outcome, TimePoint};
 use quincevalve_peers::{CallFailure, HandOver};
 use quincevalve_recovery::{
     AnswerRecord, HandOverAction, HandOverId, HandOverSender, ReceiverVerdict, RecordState,
@@ -156,6 +156,20 @@
     }
 }
 
+/// Goes on with a request that was sent to a server.
+///
+/// Failure: this VM doesn't know that server. Symptom: a billed run would be started a second time at
+/// another one. Only the server itself can go on with the same run, so the truth is told instead.
+fn go_on_at(shared: &Arc<Shared>, known: &Known, server: &BackendServerName) {
+    let index = shared.router().find(server);
+    if index.is_some() || known.request.execution == Execution::Idempotent {
+        return go_on(shared, known, index);
+    }
+    let refusal = Refusal::new(RefusalKind::BackendFailed, Outcome::MayHaveRun);
+    known.answer.end(End::Refused(refusal.with_request(known.request.id)));
+    shared.answers.ended(known.request.id);
+}
+
 /// Goes on with a request here.
 fn go_on(shared: &Arc<Shared>, known: &Known, resume_on: Option<ServerIndex>) {
     let accepted = Accepted {
@@ -231,8 +245,7 @@
         RecordState::Waiting => go_on(shared, &known, None),
         RecordState::Dispatched { server } => {
             answer.set_server(&server);
-            let index = shared.router().find(&server);
-            go_on(shared, &known, index);
+            go_on_at(shared, &known, &server);
         }
         RecordState::Complete => {
             if record.status != 0 {
--- a/crates/quincevalve_entry/src/observe.rs
+++ b/crates/quincevalve_entry/src/observe.rs
@@ -23,12 +23,24 @@
 /// Keeps capacities in step with the servers that take work, and ends waits that have become hopeless.
 pub(crate) async fn watch_capacity(shared: Arc<Shared>) {
     let mut ticks = shared.timer.every(EXPIRE_PERIOD);
-    while let Some(now) = ticks.tick().await {
-        shared.admission.expire(now);
-        set_capacities(&shared, &shared.view());
+    let mut gauges = shared.timer.every(GAUGE_PERIOD);
+    loop {
+        tokio::select! {
+            Some(now) = ticks.tick() => {
+                shared.admission.expire(now);
+                set_capacities(&shared, &shared.view());
+            }
+            Some(_) = gauges.tick() => {
+                shared.metrics.gauge("demand", u64::from(shared.admission.demand()));
+                shared.metrics.gauge("revision", shared.view().revision.0);
+            }
+            else => return,
+        }
     }
 }
 
+const GAUGE_PERIOD: Duration = Duration::from_secs(10);
+
 /// Each target's places on this VM: its slots in the data centre, with a little queued at the servers
 /// so that a freed slot is filled at once.
 pub(crate) fn set_capacities(shared: &Shared, view: &View) {
