A caller that stops reading loses its connection, not its answer

Cause: a caller whose connection was forgotten held its place and its answer for good; nothing bounded a write that moves nothing. Change: a guard around callers' connections ends one whose write is pending for caller_progress_ms (30 s).

--- a/crates/quincevalve_entry/src/front.rs
+++ b/crates/quincevalve_entry/src/front.rs
@@ -27,6 +27,7 @@
     remote,
     request::{Claimed, Received, Shape},
     shared::Shared,
+    stall_guard::StallGuard,
 };
 
 type Reply = Response<EntryBody>;
@@ -67,6 +68,8 @@
 ) {
     let _ = stream.set_nodelay(true);
     let limits = shared.settings.limits;
+    let stalled = Duration::from_millis(limits.caller_progress_ms);
+    let stream = StallGuard::new(stream, shared.timer.clone(), stalled);
     let service = hyper::service::service_fn(move |req| {
         let shared = Arc::clone(&shared);
         async move {
--- a/crates/quincevalve_entry/src/lib.rs
+++ b/crates/quincevalve_entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod settings;
 mod shared;
+mod stall_guard;
 mod start;
 mod view;
 
--- a/crates/quincevalve_entry/src/settings.rs
+++ b/crates/quincevalve_entry/src/settings.rs
@@ -64,6 +64,8 @@
     pub header_ms: u64,
     /// Milliseconds without a byte of the body.
     pub body_progress_ms: u64,
+    /// Milliseconds in which a caller must take some of its answer.
+    pub caller_progress_ms: u64,
     /// Bytes of answers kept for re-attaching.
     pub kept_answer_bytes: usize,
     /// Answers kept for re-attaching.
@@ -78,6 +80,7 @@
             body_bytes: 1 << 20,
             header_ms: 5_000,
             body_progress_ms: 5_000,
+            caller_progress_ms: 30_000,
             kept_answer_bytes: 64 << 20,
             kept_answers: 20_000,
         }
--- /dev/null
+++ b/crates/quincevalve_entry/tests/silent_caller.rs
@@ -0,0 +1,124 @@
+//! A caller that stops reading loses its connection and not its answer.
+//!
+//! The caller asks for a long stream, reads its head and then nothing more, as one does whose connection
+//! was forgotten on the way. The buffers fill, the write moves nothing for the limit, the VM ends the
+//! connection. The caller comes back for its request and reads the whole answer.
+
+use std::{path::Path, time::Duration};
+
+use quincevalve_entry::{EntrySettings, EntryVm, View};
+use quincevalve_inventory::{Format, KeyHash, read_inventory};
+use quincevalve_names::{Incarnation, Revision};
+use quincevalve_program::parse_settings;
+use quincevalve_standins::{Engine, EngineSpeed, answers};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const TOKENS: u32 = 200_000;
+
+fn inventory(engine: std::net::SocketAddr) -> String {
+    format!(
+        r#"
+[region.r]
+[data_centre.one]
+region = "r"
+[class.c]
+promise = {{ first_token_ms = 60000 }}
+[account.a]
+key_sha256 = ["{}"]
+default_class = "c"
+[model.m]
+max_output_tokens = {TOKENS}
+[vm_class.v]
+tenure = "reclaimable"
+price_milli = {{ one = 1 }}
+[backend_server.e]
+data_centre = "one"
+address = "{engine}"
+serves = {{ model = "m" }}
+vm_class = "v"
+slots = 4
+"#,
+        KeyHash::of("key")
+    )
+}
+
+const SETTINGS: &str = r#"
+name = "entry"
+data_centre = "one"
+listen = "127.0.0.1:0"
+peer_listen = "127.0.0.1:0"
+inventory = "inventory.toml"
+platform = "127.0.0.1:9"
+
+[limits]
+caller_progress_ms = 200
+"#;
+
+async fn start() -> EntryVm {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let engine = listener.local_addr().expect("its address");
+    let speed = EngineSpeed {
+        slots: 4,
+        prefill_tokens_per_s: 1_000_000,
+        token_time: Duration::ZERO,
+        cache_tokens: 1_000,
+    };
+    tokio::spawn(Engine::new(speed, Incarnation(1), 1).serve(listener));
+    let settings: EntrySettings =
+        parse_settings(Path::new("entry.toml"), SETTINGS).expect("the settings are right");
+    let inventory = read_inventory("inventory", &inventory(engine), Format::Toml);
+    let view = View::new(Revision(1), inventory.expect("the inventory is right"));
+    EntryVm::start_with(settings, view).await.expect("it starts")
+}
+
+/// Reads to the end of the connection.
+async fn read_all(stream: &mut TcpStream, text: &mut Vec<u8>) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(length) = stream.read(&mut buffer).await {
+        text.extend_from_slice(&buffer[..length]);
+        if length == 0 || text.ends_with(b"0\r\n\r\n") {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn the_connection_ends_and_the_answer_stays() {
+    let vm = start().await;
+    let mut caller = TcpStream::connect(vm.address()).await.expect("a connection");
+    let body = format!(
+        "{{\"model\":\"m\",\"max_tokens\":{TOKENS},\"stream\":true,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"go on\"}}]}}"
+    );
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(request.as_bytes()).await.expect("sent");
+    let mut first = vec![0; 512];
+    let length = caller.read(&mut first).await.expect("the head");
+    first.truncate(length);
+    let head = String::from_utf8_lossy(&first).into_owned();
+    let id = head.lines().find_map(|it| it.strip_prefix("quincevalve-request: ")).expect("an id");
+
+    // Longer than the limit: the VM finds that nothing moves.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut rest = first;
+    read_all(&mut caller, &mut rest).await;
+    assert!(!String::from_utf8_lossy(&rest).contains("[DONE]"), "the connection was kept");
+
+    let mut again = TcpStream::connect(vm.address()).await.expect("a connection");
+    let request =
+        format!("GET /v1/requests/{id} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key\r\n\r\n");
+    again.write_all(request.as_bytes()).await.expect("sent");
+    let mut whole = Vec::new();
+    read_all(&mut again, &mut whole).await;
+    let whole = String::from_utf8_lossy(&whole);
+    assert!(whole.contains("[DONE]"), "the answer was lost");
+    let expected = answers::whole("user: go on\n", TOKENS).split_whitespace().count();
+    assert!(whole.contains(&format!("\"completion_tokens\":{expected}")));
+}
