A head that is too large gets the typed refusal; editors' rights have tests

Cause: the HTTP library's bare 431 named no code and no outcome; nothing held that an editor changes only its own accounts. Change: heads up to four times the limit are read and refused as head_too_large, not-run; tests of teams.

--- a/crates/quincevalve_control/src/admin/teams.rs
+++ b/crates/quincevalve_control/src/admin/teams.rs
@@ -61,3 +61,53 @@
     let hash = KeyHash::of(value.strip_prefix("Bearer ")?.trim());
     teams.iter().fold(None, |found, it| if it.key_sha256.matches(&hash) { Some(it) } else { found })
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::Value;
+
+    use super::*;
+
+    fn team(role: AdminRole) -> Team {
+        let accounts = vec!["hotel".into()];
+        Team { name: "t".to_owned(), role, accounts, key_sha256: KeyHash::of("key") }
+    }
+
+    fn touches(fields: &[&str]) -> Vec<Difference> {
+        let difference = |it: &&str| Difference {
+            field: (*it).to_owned(),
+            before: Value::Null,
+            after: Value::Bool(true),
+        };
+        fields.iter().map(difference).collect()
+    }
+
+    // Another team's account was changed by an editor whose own account's name is the start of its name.
+    #[test]
+    fn an_editor_changes_only_its_own_accounts() {
+        let editor = team(AdminRole::Editor);
+        assert!(editor.may_change(&touches(&["account.hotel.weight"])));
+        assert!(editor.may_change(&touches(&["account.hotel"])));
+        assert!(!editor.may_change(&touches(&["account.hotel-desks.weight"])));
+        assert!(!editor.may_change(&touches(&["account.hotel.weight", "class.desk.promise"])));
+        assert!(!editor.may_change(&touches(&["account"])));
+    }
+
+    #[test]
+    fn readers_change_nothing_and_operators_everything() {
+        let change = touches(&["class.desk.promise"]);
+        assert!(!team(AdminRole::Reader).may_change(&change));
+        assert!(team(AdminRole::Operator).may_change(&change));
+    }
+
+    #[test]
+    fn a_key_finds_its_team_only() {
+        let teams = [team(AdminRole::Operator)];
+        let mut headers = HeaderMap::new();
+        assert!(find_team(&teams, &headers).is_none());
+        headers.insert(header::AUTHORIZATION, http::HeaderValue::from_static("Bearer guess"));
+        assert!(find_team(&teams, &headers).is_none());
+        headers.insert(header::AUTHORIZATION, http::HeaderValue::from_static("Bearer key"));
+        assert!(find_team(&teams, &headers).is_some());
+    }
+}
--- a/crates/quincevalve_entry/src/front.rs
+++ b/crates/quincevalve_entry/src/front.rs
@@ -84,7 +84,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_ms))
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .max_buf_size((limits.header_bytes * HEAD_ROOM).max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let stopped = async move {
@@ -100,6 +100,10 @@
     }
 }
 
+/// A head of up to so many times the limit is still read, so that its caller gets the typed refusal; what
+/// is larger gets the library's bare status.
+const HEAD_ROOM: usize = 4;
+
 /// The smallest buffer that the HTTP library takes.
 const MIN_BUFFER: usize = 8_192;
 
@@ -134,6 +138,9 @@
 
 async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Reply {
     let leaving = shared.is_leaving();
+    if head_bytes(&req) > shared.settings.limits.header_bytes {
+        return close(Refusal::from(RefusalKind::HeadTooLarge).into_response());
+    }
     let path = req.uri().path().to_owned();
     let reply = match (req.method().clone(), path.as_str()) {
         (Method::GET, "/healthz") => Ok(text(StatusCode::OK, "ok")),
@@ -151,6 +158,13 @@
     if leaving { close(reply) } else { reply }
 }
 
+/// Bytes of a request's path and headers.
+fn head_bytes(req: &Request<Incoming>) -> usize {
+    let headers = req.headers().iter().map(|it| it.0.as_str().len() + it.1.len());
+    let path = req.uri().path_and_query().map_or(0, |it| it.as_str().len());
+    headers.sum::<usize>() + path
+}
+
 const REQUESTS: &str = "/v1/requests/";
 
 fn text(status: StatusCode, text: &'static str) -> Reply {
--- a/crates/quincevalve_entry/src/refusal.rs
+++ b/crates/quincevalve_entry/src/refusal.rs
@@ -34,6 +34,8 @@
     NoSuchService,
     /// No such request, or its answer is no longer kept.
     NoSuchRequest,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body stopped arriving.
@@ -70,6 +72,7 @@
             Self::NoSuchPath | Self::NoSuchModel | Self::NoSuchService | Self::NoSuchRequest => {
                 StatusCode::NOT_FOUND
             }
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::AccountLimit => StatusCode::TOO_MANY_REQUESTS,
@@ -94,6 +97,7 @@
             Self::NoSuchModel => "model_not_found",
             Self::NoSuchService => "service_not_found",
             Self::NoSuchRequest => "request_not_found",
+            Self::HeadTooLarge => "head_too_large",
             Self::BodyTooLarge => "body_too_large",
             Self::SlowBody => "body_too_slow",
             Self::BrokenBody => "body_broken_off",
@@ -137,6 +141,7 @@
             Self::NoSuchModel => "no such model; GET /v1/models lists them",
             Self::NoSuchService => "no such service",
             Self::NoSuchRequest => "no such request, or its answer is no longer kept",
+            Self::HeadTooLarge => "the head is larger than this VM takes",
             Self::BodyTooLarge => "the body is larger than this VM takes",
             Self::SlowBody => "the body stopped arriving",
             Self::BrokenBody => "the body broke off",
