A billed run that was moved survives a server that refuses it; exports are tried again

Change: a refusal that ran nothing doesn't end a moved run; an export is tried again while notice is left. No deterministic test yet: it needs the attempt loop driven without HTTP.

--- a/crates/quincevalve_entry/src/attempt.rs
+++ b/crates/quincevalve_entry/src/attempt.rs
@@ -188,7 +188,11 @@
         return NextStep::GiveUp { outcome: Outcome::MayHaveRun };
     }
     // A resumed run is the same run, so the rule against a second one doesn't concern it.
-    let execution = if failed.resumable { Execution::Idempotent } else { request.execution };
+    // Nor does it concern a run whose state was moved off its server, when the next server says that
+    // nothing ran there: without this a billed answer was lost when a second wave met its new server.
+    let moved = failed.attempt.import.is_some() && failed.reach == FailureReach::NotRun;
+    let same_run = failed.resumable || moved;
+    let execution = if same_run { Execution::Idempotent } else { request.execution };
     let failure = Failure {
         reach: failed.reach,
         earlier,
--- a/crates/quincevalve_entry/src/filters/relay.rs
+++ b/crates/quincevalve_entry/src/filters/relay.rs
@@ -134,11 +134,12 @@
                 }
                 Step::Silent => return Err(self.lost(attempt, &sent, Cause::Silent).await),
                 Step::Leaving(gone_at) => {
-                    leaving = LeavingWatch::CheckedAt(attempt.relay.next());
                     // A completed wait can't be asked again; the next one finds the notice at once.
                     announced.set(self.shared.departures.announced(name.as_str()));
-                    if let Some(failed) = self.leave_server(&mut attempt, &sent, gone_at).await {
-                        return Err(failed.into_failed(attempt));
+                    match self.leave_server(&mut attempt, &sent, gone_at).await {
+                        Some(LeaveReason::Moved) => return Err(moved(attempt)),
+                        Some(LeaveReason::TryAgain) => {}
+                        None => leaving = LeavingWatch::CheckedAt(attempt.relay.next()),
                     }
                 }
             }
@@ -242,6 +243,10 @@
         gone_at: TimePoint,
     ) -> Option<LeaveReason> {
         let left = gone_at - self.shared.timer.now();
+        if left.is_zero() {
+            // Too late for anything: what the connection does next tells the rest.
+            return None;
+        }
         let options = self.way_options(attempt, sent, true, Some(left));
         let way = choose_way(&options, &Costs::default());
         let is_billed = attempt.request.execution == Execution::NonIdempotent;
@@ -259,7 +264,9 @@
             }
             Err(error) => {
                 log::debug!("{id} {}: export: {error}", sent.name);
-                None
+                // A billed run that stays on a server until it goes is lost, so it is tried again.
+                self.shared.timer.after(EXPORT_RETRY).await;
+                Some(LeaveReason::TryAgain)
             }
         }
     }
@@ -316,17 +323,20 @@
 const MAX_RESUMES: u32 = 4;
 const MAX_PROGRESS_MS: u64 = 5_000;
 
+/// Why the server isn't read on as before.
 enum LeaveReason {
+    /// Its state can be fetched by another server.
     Moved,
+    /// Its state could not be exported, and there is time for another try.
+    TryAgain,
 }
 
-impl LeaveReason {
-    fn into_failed(self, mut attempt: Attempt) -> Failed {
-        attempt.relay.restart();
-        match self {
-            Self::Moved => Failed::may_have_run(attempt, Cause::Moved).announced().resumable(),
-        }
-    }
+/// How long to wait before an export is tried again.
+const EXPORT_RETRY: Duration = Duration::from_millis(50);
+
+fn moved(mut attempt: Attempt) -> Failed {
+    attempt.relay.restart();
+    Failed::may_have_run(attempt, Cause::Moved).announced().resumable()
 }
 
 /// The tokens of one read that passed, one after the other in one text.
