The rule for a moved run stands by itself, with its test

Cause: the last finding (a moved billed run ended by a refusal) had no test. Change: the rule is a function of four facts; the test names the finding.

--- a/crates/quincevalve_entry/src/attempt.rs
+++ b/crates/quincevalve_entry/src/attempt.rs
@@ -187,12 +187,8 @@
     if failed.last || failed.cause == Cause::Abandoned {
         return NextStep::GiveUp { outcome: Outcome::MayHaveRun };
     }
-    // A resumed run is the same run, so the rule against a second one doesn't concern it.
-    // Nor does it concern a run whose state was moved off its server, when the next server says that
-    // nothing ran there: without this a billed answer was lost when a second wave met its new server.
-    let moved = failed.attempt.import.is_some() && failed.reach == FailureReach::NotRun;
-    let same_run = failed.resumable || moved;
-    let execution = if same_run { Execution::Idempotent } else { request.execution };
+    let moved = failed.attempt.import.is_some();
+    let execution = rule_for(request.execution, failed.resumable, moved, failed.reach);
     let failure = Failure {
         reach: failed.reach,
         earlier,
@@ -205,6 +201,16 @@
     decide(&failure, &RetryRules::default(), &mut shared.budget())
 }
 
+/// The rule that holds for the next attempt.
+///
+/// A resumed run is the same run, so the rule against a second one doesn't concern it. Nor does it concern
+/// a run whose state was moved off its server, when the next server says that nothing ran there: without
+/// this a billed answer was lost when a second wave met its new server.
+fn rule_for(own: Execution, resumable: bool, moved: bool, reach: FailureReach) -> Execution {
+    let is_same_run = resumable || (moved && reach == FailureReach::NotRun);
+    if is_same_run { Execution::Idempotent } else { own }
+}
+
 fn give_up(cause: Cause, outcome: Outcome, request: &Identified) -> Refusal {
     const RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
     let kind = match cause {
@@ -213,3 +219,19 @@
     };
     Refusal::new(kind, outcome).with_retry_after(RETRY_AFTER).with_request(request.id)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // The caller is told that a billed report may have run, though it could go on. Its state was moved on a
+    // notice, and the server chosen next refused it, since a second wave took that one too.
+    #[test]
+    fn a_refusal_does_not_end_a_moved_run() {
+        let billed = Execution::NonIdempotent;
+        assert_eq!(rule_for(billed, false, true, FailureReach::NotRun), Execution::Idempotent);
+        assert_eq!(rule_for(billed, false, true, FailureReach::MayHaveRun), billed);
+        assert_eq!(rule_for(billed, false, false, FailureReach::NotRun), billed);
+        assert_eq!(rule_for(billed, true, false, FailureReach::MayHaveRun), Execution::Idempotent);
+    }
+}
