Calls that are given up are taken back; late callers of a VM that stops are refused; fleet from first seconds

Change: connections are reset when dropped; requests that can't end before the process are refused; duty released on SIGTERM; the fleet is planned from quotas and what is present until demand is measured; engines are not given more prompts than leave room for tokens; usage reports wait for peers that are cut off.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -1,16 +1,11 @@
 //! How many servers of each kind a service should have in each data centre.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use quincevalve_names::{DataCentreName, TimePoint};
 
-use crate::config::Scaling;
-
-/// The work that a service's servers have at present, in servers.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Demand {
-    /// Servers that would be busy all the time with the work that comes.
-    pub busy: f64,
-}
+use crate::config::{ForwardingConfig, QuotaUnit, Scaling};
 
 /// Servers in a data centre at present.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -21,75 +16,195 @@
     pub on_demand: u32,
 }
 
-/// The number of servers to order in a data centre.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// The kind of a server, by what it costs and whether it can be taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ServerKind {
+    /// Cheap, and may be taken back at any time.
+    Reclaimable,
+    /// Stays until it is given back.
+    OnDemand,
+}
+
+/// The number of servers of a kind to have in a data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// Reclaimable ones.
-    pub reclaimable: u32,
-    /// On-demand ones.
-    pub on_demand: u32,
+    /// Where.
+    pub data_centre: DataCentreName,
+    /// Of which kind.
+    pub kind: ServerKind,
+    /// How many in all.
+    pub count: u32,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It was taken.
+    Taken,
+    /// None of the kind are to be had there at present.
+    NoneAvailable,
+    /// It may have been taken or not.
+    Unknown,
 }
 
-/// The part of its time that a server should be busy: queues of prompts stay short below it.
-const TARGET_BUSY: f64 = 0.5;
+/// The part of its time that a server is busy in a fleet of the wanted size. Measured on both users' loads:
+/// below it the first token of a long prompt waits for less than a tenth of its objective.
+const WANTED_BUSY: f64 = 0.6;
+/// The part of its time that a server may be busy for a while: above it queues of prompts grow past the
+/// objectives of the short ones.
+const BEARABLE_BUSY: f64 = 0.8;
+/// Data centres whose reclaimable servers may be gone at the same time without a server on demand.
+const LOST_CENTRES: usize = 1;
+/// Weight of a new second in the running mean of the demand when it is above the mean.
+const RISING: f64 = 0.5;
+/// The same when it is below: callers come in waves of some ten seconds.
+const FALLING: f64 = 0.08;
+/// Accounts together use about this part of their quotas.
+const QUOTA_USED: f64 = 0.5;
+/// Tokens of quota that keep one server busy for a second: its prompts are partly kept in memory, and the
+/// most that may be generated seldom is.
+const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
+/// Looks at the demand before it is believed; until then the quotas say what to expect.
+const LOOKS_BEFORE_BELIEF: u32 = 6;
+/// Time for which fewer reclaimable servers must be enough before fewer are ordered.
+const SHRINK_RECLAIMABLE_AFTER: Duration = Duration::from_secs(10);
+/// The same for on-demand servers, which cost several times as much.
+const SHRINK_ON_DEMAND_AFTER: Duration = Duration::from_secs(2);
+/// Pause after an order that found none available.
+const REFUSED_PAUSE: Duration = Duration::from_millis(2_500);
+/// Pause after an order whose fate is unknown.
+const UNKNOWN_PAUSE: Duration = Duration::from_secs(1);
 
-/// Whether reclaimable servers can be had in a data centre.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    count: u32,
+    at: TimePoint,
+    outcome: OrderOutcome,
+}
+
+/// The demand for a service, in servers that would be busy all the time.
 #[derive(Clone, Debug, Default)]
-pub struct Market {
-    refused: IndexMap<DataCentreName, TimePoint>,
+pub struct Demand {
+    last: Option<(TimePoint, f64)>,
+    busy: f64,
+    looks: u32,
 }
 
-impl Market {
-    /// Notes that an order for reclaimable servers was refused.
-    pub fn refused(&mut self, data_centre: &DataCentreName, now: TimePoint) {
-        self.refused.insert(data_centre.clone(), now);
+impl Demand {
+    /// Takes the seconds of work that all entry VMs took on since they started.
+    pub fn observe(&mut self, total: f64, now: TimePoint) {
+        let last = self.last.replace((now, total));
+        let Some((at, before)) = last else { return };
+        let rate = (total - before).max(0.0) / now.since(at).as_secs_f64().max(0.1);
+        let weight = if rate > self.busy { RISING } else { FALLING };
+        self.busy += weight * (rate - self.busy);
+        if self.busy > 0.0 {
+            self.looks += 1;
+        }
     }
 
-    /// Notes that an order for reclaimable servers was taken.
-    pub fn taken(&mut self, data_centre: &DataCentreName) {
-        self.refused.swap_remove(data_centre);
+    /// Servers that would be busy all the time; at least `expected` until enough was seen.
+    pub fn busy(&self, expected: f64) -> f64 {
+        if self.looks < LOOKS_BEFORE_BELIEF { self.busy.max(expected) } else { self.busy }
     }
+}
 
-    /// Whether an order was refused lately.
-    pub fn is_refused(&self, data_centre: &DataCentreName) -> bool {
-        self.refused.contains_key(data_centre)
-    }
+/// The demand that accounts' quotas let expect, in busy servers.
+pub fn expected_busy(config: &ForwardingConfig) -> f64 {
+    let quotas = config.accounts.values().filter_map(|it| it.quota);
+    let tokens = quotas
+        .filter(|it| matches!(it.unit, QuotaUnit::Tokens { .. }))
+        .map(|it| it.per_second)
+        .sum::<f64>();
+    tokens * QUOTA_USED / QUOTA_TOKENS_PER_SERVER
+}
+
+/// The demand that the servers at present would carry, in busy servers.
+///
+/// Failure: the duty passes to a VM that has not yet measured any demand. Symptom: it plans for none and
+/// gives the fleet back. Until it has measured, it takes the fleet for the right size.
+pub fn carried_by(present: &IndexMap<DataCentreName, Present>) -> f64 {
+    let servers: u32 = present.values().map(|it| it.reclaimable + it.on_demand).sum();
+    f64::from(servers) * WANTED_BUSY
 }
 
-/// Plans the servers of a service.
+/// Plans the servers of one service.
 ///
-/// Load: reclaimable servers cost a fraction of on-demand ones, and all of a data centre's go at once.
-/// They are spread evenly, so the loss of one data centre leaves the rest with enough; what is missing
-/// while none can be had is ordered on demand, where it is cheapest.
-pub fn plan(
-    scaling: &Scaling,
-    demand: Demand,
-    present: &IndexMap<DataCentreName, Present>,
-    market: &Market,
-) -> IndexMap<DataCentreName, Order> {
-    let centres = present.len().max(1) as f64;
-    let needed = (demand.busy / TARGET_BUSY).max(1.0);
-    // One more data centre's worth, so that the rest carries the load when one goes.
-    let spread = (needed / (centres - 1.0).max(1.0)).ceil().max(1.0);
-    let each = (spread as u32).clamp(scaling.min, scaling.max);
+/// Load: reclaimable servers cost a fraction of on-demand ones, and all of a data centre's go at once,
+/// for a while perhaps without replacement. They are spread evenly over the data centres, so that the loss
+/// of one leaves enough; what is missing while none can be had is ordered on demand where it is cheapest.
+#[derive(Clone, Debug, Default)]
+pub struct FleetPlanner {
+    sent: IndexMap<(DataCentreName, ServerKind), Sent>,
+    fewer_since: IndexMap<(DataCentreName, ServerKind), TimePoint>,
+}
+
+impl FleetPlanner {
+    /// The orders that should be sent now.
+    pub fn due(
+        &mut self,
+        scaling: &Scaling,
+        busy: f64,
+        present: &IndexMap<DataCentreName, Present>,
+        now: TimePoint,
+    ) -> Vec<Order> {
+        let wanted = plan(scaling, busy, present);
+        wanted.into_iter().filter(|it| self.is_due(it, now)).collect()
+    }
+
+    /// Notes an order that was sent.
+    pub fn sent(&mut self, order: &Order, outcome: OrderOutcome, now: TimePoint) {
+        let sent = Sent { count: order.count, at: now, outcome };
+        self.sent.insert((order.data_centre.clone(), order.kind), sent);
+    }
+
+    /// Whether an order says something new, and fewer servers have been enough for long enough.
+    fn is_due(&mut self, order: &Order, now: TimePoint) -> bool {
+        let key = (order.data_centre.clone(), order.kind);
+        let Some(last) = self.sent.get(&key).copied() else { return true };
+        match last.outcome {
+            OrderOutcome::NoneAvailable => return now.since(last.at) >= REFUSED_PAUSE,
+            OrderOutcome::Unknown => return now.since(last.at) >= UNKNOWN_PAUSE,
+            OrderOutcome::Taken => {}
+        }
+        if order.count >= last.count {
+            self.fewer_since.swap_remove(&key);
+            return order.count > last.count;
+        }
+        let since = *self.fewer_since.entry(key).or_insert(now);
+        let patience = match order.kind {
+            ServerKind::Reclaimable => SHRINK_RECLAIMABLE_AFTER,
+            ServerKind::OnDemand => SHRINK_ON_DEMAND_AFTER,
+        };
+        now.since(since) >= patience
+    }
+}
+
+/// The servers that a service should have.
+fn plan(scaling: &Scaling, busy: f64, present: &IndexMap<DataCentreName, Present>) -> Vec<Order> {
+    let centres = present.len().max(1);
+    let wanted = (busy / WANTED_BUSY).max(1.0);
+    let bearable = (busy / BEARABLE_BUSY).max(1.0);
+    let left = centres.saturating_sub(LOST_CENTRES).max(1);
+    let evenly = (wanted / centres as f64).max(bearable / left as f64);
+    let each = (evenly.ceil() as u32).clamp(scaling.min, scaling.max);
+    let order = |data_centre: &DataCentreName, kind, count| Order {
+        data_centre: data_centre.clone(),
+        kind,
+        count,
+    };
     if scaling.reclaimable_price.is_none() {
-        return present
-            .keys()
-            .map(|it| (it.clone(), Order { reclaimable: 0, on_demand: each }))
-            .collect();
+        return present.keys().map(|it| order(it, ServerKind::OnDemand, each)).collect();
     }
-    let mut orders: IndexMap<DataCentreName, Order> =
-        present.keys().map(|it| (it.clone(), Order { reclaimable: each, on_demand: 0 })).collect();
+    let mut orders: Vec<_> =
+        present.keys().map(|it| order(it, ServerKind::Reclaimable, each)).collect();
     let reclaimable: u32 = present.values().map(|it| it.reclaimable).sum();
-    let mut missing = (needed.ceil() as u32).saturating_sub(reclaimable);
-    let mut cheapest: Vec<_> = present.keys().cloned().collect();
+    let mut missing = (bearable.ceil() as u32).saturating_sub(reclaimable);
+    let mut cheapest: Vec<_> = present.keys().collect();
     cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
     for centre in cheapest {
-        let Some(order) = orders.get_mut(&centre) else { continue };
-        let have = present.get(&centre).map_or(0, |it| it.reclaimable);
-        let asked = if market.is_refused(&centre) { have } else { order.reclaimable };
-        let more = missing.min(scaling.max.saturating_sub(asked));
-        order.on_demand = more;
+        let more = missing.min(scaling.max.saturating_sub(each));
+        orders.push(order(centre, ServerKind::OnDemand, more));
         missing -= more;
     }
     orders
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use quincevalve_names::TimePoint;
+use serde::{Deserialize, Serialize};
 
 /// What a request asks of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -32,7 +33,7 @@
 }
 
 /// Work that several requests ask together.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkSum {
     /// Requests.
     pub requests: u32,
@@ -42,8 +43,14 @@
     pub urgent_prefill: u64,
     /// Tokens held in memory at most.
     pub memory: u64,
+    /// Prompt tokens that were sent lately: each counts less the longer ago it was, see [`RECENT`].
+    pub recent: u64,
 }
 
+/// The time in which what was sent lately fades to a third. An engine's queue of prompts is about that long
+/// at most, and one large prompt doesn't fill it.
+const RECENT: Duration = Duration::from_secs(1);
+
 /// Whether a prompt is read before all that are less urgent: engines admit in the order of urgency.
 pub(crate) const fn is_urgent(urgency: u8) -> bool {
     urgency == 0
@@ -73,6 +80,7 @@
             prefill: self.prefill + other.prefill,
             urgent_prefill: self.urgent_prefill + other.urgent_prefill,
             memory: self.memory + other.memory,
+            recent: self.recent + other.recent,
         }
     }
 }
@@ -81,6 +89,11 @@
     if is_urgent(work.urgency) { u64::from(work.prefill) } else { 0 }
 }
 
+/// Tokens that were sent so long ago, as they count now.
+fn faded(tokens: u64, age: Duration) -> u64 {
+    (tokens as f64 * (-age.as_secs_f64() / RECENT.as_secs_f64()).exp()) as u64
+}
+
 /// Weight of a new observation in the running means.
 const NEW: f64 = 0.15;
 /// What a peer told counts for this long; it tells several times a second while it has work.
@@ -94,6 +107,8 @@
 #[derive(Clone, Debug)]
 pub struct ServerLoad {
     own: WorkSum,
+    /// When the fading of `own.recent` was last reckoned.
+    recent_at: TimePoint,
     peers: HashMap<String, (TimePoint, WorkSum)>,
     /// Measured first answers against predicted ones; 1 is as predicted.
     slowness: f64,
@@ -109,6 +124,7 @@
     fn default() -> Self {
         Self {
             own: WorkSum::default(),
+            recent_at: TimePoint::ZERO,
             peers: HashMap::new(),
             slowness: 1.0,
             failing: 0.0,
@@ -121,7 +137,10 @@
 
 impl ServerLoad {
     /// Notes a request that is sent.
-    pub fn begin(&mut self, work: Work) {
+    pub fn begin(&mut self, work: Work, now: TimePoint) {
+        self.own.recent =
+            faded(self.own.recent, now.since(self.recent_at)) + u64::from(work.prefill);
+        self.recent_at = now;
         self.own.add(work);
     }
 
@@ -136,8 +155,8 @@
     }
 
     /// This VM's own work at the server, for its peers.
-    pub fn own(&self) -> WorkSum {
-        self.own
+    pub fn own(&self, now: TimePoint) -> WorkSum {
+        WorkSum { recent: faded(self.own.recent, now.since(self.recent_at)), ..self.own }
     }
 
     /// Takes a peer's work at the server.
@@ -148,7 +167,14 @@
     /// The work of all entry VMs, as far as known.
     pub fn total(&self, now: TimePoint) -> WorkSum {
         let fresh = self.peers.values().filter(|(at, _)| now.since(*at) <= PEER_WORK_AGE);
-        fresh.fold(self.own, |sum, (_, work)| sum.plus(*work))
+        fresh.fold(self.own(now), |sum, (at, work)| {
+            sum.plus(WorkSum { recent: faded(work.recent, now.since(*at)), ..*work })
+        })
+    }
+
+    /// The part of its time that the server reads prompts, from what it was sent lately.
+    pub fn reading_part(&self, total: &WorkSum) -> f64 {
+        total.recent as f64 / (PREFILL_PER_MS * RECENT.as_secs_f64() * 1_000.0) * self.slowness
     }
 
     /// Takes a first answer that came after `measured` where `predicted` was expected.
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -26,6 +26,25 @@
     pub shared: Option<(u64, u32)>,
 }
 
+impl Prompt {
+    /// Tokens that will be generated, as far as can be told.
+    fn output_tokens(&self) -> u32 {
+        self.expected_output.unwrap_or(self.output / 2).min(self.output)
+    }
+
+    /// The work that it usually is: its shared part is in memory at its home, and elsewhere it isn't.
+    pub fn usual_work(&self) -> Work {
+        let kept = self.shared.map_or(0, |(_, tokens)| (f64::from(tokens) * USUALLY_KEPT) as u32);
+        let output = self.output_tokens();
+        Work {
+            prefill: self.input.saturating_sub(kept),
+            memory: self.input + output,
+            output,
+            urgency: 0,
+        }
+    }
+}
+
 /// A request that needs a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -80,6 +99,23 @@
 const SLOT_PART: f64 = 0.95;
 /// Milliseconds that a server is put back for if all its answers fail lately.
 const FAILING_MS: f64 = 800.0;
+/// Milliseconds that it costs to read a thousand tokens again that another server keeps: beside the time,
+/// which is part of the prediction, it takes prefill from others and memory from other prompts.
+const READ_AGAIN_MS: f64 = 40.0;
+/// The part of shared prompts that is found in memory.
+const USUALLY_KEPT: f64 = 0.7;
+/// The part of its time that an engine may read prompts, by urgency. Tokens of running requests are made
+/// between chunks of prompts: at 0.8 of the assumed rate a token takes three times as long as on an engine
+/// that reads nothing, and long answers just end before their deadlines; beyond it they don't, and their
+/// memory and slots are lost to others.
+const READING_PART: [f64; 3] = [0.95, 0.8, 0.7];
+/// The part up to which a large prompt is taken whatever its size.
+const IDLE_READING_PART: f64 = 0.1;
+/// Milliseconds that a server is put back for if it reads prompts all the time.
+const READING_MS: f64 = 250.0;
+/// Milliseconds that another data centre costs a call of a plain service: a cut between data centres takes
+/// all calls that are on their way across it, and a call has no prompt that another server keeps.
+const CALL_ACROSS_MS: f64 = 25.0;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
 const JITTER: f64 = 0.1;
 
@@ -110,7 +146,8 @@
                 let own = score(*part, name);
                 scores.iter().position(|it| *it == own).unwrap_or(0)
             });
-            let (predicted_ms, work, room) = predict(ask, server, rank, now);
+            let Prediction { ms: predicted_ms, work, room, reading } =
+                predict(ask, server, rank, now);
             let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
             nearest = Some(nearest.map_or(predicted, |it| it.min(predicted)));
             if !room || predicted > ask.within {
@@ -118,8 +155,10 @@
             }
             let mut cost = predicted_ms * (1.0 + JITTER * rng.random::<f64>());
             cost += FAILING_MS * server.load.failing();
+            cost += READING_MS * reading * reading;
+            cost += READ_AGAIN_MS * read_again(ask, rank) / 1_000.0;
             if server.entry.data_centre != *ask.data_centre {
-                cost += OTHER_DATA_CENTRE_MS;
+                cost += if ask.prompt.is_some() { OTHER_DATA_CENTRE_MS } else { CALL_ACROSS_MS };
             }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Placement { server: name.clone(), work, predicted }));
@@ -137,8 +176,24 @@
     rendezvous_score(part, hash_text(server.as_str()))
 }
 
-/// Milliseconds to the first answer, the work, and whether there is room for it at all.
-fn predict(ask: &Ask<'_>, server: &Server, rank: usize, now: TimePoint) -> (f64, Work, bool) {
+/// Tokens that a server would read although another keeps them.
+fn read_again(ask: &Ask<'_>, rank: usize) -> f64 {
+    let shared = ask.prompt.and_then(|(prompt, _)| prompt.shared);
+    shared.filter(|_| rank > 0).map_or(0.0, |(_, tokens)| f64::from(tokens))
+}
+
+/// What is expected of a request at a server.
+struct Prediction {
+    /// Milliseconds to the first answer.
+    ms: f64,
+    work: Work,
+    /// Whether there is room for it at all.
+    room: bool,
+    /// The part of its time that the server reads prompts already.
+    reading: f64,
+}
+
+fn predict(ask: &Ask<'_>, server: &Server, rank: usize, now: TimePoint) -> Prediction {
     let load = server.load.total(now);
     let Some((prompt, engine)) = ask.prompt else {
         let slots = f64::from(server.entry.slots.max(1));
@@ -147,23 +202,28 @@
         let queued = (f64::from(load.requests) + 1.0 - slots).max(0.0);
         let spread = f64::from(load.requests) / slots;
         let work = Work { urgency: ask.urgency, ..Work::default() };
-        return (each * (1.0 + 0.3 * spread + queued / slots), work, true);
+        let ms = each * (1.0 + 0.3 * spread + queued / slots);
+        return Prediction { ms, work, room: true, reading: 0.0 };
     };
     let kept = prompt.shared.map_or(0, |(_, tokens)| match rank {
         0 => tokens,
         _ => 0,
     });
     let prefill = prompt.input.saturating_sub(kept);
-    let output = prompt.expected_output.unwrap_or(prompt.output / 2).min(prompt.output);
+    let output = prompt.output_tokens();
     let memory = prompt.input + output;
     let work = Work { prefill, memory, output, urgency: ask.urgency };
     let ahead = if is_urgent(ask.urgency) { load.urgent_prefill } else { load.prefill };
-    let reading = (ahead as f64 + f64::from(prefill)) / PREFILL_PER_MS;
+    let read_ms = (ahead as f64 + f64::from(prefill)) / PREFILL_PER_MS;
     let step = STEP_MS_PER_REQUEST * f64::from(load.requests);
-    let predicted = (FIRST_TOKEN_MS + reading + step) * server.load.slowness();
+    let predicted = (FIRST_TOKEN_MS + read_ms + step) * server.load.slowness();
     let memory_left = engine.kv_tokens as f64 * MEMORY_PART - load.memory as f64;
     let slots = f64::from(engine.slots) * SLOT_PART;
+    let reading = server.load.reading_part(&load);
+    let own_part = f64::from(prefill) / PREFILL_PER_MS / 1_000.0;
+    let most = READING_PART[usize::from(ask.urgency).min(READING_PART.len() - 1)];
     let room = f64::from(load.requests) < slots
-        && (f64::from(memory) <= memory_left || load.requests == 0);
-    (predicted, work, room)
+        && (f64::from(memory) <= memory_left || load.requests == 0)
+        && (reading + own_part <= most || reading <= IDLE_READING_PART);
+    Prediction { ms: predicted, work, room, reading }
 }
--- a/crates/quincevalve_node/src/backends.rs
+++ b/crates/quincevalve_node/src/backends.rs
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use quincevalve_names::BackendServerName;
+use quincevalve_ports::reset_when_dropped;
 use snafu::{ResultExt, Snafu};
 use socket2::SockRef;
 use tokio::{
@@ -25,9 +26,6 @@
 /// A server in reach answers in a few milliseconds; an opening packet that is lost is sent again after a
 /// second, which a request can't wait for.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Unacknowledged data for this long means that the other end is out of reach: the way there takes a few
-/// milliseconds, and three retransmissions fit.
-const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 /// Idle time after which a connection isn't used again where the server doesn't say.
 const IDLE_LIMIT: Duration = Duration::from_millis(2_500);
 /// A server that closes a connection after its idle time does so about then; this much earlier is safe.
@@ -156,13 +154,12 @@
     socket.bind(SocketAddr::new(local, 0))?;
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
-    let options = SockRef::from(&stream);
-    options.set_tcp_user_timeout(Some(SILENT_LIMIT))?;
+    reset_when_dropped(&stream)?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(Duration::from_secs(1))
         .with_interval(Duration::from_secs(1))
         .with_retries(2);
-    options.set_tcp_keepalive(&probes)?;
+    SockRef::from(&stream).set_tcp_keepalive(&probes)?;
     Ok(stream)
 }
 
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -61,10 +61,7 @@
 
 impl WorkGuard {
     pub(crate) fn new(node: &Rc<Node>, place: &Placement) -> Self {
-        note(node, place, |it, _| {
-            it.load.begin(place.work);
-            node.note_arrival(&it.entry.service, place.work);
-        });
+        note(node, place, |it, now| it.load.begin(place.work, now));
         Self { node: node.clone(), server: place.server.clone(), work: place.work, reading: true }
     }
 
@@ -97,6 +94,9 @@
     let mut refusals = 0;
     let mut runs = 0;
     node.retries.borrow_mut().entry(req.service.clone()).or_default().request(clock::now());
+    if let Some(prompt) = &req.prompt {
+        node.note_arrival(&req.service, prompt.usual_work());
+    }
     loop {
         let place = match find_place(node, &req, &had).await {
             Ok(place) => place,
@@ -127,7 +127,13 @@
         match failed {
             Failed::TimedOut => return Err(Refusal::Late.into()),
             Failed::NotRun => refusals += 1,
-            Failed::MayHaveRun => runs += 1,
+            Failed::MayHaveRun => {
+                // It is reported as used unless the server said that it did not run it.
+                if runs == 0 {
+                    node.note_began(req.account.as_ref());
+                }
+                runs += 1;
+            }
         }
         if !may_send_again(node, &req, failed, runs, refusals) {
             return Err(give_up(runs));
@@ -278,7 +284,9 @@
     if status.is_success() {
         note_answered(node, place, sent);
     }
-    node.note_began(req.account.as_ref());
+    if runs == 0 {
+        node.note_began(req.account.as_ref());
+    }
     node.backends.keep(&place.server, answer.connection, &answer.keep_alive);
     Ok(passed_on(status, &head.headers, AnswerBody::whole(whole)))
 }
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -5,12 +5,14 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     duty::Term,
-    fleet_size::{Demand, Market, Order, Present, plan},
+    fleet_size::{
+        Demand, FleetPlanner, Order, OrderOutcome, Present, ServerKind, carried_by, expected_busy,
+    },
 };
-use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName, TimePoint};
+use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
@@ -32,20 +34,16 @@
 const LOOK: Duration = Duration::from_millis(400);
 /// Milliseconds over which VMs spread their attempts to take the duties over.
 const SPREAD_MS: u64 = 300;
-/// From the end of a usage window to its report: peers have told their last counts by then, twice over.
-const REPORT_AFTER_MS: i64 = 2_500;
+/// From the end of a usage window to its report, where all peers were heard: what began at the window's
+/// end has been told by then.
+const REPORT_AFTER_MS: i64 = 1_500;
+/// The same where some peers are out of reach: reports are due ten seconds after a window's end, and most
+/// cuts heal within this time.
+const REPORT_ANYWAY_MS: i64 = 8_000;
+/// A peer that is heard this long after a window's end has told all that began in it.
+const HEARD_AFTER_MS: i64 = 500;
 /// Time between two plans of the fleet.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
-/// Pause after an order that was refused.
-const REFUSED_PAUSE: Duration = Duration::from_secs(2);
-/// Time after which an order is sent again although nothing changed: one may have been lost.
-const REPEAT_ORDER: Duration = Duration::from_secs(15);
-/// Least time for which fewer servers must be enough before fewer are ordered: longer than the pause
-/// between two waves of callers, so that a fleet doesn't shrink into the next one.
-const SHRINK_AFTER: Duration = Duration::from_secs(20);
-/// Weight of the newest second in the running mean of the demand.
-const DEMAND_NEW: f64 = 0.25;
-
 /// A usage report as it was or will be sent.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Report {
@@ -54,8 +52,12 @@
 }
 
 /// Holds the duties whenever no other VM does, and does them.
-pub(crate) async fn hold_duties<S, C>(node: Rc<Node>, store: S, cloud: C)
-where
+pub(crate) async fn hold_duties<S, C>(
+    node: Rc<Node>,
+    store: S,
+    cloud: C,
+    mut stopped: watch::Receiver<bool>,
+) where
     S: PlatformStore,
     C: CloudApi,
 {
@@ -68,9 +70,19 @@
         }
         match take_over(&node, &store).await {
             Ok(lease) => {
-                act(&node, &store, &cloud, lease).await;
+                tokio::select! {
+                    () = act(&node, &store, &cloud, lease) => {}
+                    _ = stopped.wait_for(|it| *it) => {}
+                }
                 node.duty.borrow_mut().lost();
                 log::info!("duty-lost");
+                if *stopped.borrow() {
+                    // The lease runs out by itself where this fails; with it another VM need not wait.
+                    if let Err(error) = store.revoke(lease).await {
+                        log::debug!(error:% = error; "duty-not-released");
+                    }
+                    return;
+                }
             }
             Err(error) => log::debug!(error:% = error; "duty-not-taken"),
         }
@@ -223,14 +235,23 @@
 }
 
 /// The next window to report, if its time has come.
+///
+/// Failure: a data centre is cut off from the holder for some seconds at a window's end. Symptom: the report
+/// lacks all that began there. The report waits for what every known peer has to tell, as long as it can.
 fn due_window(node: &Node, last: Option<&Report>) -> Option<u64> {
-    let now_ms = node.wall.borrow().true_ms(clock::now())?;
+    let now = clock::now();
+    let now_ms = node.wall.borrow().true_ms(now)?;
     let length = node.settings.duties.usage_window.as_millis().max(1) as i64;
-    let ended = ((now_ms - REPORT_AFTER_MS) / length) as u64;
-    let newest = ended.checked_sub(1)?;
-    // Without a report so far the present window is the first that can be whole.
-    let next = last.map_or(newest, |it| it.window + 1);
-    (next <= newest).then_some(next.max(newest.saturating_sub(2)))
+    let newest = ((now_ms - REPORT_AFTER_MS) / length - 1) as u64;
+    // Without a report so far the newest window that has ended is the first.
+    let next = last.map_or(newest, |it| it.window + 1).max(newest.saturating_sub(2));
+    if next > newest {
+        return None;
+    }
+    let since_end_ms = now_ms - (next.cast_signed() + 1) * length;
+    let heard_after = Duration::from_millis((since_end_ms - HEARD_AFTER_MS).max(0) as u64);
+    let complete = node.peers.borrow().all_heard_within(heard_after, now);
+    (complete || since_end_ms >= REPORT_ANYWAY_MS).then_some(next)
 }
 
 async fn send_report<C>(cloud: &C, holder: &ActingHolder, report: &Report)
@@ -246,23 +267,11 @@
     }
 }
 
-/// What was ordered last for a subject.
-#[derive(Clone, Copy, Debug)]
-struct Ordered {
-    count: u32,
-    at: TimePoint,
-    refused: bool,
-}
-
-type OrderKey = (ServiceName, DataCentreName, bool);
-
+/// What is known of one service's fleet.
 #[derive(Default)]
-struct Orders {
-    market: Market,
-    ordered: IndexMap<OrderKey, Ordered>,
-    demand: IndexMap<ServiceName, f64>,
-    totals: IndexMap<ServiceName, (TimePoint, f64)>,
-    enough_since: IndexMap<OrderKey, TimePoint>,
+struct Fleet {
+    demand: Demand,
+    planner: FleetPlanner,
 }
 
 async fn order_servers<C>(node: &Node, cloud: &C)
@@ -272,21 +281,36 @@
     if !node.settings.duties.scaling {
         return std::future::pending().await;
     }
-    let mut orders = Orders::default();
+    let mut fleets: IndexMap<ServiceName, Fleet> = IndexMap::new();
     loop {
-        sleep(PLAN_PERIOD).await;
-        let Some(config) = node.config() else { continue };
+        let Some(config) = node.config() else {
+            sleep(PLAN_PERIOD).await;
+            continue;
+        };
+        let promised = expected_busy(&config);
         for (name, service) in &config.services {
             let Some(scaling) = &service.scaling else { continue };
-            let demand = orders.measure(node, name);
+            let fleet = fleets.entry(name.clone()).or_default();
+            fleet.demand.observe(total_work(node, name), clock::now());
             let present = present(node, name, scaling.prices.keys());
-            for (centre, order) in plan(scaling, demand, &present, &orders.market) {
-                orders.send(node, cloud, name, &centre, order).await;
+            let busy = fleet.demand.busy(promised.max(carried_by(&present)));
+            for order in fleet.planner.due(scaling, busy, &present, clock::now()) {
+                let Some(outcome) = send_order(node, cloud, name, &order, busy).await else {
+                    break;
+                };
+                fleet.planner.sent(&order, outcome, clock::now());
             }
         }
+        sleep(PLAN_PERIOD).await;
     }
 }
 
+/// Seconds of work that all entry VMs took on for a service since they started.
+fn total_work(node: &Node, service: &ServiceName) -> f64 {
+    let own = node.arrivals.borrow().get(service).copied().unwrap_or_default();
+    own + node.peers.borrow().arrivals(service)
+}
+
 fn present<'a>(
     node: &Node,
     service: &ServiceName,
@@ -304,80 +328,37 @@
     present
 }
 
-impl Orders {
-    /// The demand of a service, from what all VMs took on since the last look.
-    fn measure(&mut self, node: &Node, service: &ServiceName) -> Demand {
-        let now = clock::now();
-        let own = node.arrivals.borrow().get(service).copied().unwrap_or_default();
-        let total = own + node.peers.borrow().arrivals(service);
-        let before = self.totals.insert(service.clone(), (now, total));
-        let demand = self.demand.entry(service.clone()).or_default();
-        if let Some((at, before)) = before {
-            let rate = (total - before).max(0.0) / now.since(at).as_secs_f64().max(0.1);
-            *demand += DEMAND_NEW * (rate - *demand);
-        }
-        Demand { busy: *demand }
-    }
-
-    async fn send<C>(
-        &mut self,
-        node: &Node,
-        cloud: &C,
-        service: &ServiceName,
-        centre: &DataCentreName,
-        order: Order,
-    ) where
-        C: CloudApi,
-    {
-        for (reclaimable, count) in [(true, order.reclaimable), (false, order.on_demand)] {
-            let key = (service.clone(), centre.clone(), reclaimable);
-            if !self.is_due(&key, count) {
-                continue;
-            }
-            let Some(holder) = acting(node) else { return };
-            let wanted = ServerOrder {
-                service: service.clone(),
-                data_centre: centre.clone(),
-                count,
-                reclaimable,
-            };
-            let result = cloud.order(&holder, &wanted).await;
-            self.note(key, count, &result);
-        }
-    }
-
-    /// Whether an order says something new, and fewer servers have been enough for long enough.
-    fn is_due(&mut self, key: &OrderKey, count: u32) -> bool {
-        let now = clock::now();
-        let Some(last) = self.ordered.get(key) else { return true };
-        if last.refused {
-            return now.since(last.at) >= REFUSED_PAUSE;
-        }
-        if count < last.count && key.2 {
-            let since = *self.enough_since.entry(key.clone()).or_insert(now);
-            return now.since(since) >= SHRINK_AFTER;
-        }
-        self.enough_since.swap_remove(key);
-        count != last.count || now.since(last.at) >= REPEAT_ORDER
-    }
-
-    fn note(&mut self, key: OrderKey, count: u32, result: &Result<(), CloudError>) {
-        let now = clock::now();
-        let (service, centre, reclaimable) = &key;
-        match result {
-            Ok(()) => {
-                log::info!(service = service.as_str(), centre = centre.as_str(), reclaimable, count; "servers-ordered");
-                if *reclaimable {
-                    self.market.taken(centre);
-                }
-            }
-            Err(error) => {
-                log::warn!(service = service.as_str(), centre = centre.as_str(), reclaimable, count, error:% = error; "order-failed");
-                if *reclaimable && matches!(error, CloudError::NoneAvailable) {
-                    self.market.refused(centre, now);
-                }
-            }
-        }
-        self.ordered.insert(key, Ordered { count, at: now, refused: result.is_err() });
+/// Sends an order; `None` where this VM may no longer act.
+async fn send_order<C>(
+    node: &Node,
+    cloud: &C,
+    service: &ServiceName,
+    order: &Order,
+    busy: f64,
+) -> Option<OrderOutcome>
+where
+    C: CloudApi,
+{
+    let holder = acting(node)?;
+    let wanted = ServerOrder {
+        service: service.clone(),
+        data_centre: order.data_centre.clone(),
+        count: order.count,
+        reclaimable: order.kind == ServerKind::Reclaimable,
+    };
+    let result = cloud.order(&holder, &wanted).await;
+    let outcome = match &result {
+        Ok(()) => OrderOutcome::Taken,
+        Err(CloudError::NoneAvailable) => OrderOutcome::NoneAvailable,
+        Err(CloudError::Call { .. }) => OrderOutcome::Unknown,
+    };
+    log::info!(
+        service = service.as_str(), centre = order.data_centre.as_str(), kind:? = order.kind,
+        count = order.count, busy, number = holder.number.0, outcome:? = outcome;
+        "servers-ordered"
+    );
+    if let Err(error @ CloudError::Call { .. }) = result {
+        log::warn!(error:% = error; "order-unanswered");
     }
+    Some(outcome)
 }
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -36,6 +36,8 @@
 const LEAST_BUFFER: usize = 8 << 10;
 /// Waits for a configuration that is new enough before a caller is told to come back.
 const STALE_RETRY: Duration = Duration::from_millis(700);
+/// A caller that is refused by a VM that stops reaches another one at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// How long the body of a request without a route is read, so that the refusal isn't lost in a reset.
 const UNKNOWN_BODY_TIME: Duration = Duration::from_secs(2);
 
@@ -101,7 +103,7 @@
             refused.refusal.answer(refused.retry_after)
         }
     };
-    if node.phase.get() == Phase::Draining {
+    if node.phase.get() != Phase::Serving {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
@@ -137,6 +139,9 @@
         _ => refusal.into(),
     })?;
     let body = body?;
+    if !node.can_finish(&identified.route) {
+        return Err(Refused { refusal: Refusal::Stopping, retry_after: Some(STOPPING_RETRY) });
+    }
     let cost = take_quota(node, &identified)?;
     let identified = Rc::new(identified);
     let answer = dispatch(node, identified.clone(), body).await;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
-    config::ForwardingConfig,
+    config::{ForwardingConfig, Route},
     duty::Duty,
     freshness::Freshness,
     load::{Work, WorkSum},
@@ -22,6 +22,7 @@
 use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use tokio::time::Instant;
 
 use crate::{
     backends::Backends, clock, peers::PeerBook, ports::HeaderNames, settings::NodeSettings,
@@ -31,10 +32,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
     Serving,
-    /// SIGTERM came: the platform is told that no more callers are taken, and those that come are served.
-    Draining,
+    /// SIGTERM came: the platform is told that no more callers are taken, and those that come are served
+    /// as far as they can end in time.
+    Draining {
+        /// When the process ends.
+        until: Instant,
+    },
 }
 
+/// Time that a stream needs before the process ends: nine in ten end within it.
+const STREAM_TIME: Duration = Duration::from_millis(4_700);
+
 /// Part of the time from the removal of a key within which a proof is used: the rest is for the way of the
 /// request from its caller to here.
 const KEY_PROOF_PART: f64 = 0.85;
@@ -125,6 +133,17 @@
             && self.keys_are_proved()
     }
 
+    /// Whether a request that comes now can end before the process does.
+    ///
+    /// Failure: callers still reach a VM seconds after its SIGTERM, when it is the last one in its data
+    /// centre. Symptom: their streams are cut when the process ends. Such a request is refused, and its
+    /// caller comes back to another VM.
+    pub(crate) fn can_finish(&self, route: &Route) -> bool {
+        let Phase::Draining { until } = self.phase.get() else { return true };
+        let needs = if route.repeat.is_stream() { STREAM_TIME } else { route.timeout };
+        left(until) >= needs.min(route.timeout)
+    }
+
     /// The entry VMs that are known, this one included.
     pub(crate) fn vms(&self) -> usize {
         self.peers.borrow().count() + 1
@@ -153,11 +172,12 @@
 
     /// This VM's own work at each server, for its peers.
     pub(crate) fn own_work(&self) -> IndexMap<BackendServerName, WorkSum> {
+        let now = clock::now();
         let servers = self.servers.borrow();
         servers
             .all()
-            .map(|(name, it)| (name.clone(), it.load.own()))
-            .filter(|(_, work)| work.requests > 0)
+            .map(|(name, it)| (name.clone(), it.load.own(now)))
+            .filter(|(_, work)| work.requests > 0 || work.recent > 0)
             .collect()
     }
 }
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -88,6 +88,11 @@
         self.has_holder
     }
 
+    /// Whether every peer was heard within this time.
+    pub(crate) fn all_heard_within(&self, time: Duration, now: TimePoint) -> bool {
+        self.peers.values().all(|it| now.since(it.heard) < time)
+    }
+
     /// What peers took on in all, by service.
     pub(crate) fn arrivals(&self, service: &ServiceName) -> f64 {
         self.peers.values().filter_map(|it| it.arrivals.get(service)).sum()
@@ -101,17 +106,14 @@
     incarnation: u64,
     wall_ms: i64,
     /// Work at servers, by the hash of their names.
-    work: Vec<(u64, u32, u64, u64, u64)>,
+    work: Vec<(u64, WorkSum)>,
     spent: IndexMap<ClientAccountName, f64>,
     usage: Counts,
     arrivals: IndexMap<ServiceName, f64>,
 }
 
 fn telling(node: &Node) -> Telling {
-    let work = node.own_work().into_iter().map(|(name, it)| {
-        let name = hash_text(name.as_str());
-        (name, it.requests, it.prefill, it.urgent_prefill, it.memory)
-    });
+    let work = node.own_work().into_iter().map(|(name, it)| (hash_text(name.as_str()), it));
     let quota = node.quota.borrow();
     Telling {
         name: node.settings.name.as_str().to_owned(),
@@ -191,12 +193,7 @@
     for (name, server) in node.servers.borrow_mut().all_mut() {
         let hash = hash_text(name.as_str());
         let told = telling.work.iter().find(|it| it.0 == hash);
-        let work = told.map_or(WorkSum::default(), |it| WorkSum {
-            requests: it.1,
-            prefill: it.2,
-            urgent_prefill: it.3,
-            memory: it.4,
-        });
+        let work = told.map_or(WorkSum::default(), |it| it.1);
         server.load.heard(&telling.name, work, now);
     }
 }
--- a/crates/quincevalve_node/src/refusal.rs
+++ b/crates/quincevalve_node/src/refusal.rs
@@ -22,6 +22,8 @@
     OverQuota,
     /// This VM knows no configuration, or none that is new enough.
     StaleConfig,
+    /// This VM stops before the request could end.
+    Stopping,
     /// No server of the service is known.
     NoServer,
     /// All servers are too busy for it to be in time.
@@ -46,6 +48,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::StaleConfig
+            | Self::Stopping
             | Self::NoServer
             | Self::Busy
             | Self::ServersRefused
@@ -71,6 +74,7 @@
             Self::TooLarge => "too-large",
             Self::OverQuota => "over-quota",
             Self::StaleConfig => "stale-config",
+            Self::Stopping => "stopping",
             Self::NoServer => "no-server",
             Self::Busy => "busy",
             Self::ServersRefused => "servers-refused",
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -95,13 +95,15 @@
     spawn_local(store_sync::keep_entry(node.clone(), store.clone()));
     spawn_local(peers::tell_peers(node.clone(), socket.clone()));
     spawn_local(peers::hear_peers(node.clone(), socket));
-    spawn_local(duties::hold_duties(node.clone(), store, cloud));
+    let (stop_duties, duties_stopped) = watch::channel(false);
+    spawn_local(duties::hold_duties(node.clone(), store, cloud, duties_stopped));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => log::info!("reloaded"),
         }
     }
+    stop_duties.send_replace(true);
     drain(&node, &closing_tx).await;
     log::info!(left = node.in_flight.get(); "stopped");
     Ok(())
@@ -111,10 +113,10 @@
 async fn drain(node: &Node, closing: &watch::Sender<bool>) {
     let since = Instant::now();
     log::info!(requests = node.in_flight.get(), age_us = clock::now().as_micros(); "draining");
-    node.phase.set(Phase::Draining);
+    let until = since + node.settings.bounds.grace.saturating_sub(END_MARGIN);
+    node.phase.set(Phase::Draining { until });
     sleep(CLOSE_IDLE_AFTER).await;
     closing.send_replace(true);
-    let until = since + node.settings.bounds.grace.saturating_sub(END_MARGIN);
     while Instant::now() < until {
         if since.elapsed() >= LEAST_STAY && node.in_flight.get() == 0 {
             return;
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -20,9 +20,9 @@
 /// The longest wait of one question for changes.
 const WAIT: Duration = Duration::from_millis(700);
 /// Pause after an answer. Servers renew their entries many times a second, so a waiting question is
-/// answered at once; with the pause a VM asks little more than once a second, and a change is known within
-/// a second where two are allowed.
-const PAUSE: Duration = Duration::from_millis(750);
+/// answered at once; with the pause a VM asks once a second, and a change is known in a little more than a
+/// second where two are allowed.
+const PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a failure: short, for a VM without a new proof refuses keys soon.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// Lifetime of this VM's own entry; long against renewals, so that a slow store doesn't remove it.
--- a/crates/quincevalve_ports/src/http_client.rs
+++ b/crates/quincevalve_ports/src/http_client.rs
@@ -12,12 +12,14 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::Client,
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
 
+use crate::connector::Connector;
+
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 const MAX_ANSWER_BYTES: usize = 2 << 20;
 
@@ -95,8 +97,8 @@
 /// A pooled client, bound to the VM's own address.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<Connector, Full<Bytes>>,
+    fresh: Client<Connector, Full<Bytes>>,
     silent: Arc<Mutex<HashMap<SocketAddr, Instant>>>,
 }
 
@@ -243,11 +245,8 @@
     local: Option<IpAddr>,
     connect_limit: Duration,
     idle: usize,
-) -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_local_address(local);
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(connect_limit));
+) -> Client<Connector, Full<Bytes>> {
+    let connector = Connector::new(local, connect_limit);
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_LIMIT)
         .pool_timer(TokioTimer::new())
