Fleet: reclaimable servers that start count, room for on-demand ones where none can be had

Change: starting servers count; what is expected at first is fixed once, between half of what quotas promise and what is present; fewer reclaimable servers only after 30 s.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -52,7 +52,7 @@
 const WANTED_BUSY: f64 = 0.6;
 /// The part of its time that a server may be busy for a while: above it queues of prompts grow past the
 /// objectives of the short ones.
-const BEARABLE_BUSY: f64 = 0.8;
+const BEARABLE_BUSY: f64 = 0.75;
 /// Data centres whose reclaimable servers may be gone at the same time without a server on demand.
 const LOST_CENTRES: usize = 1;
 /// Weight of a new second in the running mean of the demand when it is above the mean.
@@ -64,12 +64,17 @@
 /// Tokens of quota that keep one server busy for a second: its prompts are partly kept in memory, and the
 /// most that may be generated seldom is.
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
+/// Part of what the quotas let expect that is always prepared for at first.
+const LEAST_PROMISED: f64 = 0.5;
 /// Looks at the demand before it is believed; until then the quotas say what to expect.
 const LOOKS_BEFORE_BELIEF: u32 = 6;
-/// Time for which fewer reclaimable servers must be enough before fewer are ordered.
-const SHRINK_RECLAIMABLE_AFTER: Duration = Duration::from_secs(10);
+/// Time for which fewer reclaimable servers must be enough before fewer are ordered: longer than the times
+/// in which none can be had, so that the fleet doesn't shrink just before a data centre's servers go.
+const SHRINK_RECLAIMABLE_AFTER: Duration = Duration::from_secs(30);
 /// The same for on-demand servers, which cost several times as much.
 const SHRINK_ON_DEMAND_AFTER: Duration = Duration::from_secs(2);
+/// From the end of a server's start to its being listed and known here.
+const LISTING_TIME: Duration = Duration::from_millis(2_500);
 /// Pause after an order that found none available.
 const REFUSED_PAUSE: Duration = Duration::from_millis(2_500);
 /// Pause after an order whose fate is unknown.
@@ -119,13 +124,15 @@
     tokens * QUOTA_USED / QUOTA_TOKENS_PER_SERVER
 }
 
-/// The demand that the servers at present would carry, in busy servers.
+/// The demand to expect before any was measured, in busy servers.
 ///
 /// Failure: the duty passes to a VM that has not yet measured any demand. Symptom: it plans for none and
-/// gives the fleet back. Until it has measured, it takes the fleet for the right size.
-pub fn carried_by(present: &IndexMap<DataCentreName, Present>) -> f64 {
+/// gives the fleet back. Until it has measured, it takes the fleet for the right size, within what the
+/// quotas let expect.
+pub fn expected_at_first(promised: f64, present: &IndexMap<DataCentreName, Present>) -> f64 {
     let servers: u32 = present.values().map(|it| it.reclaimable + it.on_demand).sum();
-    f64::from(servers) * WANTED_BUSY
+    let carried = f64::from(servers) * WANTED_BUSY;
+    carried.clamp(promised * LEAST_PROMISED, promised.max(promised * LEAST_PROMISED))
 }
 
 /// Plans the servers of one service.
@@ -148,7 +155,8 @@
         present: &IndexMap<DataCentreName, Present>,
         now: TimePoint,
     ) -> Vec<Order> {
-        let wanted = plan(scaling, busy, present);
+        let coming = |centre: &DataCentreName| self.coming(centre, scaling, now);
+        let wanted = plan(scaling, busy, present, coming);
         wanted.into_iter().filter(|it| self.is_due(it, now)).collect()
     }
 
@@ -158,6 +166,14 @@
         self.sent.insert((order.data_centre.clone(), order.kind), sent);
     }
 
+    /// Reclaimable servers in a data centre that were ordered and still start.
+    fn coming(&self, centre: &DataCentreName, scaling: &Scaling, now: TimePoint) -> u32 {
+        let sent = self.sent.get(&(centre.clone(), ServerKind::Reclaimable));
+        let started = scaling.boot + LISTING_TIME;
+        sent.filter(|it| it.outcome == OrderOutcome::Taken && now.since(it.at) < started)
+            .map_or(0, |it| it.count)
+    }
+
     /// Whether an order says something new, and fewer servers have been enough for long enough.
     fn is_due(&mut self, order: &Order, now: TimePoint) -> bool {
         let key = (order.data_centre.clone(), order.kind);
@@ -181,7 +197,12 @@
 }
 
 /// The servers that a service should have.
-fn plan(scaling: &Scaling, busy: f64, present: &IndexMap<DataCentreName, Present>) -> Vec<Order> {
+fn plan(
+    scaling: &Scaling,
+    busy: f64,
+    present: &IndexMap<DataCentreName, Present>,
+    coming: impl Fn(&DataCentreName) -> u32,
+) -> Vec<Order> {
     let centres = present.len().max(1);
     let wanted = (busy / WANTED_BUSY).max(1.0);
     let bearable = (busy / BEARABLE_BUSY).max(1.0);
@@ -198,12 +219,13 @@
     }
     let mut orders: Vec<_> =
         present.keys().map(|it| order(it, ServerKind::Reclaimable, each)).collect();
-    let reclaimable: u32 = present.values().map(|it| it.reclaimable).sum();
+    let there = |centre: &DataCentreName, it: &Present| it.reclaimable.max(coming(centre));
+    let reclaimable: u32 = present.iter().map(|(centre, it)| there(centre, it)).sum();
     let mut missing = (bearable.ceil() as u32).saturating_sub(reclaimable);
-    let mut cheapest: Vec<_> = present.keys().collect();
-    cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
-    for centre in cheapest {
-        let more = missing.min(scaling.max.saturating_sub(each));
+    let mut cheapest: Vec<_> = present.iter().collect();
+    cheapest.sort_by(|a, b| price(scaling, a.0).total_cmp(&price(scaling, b.0)));
+    for (centre, it) in cheapest {
+        let more = missing.min(scaling.max.saturating_sub(there(centre, it)));
         orders.push(order(centre, ServerKind::OnDemand, more));
         missing -= more;
     }
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -6,7 +6,8 @@
 use quincevalve_forwarding::{
     duty::Term,
     fleet_size::{
-        Demand, FleetPlanner, Order, OrderOutcome, Present, ServerKind, carried_by, expected_busy,
+        Demand, FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_at_first,
+        expected_busy,
     },
 };
 use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName};
@@ -270,6 +271,8 @@
 /// What is known of one service's fleet.
 #[derive(Default)]
 struct Fleet {
+    /// What was expected before any demand was measured.
+    expected: Option<f64>,
     demand: Demand,
     planner: FleetPlanner,
 }
@@ -293,7 +296,9 @@
             let fleet = fleets.entry(name.clone()).or_default();
             fleet.demand.observe(total_work(node, name), clock::now());
             let present = present(node, name, scaling.prices.keys());
-            let busy = fleet.demand.busy(promised.max(carried_by(&present)));
+            let expected =
+                *fleet.expected.get_or_insert_with(|| expected_at_first(promised, &present));
+            let busy = fleet.demand.busy(expected);
             for order in fleet.planner.due(scaling, busy, &present, clock::now()) {
                 let Some(outcome) = send_order(node, cloud, name, &order, busy).await else {
                     break;
