Entry VMs tell each other through one collector in a data centre once there are many

Change: peer_book chooses a collector in each data centre, sums add up shares without counting twice; a VM sends and takes a few datagrams in 150 ms whatever the size. Up to 16 VMs everyone tells everyone. The plan of the fleet knows that a small batch makes fewer tokens.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -1,6 +1,6 @@
 //! The work that a server has, as far as this entry VM knows, and how well it does it.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
@@ -20,14 +20,19 @@
 
 /// Prompt tokens that an engine reads in a millisecond; each server's slowness corrects it.
 pub(crate) const PREFILL_PER_MS: f64 = 95.0;
-/// Tokens that an engine generates in a millisecond with a full batch.
-const GENERATED_PER_MS: f64 = 6.0;
+/// Milliseconds of a step of an engine's batch, and what each request in it adds. Each step makes one token
+/// of each request.
+const STEP_MS: f64 = 3.5;
+pub(crate) const STEP_MS_PER_REQUEST: f64 = 0.1;
+/// Requests in a batch beyond which objectives are missed whatever the slots are: tokens come too slowly.
+const FULL_BATCH: u32 = 40;
 
 impl Work {
-    /// Seconds for which the work would keep an engine busy that does nothing else.
-    pub fn busy_seconds(self) -> f64 {
+    /// Seconds for which the work would keep an engine busy whose batch is full with such work.
+    pub fn busy_seconds(self, slots: u32) -> f64 {
+        let batch = f64::from(slots.clamp(1, FULL_BATCH));
         let reading = f64::from(self.prefill) / PREFILL_PER_MS;
-        let generating = f64::from(self.output) / GENERATED_PER_MS;
+        let generating = f64::from(self.output) * (STEP_MS / batch + STEP_MS_PER_REQUEST);
         (reading + generating) / 1_000.0
     }
 }
@@ -74,7 +79,8 @@
         self.memory = self.memory.saturating_sub(u64::from(work.memory));
     }
 
-    fn plus(self, other: Self) -> Self {
+    /// The sum of both.
+    pub fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests + other.requests,
             prefill: self.prefill + other.prefill,
@@ -96,8 +102,8 @@
 
 /// Weight of a new observation in the running means.
 const NEW: f64 = 0.15;
-/// What a peer told counts for this long; it tells several times a second while it has work.
-const PEER_WORK_AGE: Duration = Duration::from_millis(1_500);
+/// What others told counts for this long; it is renewed several times a second.
+const OTHERS_AGE: Duration = Duration::from_millis(1_500);
 /// First pause after a failed connection or a silent server, doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// The longest pause: a server that is back is noticed within this time.
@@ -109,7 +115,8 @@
     own: WorkSum,
     /// When the fading of `own.recent` was last reckoned.
     recent_at: TimePoint,
-    peers: HashMap<String, (TimePoint, WorkSum)>,
+    /// The work of all other entry VMs, and when they told it.
+    others: (TimePoint, WorkSum),
     /// Measured first answers against predicted ones; 1 is as predicted.
     slowness: f64,
     /// Share of failed answers lately.
@@ -125,7 +132,7 @@
         Self {
             own: WorkSum::default(),
             recent_at: TimePoint::ZERO,
-            peers: HashMap::new(),
+            others: (TimePoint::ZERO, WorkSum::default()),
             slowness: 1.0,
             failing: 0.0,
             answer_ms: 0.0,
@@ -159,17 +166,19 @@
         WorkSum { recent: faded(self.own.recent, now.since(self.recent_at)), ..self.own }
     }
 
-    /// Takes a peer's work at the server.
-    pub fn heard(&mut self, peer: &str, work: WorkSum, now: TimePoint) {
-        self.peers.insert(peer.to_owned(), (now, work));
+    /// Takes the work of all other entry VMs at the server.
+    pub fn set_others(&mut self, work: WorkSum, now: TimePoint) {
+        self.others = (now, work);
     }
 
     /// The work of all entry VMs, as far as known.
     pub fn total(&self, now: TimePoint) -> WorkSum {
-        let fresh = self.peers.values().filter(|(at, _)| now.since(*at) <= PEER_WORK_AGE);
-        fresh.fold(self.own(now), |sum, (at, work)| {
-            sum.plus(WorkSum { recent: faded(work.recent, now.since(*at)), ..*work })
-        })
+        let (at, others) = self.others;
+        let age = now.since(at);
+        if age > OTHERS_AGE {
+            return self.own(now);
+        }
+        self.own(now).plus(WorkSum { recent: faded(others.recent, age), ..others })
     }
 
     /// The part of its time that the server reads prompts, from what it was sent lately.
--- /dev/null
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -0,0 +1,226 @@
+//! Which entry VMs there are, and which of them collect what the others tell.
+//!
+//! In a small system every VM tells every other. In a large one that would cost each VM more the more there
+//! are, so in each data centre one VM collects: its members tell it what they do, collectors tell each other
+//! the sum of their members, and each member hears the sum of all others from its collector. A VM then sends
+//! and takes a few datagrams in a period, whatever the size of the system.
+
+use std::{net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+use quincevalve_names::{DataCentreName, TimePoint, hash_text};
+use serde::{Deserialize, Serialize};
+
+/// Up to this many VMs everyone tells everyone: a dozen datagrams a period are cheap, and there is no
+/// collector to lose.
+const SMALL: usize = 16;
+/// A collector that has not answered for this long has gone or is out of reach; it answers ten times in it.
+const SILENT: Duration = Duration::from_millis(800);
+/// A peer that is neither listed nor heard for this long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// What a VM says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmCard {
+    /// Its name.
+    pub name: String,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Thousandths of a processor core that it may use.
+    pub cpu: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    card: VmCard,
+    listed: bool,
+    heard: Option<TimePoint>,
+    /// Since when it has been told things without any answer.
+    asked: Option<TimePoint>,
+}
+
+impl Peer {
+    fn is_silent(&self, now: TimePoint) -> bool {
+        let waits = self.asked.is_some_and(|it| now.since(it) > SILENT);
+        waits && self.heard.is_none_or(|it| now.since(it) > SILENT)
+    }
+}
+
+/// What a VM does with what it knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It tells these VMs the sum of itself and its members.
+    Collector {
+        /// Collectors of other members, and in a small system all other VMs.
+        others: Vec<SocketAddr>,
+    },
+    /// It tells this VM what it does, and hears the rest from it.
+    Member {
+        /// The collector's name.
+        collector: String,
+        /// Its address.
+        address: SocketAddr,
+    },
+}
+
+/// The entry VMs that are known.
+#[derive(Clone, Debug)]
+pub struct PeerBook {
+    me: VmCard,
+    peers: IndexMap<String, Peer>,
+}
+
+impl PeerBook {
+    /// Knows nobody but `me`.
+    pub fn new(me: VmCard) -> Self {
+        Self { me, peers: IndexMap::new() }
+    }
+
+    /// This VM's own card.
+    pub fn me(&self) -> &VmCard {
+        &self.me
+    }
+
+    /// The entry VMs that are known, this one included.
+    pub fn vms(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Takes a VM's entry in the store; `true` if it is new.
+    pub fn listed(&mut self, card: VmCard) -> bool {
+        if card.name == self.me.name {
+            return false;
+        }
+        let is_new = !self.peers.contains_key(&card.name);
+        let peer = self.peers.entry(card.name.clone()).or_insert_with(|| Peer {
+            card: card.clone(),
+            listed: true,
+            heard: None,
+            asked: None,
+        });
+        peer.card = card;
+        peer.listed = true;
+        is_new
+    }
+
+    /// Notes that a VM's entry was removed.
+    pub fn unlisted(&mut self, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.listed = false;
+        }
+    }
+
+    /// Takes the whole list.
+    pub fn replace_all(&mut self, cards: Vec<VmCard>) {
+        self.peers.values_mut().for_each(|it| it.listed = false);
+        for card in cards {
+            self.listed(card);
+        }
+    }
+
+    /// Notes a datagram from a VM, which may be unlisted yet.
+    pub fn heard(&mut self, card: &VmCard, now: TimePoint) {
+        if !self.peers.contains_key(&card.name) {
+            self.listed(card.clone());
+        }
+        if let Some(peer) = self.peers.get_mut(&card.name) {
+            peer.heard = Some(now);
+            peer.asked = None;
+        }
+    }
+
+    /// Notes a datagram to a VM.
+    pub fn asked(&mut self, address: SocketAddr, now: TimePoint) {
+        let peer = self.peers.values_mut().find(|it| it.card.address == address);
+        if let Some(peer) = peer {
+            peer.asked.get_or_insert(now);
+        }
+    }
+
+    /// Forgets VMs that are gone and returns their names.
+    pub fn forget(&mut self, now: TimePoint) -> Vec<String> {
+        let is_gone =
+            |it: &Peer| !it.listed && it.heard.is_none_or(|heard| now.since(heard) > FORGET_AFTER);
+        let gone: Vec<_> =
+            self.peers.iter().filter(|(_, it)| is_gone(it)).map(|(name, _)| name.clone()).collect();
+        for name in &gone {
+            self.peers.shift_remove(name);
+        }
+        gone
+    }
+
+    /// The card of a VM by name.
+    pub fn card(&self, name: &str) -> Option<&VmCard> {
+        if name == self.me.name {
+            return Some(&self.me);
+        }
+        self.peers.get(name).map(|it| &it.card)
+    }
+
+    /// The other VMs' names.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.peers.keys().map(String::as_str)
+    }
+
+    /// Whether every VM of a small system tells every other.
+    pub fn is_small(&self) -> bool {
+        self.vms() <= SMALL
+    }
+
+    /// This VM's role at present. `has_members` says whether others have chosen it as their collector.
+    ///
+    /// Each VM chooses for itself: the strongest of its data centre that answers. VMs that differ in what
+    /// they know choose differently for a while, and both collectors then pass on what they were told.
+    pub fn role(&self, has_members: bool, now: TimePoint) -> Role {
+        if self.is_small() {
+            let others = self.peers.values().map(|it| it.card.address).collect();
+            return Role::Collector { others };
+        }
+        let first = self.ranked(&self.me.data_centre).find(|it| !self.is_silent(it, now));
+        match first {
+            Some(card) if card.name != self.me.name && !has_members => {
+                Role::Member { collector: card.name.clone(), address: card.address }
+            }
+            _ => Role::Collector { others: self.other_collectors(now) },
+        }
+    }
+
+    /// Of each data centre the first that answers, and where the very first doesn't, also that one.
+    fn other_collectors(&self, now: TimePoint) -> Vec<SocketAddr> {
+        let mut centres: Vec<&DataCentreName> = Vec::new();
+        for card in self.peers.values().map(|it| &it.card).chain([&self.me]) {
+            if !centres.contains(&&card.data_centre) {
+                centres.push(&card.data_centre);
+            }
+        }
+        let mut collectors = Vec::new();
+        for centre in centres {
+            for card in self.ranked(centre).take(COLLECTORS_TRIED) {
+                if card.name != self.me.name {
+                    collectors.push(card.address);
+                }
+                if !self.is_silent(card, now) && card.name != self.me.name {
+                    break;
+                }
+            }
+        }
+        collectors
+    }
+
+    fn is_silent(&self, card: &VmCard, now: TimePoint) -> bool {
+        self.peers.get(&card.name).is_some_and(|it| it.is_silent(now))
+    }
+
+    /// The VMs of a data centre, strongest first; the same order everywhere.
+    fn ranked(&self, centre: &DataCentreName) -> impl Iterator<Item = &VmCard> {
+        let cards = self.peers.values().map(|it| &it.card).chain([&self.me]);
+        let mut cards: Vec<_> = cards.filter(|it| it.data_centre == *centre).collect();
+        cards.sort_by_key(|it| (std::cmp::Reverse(it.cpu), hash_text(&it.name)));
+        cards.into_iter()
+    }
+}
+
+/// Collectors of one data centre that are told at most: the first may be down, and the second just so.
+const COLLECTORS_TRIED: usize = 3;
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     config::Engine,
-    load::{PREFILL_PER_MS, Work, is_urgent},
+    load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, is_urgent},
     servers::{Server, ServerTable},
 };
 
@@ -87,8 +87,6 @@
 
 /// Milliseconds to a first token of an idle engine beyond reading the prompt.
 const FIRST_TOKEN_MS: f64 = 40.0;
-/// Milliseconds that each running request adds to a step of the batch.
-const STEP_MS_PER_REQUEST: f64 = 0.1;
 /// Milliseconds of work of a plain service's request before any was measured.
 const CALL_MS: f64 = 30.0;
 /// Milliseconds that another data centre costs: the way there and the price of the bytes.
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -2,14 +2,12 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use indexmap::IndexMap;
 use quincevalve_names::{ClientAccountName, TimePoint};
 
-use crate::config::{ForwardingConfig, Quota, QuotaUnit};
-
-/// A peer that was silent for longer counts as unreachable, and its share is not used here. Four tellings
-/// a second make that six lost messages in a row.
-const SILENT: Duration = Duration::from_millis(1_500);
+use crate::{
+    config::{ForwardingConfig, Quota, QuotaUnit},
+    sums::Spent,
+};
 
 /// The units that a request counts.
 pub fn cost(quota: &Quota, tokens: Option<(u32, u32)>) -> f64 {
@@ -34,12 +32,6 @@
     spent: f64,
 }
 
-#[derive(Clone, Debug)]
-struct PeerSpending {
-    heard: TimePoint,
-    spent: IndexMap<ClientAccountName, f64>,
-}
-
 /// One token bucket for each account, drawn on by all entry VMs.
 ///
 /// Each VM admits against the whole quota less what it and the others have spent, as they tell several
@@ -48,11 +40,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBook {
     buckets: HashMap<ClientAccountName, Bucket>,
-    peers: HashMap<(String, u64), PeerSpending>,
 }
 
 impl QuotaBook {
-    /// Takes `cost` units of an account's quota.
+    /// Takes `cost` units of an account's quota. `reachable_part` is the part of the entry VMs whose spending
+    /// is known here.
     ///
     /// A request is let in as long as the bucket is above zero, and may take it below: a large prompt then
     /// waits no longer than a small one, and what it took too much is paid back by those that follow.
@@ -61,10 +53,10 @@
         account: &ClientAccountName,
         quota: &Quota,
         cost: f64,
-        vms: usize,
+        reachable_part: f64,
         now: TimePoint,
     ) -> Result<(), OverQuota> {
-        let rate = quota.per_second * self.reachable_part(vms, now);
+        let rate = quota.per_second * reachable_part;
         let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
             level: quota.burst,
             at: now,
@@ -94,20 +86,9 @@
         self.buckets.iter().map(|(account, it)| (account, it.spent))
     }
 
-    /// Takes what a peer has spent in all; what is new of it leaves the buckets here.
-    pub fn heard(
-        &mut self,
-        peer: &str,
-        incarnation: u64,
-        spent: &IndexMap<ClientAccountName, f64>,
-        config: &ForwardingConfig,
-        now: TimePoint,
-    ) {
-        let known = self.peers.entry((peer.to_owned(), incarnation));
-        let known = known.or_insert_with(|| PeerSpending { heard: now, spent: IndexMap::new() });
-        known.heard = now;
-        for (account, total) in spent {
-            let before = known.spent.insert(account.clone(), *total).unwrap_or_default();
+    /// Takes what other VMs have spent beyond what was told before.
+    pub fn others_spent(&mut self, growth: &Spent, config: &ForwardingConfig, now: TimePoint) {
+        for (account, growth) in growth {
             let quota = config.accounts.get(account).and_then(|it| it.quota);
             let Some(quota) = quota else { continue };
             let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
@@ -115,14 +96,8 @@
                 at: now,
                 spent: 0.0,
             });
-            // Debt is bounded, so that a peer's first telling of all it ever spent can't lock an account out.
-            bucket.level = (bucket.level - (total - before)).max(-quota.burst);
+            // Debt is bounded, so that one telling after a long silence can't lock an account out.
+            bucket.level = (bucket.level - growth).max(-quota.burst);
         }
     }
-
-    /// The part of the entry VMs that this one hears, itself included.
-    fn reachable_part(&self, vms: usize, now: TimePoint) -> f64 {
-        let heard = self.peers.values().filter(|it| now.since(it.heard) <= SILENT).count() + 1;
-        (heard as f64 / vms.max(1) as f64).min(1.0)
-    }
 }
--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use indexmap::IndexMap;
-use quincevalve_names::ClientAccountName;
+use quincevalve_names::{ClientAccountName, TimePoint};
 
 /// The number of a window: windows of one length follow each other since 1970.
 pub type Window = u64;
@@ -23,6 +23,7 @@
 pub struct Usage {
     own: Counts,
     peers: IndexMap<(String, u64), Counts>,
+    heard: IndexMap<String, TimePoint>,
 }
 
 impl Usage {
@@ -38,7 +39,8 @@
     }
 
     /// Takes a peer's running totals; lower ones come from reordered messages and change nothing.
-    pub fn heard(&mut self, peer: &str, incarnation: u64, counts: &Counts) {
+    pub fn heard(&mut self, peer: &str, incarnation: u64, counts: &Counts, now: TimePoint) {
+        self.heard.insert(peer.to_owned(), now);
         let known = self.peers.entry((peer.to_owned(), incarnation)).or_default();
         for (window, accounts) in counts {
             let known = known.entry(*window).or_default();
@@ -49,6 +51,12 @@
         }
     }
 
+    /// Whether all of these peers told their counts at `since` or later.
+    pub fn all_heard<'a>(&self, peers: impl Iterator<Item = &'a str>, since: TimePoint) -> bool {
+        let mut peers = peers;
+        peers.all(|it| self.heard.get(it).is_some_and(|at| *at >= since))
+    }
+
     /// The sum of a window over all sources.
     pub fn total(&self, window: Window) -> IndexMap<ClientAccountName, u64> {
         let mut sum = IndexMap::new();
--- a/crates/quincevalve_forwarding/src/wall_clock.rs
+++ b/crates/quincevalve_forwarding/src/wall_clock.rs
@@ -1,6 +1,6 @@
 //! True time from clocks that may jump.
 
-use std::{collections::HashMap, hash::Hash};
+use std::{collections::HashMap, hash::Hash, time::Duration};
 
 use quincevalve_names::TimePoint;
 
@@ -12,11 +12,16 @@
 pub struct WallClock<P> {
     /// Milliseconds of true time at the origin of this VM's steady clock, as each source says.
     offsets: HashMap<P, i64>,
+    /// The offset that a VM with more sources reckoned, and when.
+    trusted: Option<(TimePoint, i64)>,
 }
 
+/// What a VM with more sources reckoned counts for this long.
+const TRUSTED_FOR: Duration = Duration::from_secs(3);
+
 impl<P> Default for WallClock<P> {
     fn default() -> Self {
-        Self { offsets: HashMap::new() }
+        Self { offsets: HashMap::new(), trusted: None }
     }
 }
 
@@ -29,6 +34,11 @@
         self.offsets.insert(source, wall_ms - (at.as_micros() / 1_000).cast_signed());
     }
 
+    /// Takes true time as a VM with more sources reckoned it.
+    pub fn trust(&mut self, true_ms: i64, at: TimePoint) {
+        self.trusted = Some((at, true_ms - (at.as_micros() / 1_000).cast_signed()));
+    }
+
     /// Forgets a source that has gone.
     pub fn forget(&mut self, source: &P) {
         self.offsets.remove(source);
@@ -36,9 +46,15 @@
 
     /// True time in milliseconds since 1970; `None` before anything was heard.
     pub fn true_ms(&self, now: TimePoint) -> Option<i64> {
+        let now_ms = (now.as_micros() / 1_000).cast_signed();
+        if let Some((at, offset)) = self.trusted
+            && now.since(at) <= TRUSTED_FOR
+        {
+            return Some(offset + now_ms);
+        }
         let mut offsets: Vec<i64> = self.offsets.values().copied().collect();
         offsets.sort_unstable();
         let median = offsets.get(offsets.len().checked_sub(1)? / 2)?;
-        Some(median + (now.as_micros() / 1_000).cast_signed())
+        Some(median + now_ms)
     }
 }
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -10,7 +10,7 @@
         expected_busy,
     },
 };
-use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName};
+use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName, TimePoint};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::sleep};
@@ -37,7 +37,7 @@
 const SPREAD_MS: u64 = 300;
 /// From the end of a usage window to its report, where all peers were heard: what began at the window's
 /// end has been told by then.
-const REPORT_AFTER_MS: i64 = 1_500;
+const REPORT_AFTER_MS: i64 = 2_000;
 /// The same where some peers are out of reach: reports are due ten seconds after a window's end, and most
 /// cuts heal within this time.
 const REPORT_ANYWAY_MS: i64 = 8_000;
@@ -117,7 +117,7 @@
     };
     store.commit(&commit).await?;
     node.duty.borrow_mut().took(me, &before, &term, ttl, asked);
-    node.peers.borrow_mut().holder_seen(true);
+    node.peers.borrow_mut().holder_seen(Some(me.to_owned()));
     log::info!(number = term.number.0, before = before.holder; "duty-taken");
     Ok(lease)
 }
@@ -250,8 +250,10 @@
         return None;
     }
     let since_end_ms = now_ms - (next.cast_signed() + 1) * length;
-    let heard_after = Duration::from_millis((since_end_ms - HEARD_AFTER_MS).max(0) as u64);
-    let complete = node.peers.borrow().all_heard_within(heard_after, now);
+    let ago = Duration::from_millis((since_end_ms - HEARD_AFTER_MS).max(0) as u64);
+    let since = TimePoint(now.as_micros().saturating_sub(ago.as_micros() as u64));
+    let peers = node.peers.borrow();
+    let complete = node.usage.borrow().all_heard(peers.book.names(), since);
     (complete || since_end_ms >= REPORT_ANYWAY_MS).then_some(next)
 }
 
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -178,8 +178,8 @@
     let quota = req.config.accounts.get(account).and_then(|it| it.quota);
     let Some(quota) = quota else { return Ok(0.0) };
     let cost = quincevalve_forwarding::quota::cost(&quota, req.token_counts());
-    let vms = node.vms();
-    let taken = node.quota.borrow_mut().take(account, &quota, cost, vms, clock::now());
+    let part = node.peers.borrow().reachable_part();
+    let taken = node.quota.borrow_mut().take(account, &quota, cost, part, clock::now());
     taken.map(|()| cost).map_err(|over| Refused {
         refusal: Refusal::OverQuota,
         retry_after: Some(over.retry_after),
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -13,6 +14,7 @@
     duty::Duty,
     freshness::Freshness,
     load::{Work, WorkSum},
+    peer_book::VmCard,
     quota::QuotaBook,
     retry_window::RetryWindow,
     servers::ServerTable,
@@ -24,9 +26,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::time::Instant;
 
-use crate::{
-    backends::Backends, clock, peers::PeerBook, ports::HeaderNames, settings::NodeSettings,
-};
+use crate::{backends::Backends, clock, peers::Peers, ports::HeaderNames, settings::NodeSettings};
 
 /// Where the process stands between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,7 +66,7 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) wall: RefCell<WallClock<String>>,
     pub(crate) duty: RefCell<Duty>,
-    pub(crate) peers: RefCell<PeerBook>,
+    pub(crate) peers: RefCell<Peers>,
     pub(crate) arrivals: RefCell<Arrivals>,
     pub(crate) backends: Backends,
     pub(crate) rng: RefCell<Pcg64Mcg>,
@@ -87,7 +87,7 @@
             usage: RefCell::default(),
             wall: RefCell::default(),
             duty: RefCell::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(Peers::new(card(&settings))),
             arrivals: RefCell::default(),
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -146,7 +146,7 @@
 
     /// The entry VMs that are known, this one included.
     pub(crate) fn vms(&self) -> usize {
-        self.peers.borrow().count() + 1
+        self.peers.borrow().book.vms()
     }
 
     /// Takes one repeat out of a service's retry budget.
@@ -167,7 +167,10 @@
 
     /// Notes work that is sent to a server of `service`.
     pub(crate) fn note_arrival(&self, service: &ServiceName, work: Work) {
-        *self.arrivals.borrow_mut().entry(service.clone()).or_default() += work.busy_seconds();
+        let config = self.config.borrow();
+        let engine = config.as_ref().and_then(|it| it.services.get(service)?.engine);
+        let slots = engine.map_or(1, |it| it.slots);
+        *self.arrivals.borrow_mut().entry(service.clone()).or_default() += work.busy_seconds(slots);
     }
 
     /// This VM's own work at each server, for its peers.
@@ -182,6 +185,16 @@
     }
 }
 
+/// What this VM tells others of itself.
+fn card(settings: &NodeSettings) -> VmCard {
+    VmCard {
+        name: settings.name.as_str().to_owned(),
+        address: SocketAddr::new(settings.ip, settings.peer_port),
+        data_centre: settings.data_centre.clone(),
+        cpu: settings.cpu,
+    }
+}
+
 /// Counts a request for as long as it lives.
 pub(crate) struct InFlight(Rc<Node>);
 
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -3,149 +3,226 @@
 //! Datagrams can't go silent as connections do, cost no connection to each peer, and nothing that is lost
 //! has to be sent again: each one carries running totals.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
-use quincevalve_forwarding::{load::WorkSum, usage::Counts};
-use quincevalve_names::{ClientAccountName, ServiceName, TimePoint, hash_text};
+use quincevalve_forwarding::{
+    peer_book::{PeerBook, Role, VmCard},
+    sums::{Share, Sums},
+    usage::Counts,
+};
+use quincevalve_names::{ServiceName, TimePoint, hash_text};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{clock, node::Node};
 
-/// Time between two tellings with few peers: quotas and loads are then known within a quarter second.
-const PERIOD: Duration = Duration::from_millis(250);
-/// Added for each peer, so that a VM takes at most a hundred datagrams a second whatever their number.
-const PERIOD_PER_PEER: Duration = Duration::from_millis(10);
-/// A peer that is neither listed in the store nor heard for this long is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(10);
+/// Time between two tellings. Loads and quotas are known everywhere after three of them at most, which is
+/// short against the objectives; shorter ones cost processor time and bring nothing that is measured.
+const PERIOD: Duration = Duration::from_millis(150);
+/// Periods between two tellings of usage and demand, which are needed by the second.
+const USAGE_PERIODS: u32 = 6;
 /// The largest datagram that is taken, in bytes.
-const MAX_DATAGRAM: usize = 32 << 10;
-
-/// Another entry VM.
-#[derive(Clone, Debug)]
-struct Peer {
-    address: SocketAddr,
-    listed: bool,
-    heard: TimePoint,
-    arrivals: IndexMap<ServiceName, f64>,
+const MAX_DATAGRAM: usize = 60 << 10;
+
+/// Whose share a telling carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Scope {
+    /// The teller's own, for its collector.
+    Own,
+    /// The teller's and its members', for other collectors.
+    Members,
+    /// Everybody's but the receiver's, for a member.
+    Rest,
 }
 
-/// The other entry VMs that are known.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PeerBook {
-    peers: IndexMap<String, Peer>,
-    /// Whether some VM holds the duties, as far as the store has told.
-    has_holder: bool,
+#[derive(Debug, Serialize, Deserialize)]
+enum Content {
+    Share { scope: Scope, share: Share },
+    Usage { counts: Counts, arrivals: IndexMap<ServiceName, f64> },
 }
 
-impl PeerBook {
-    pub(crate) fn count(&self) -> usize {
-        self.peers.len()
-    }
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+struct Telling {
+    from: VmCard,
+    incarnation: u64,
+    /// The teller's time of day.
+    wall_ms: i64,
+    /// True time as the teller reckons it.
+    true_ms: Option<i64>,
+    content: Content,
+}
 
-    /// Takes a peer's entry in the store.
-    pub(crate) fn listed(&mut self, name: &str, address: SocketAddr, now: TimePoint) {
-        let peer = self.peers.entry(name.to_owned()).or_insert_with(|| {
-            log::info!(peer = name, address:% = address; "peer-found");
-            Peer { address, listed: true, heard: now, arrivals: IndexMap::new() }
-        });
-        peer.address = address;
-        peer.listed = true;
+impl Telling {
+    /// One start of one VM: totals of another start are no continuation of these.
+    fn teller(&self) -> String {
+        format!("{}#{}", self.from.name, self.incarnation)
     }
+}
+
+/// What the other entry VMs told.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    pub(crate) book: PeerBook,
+    /// The VM that holds the duties, as the store has it.
+    holder: Option<String>,
+    members: Sums,
+    collectors: Sums,
+    rest: Sums,
+    /// Members' addresses, by teller.
+    member_addresses: HashMap<String, SocketAddr>,
+    arrivals: HashMap<String, IndexMap<ServiceName, f64>>,
+    /// VMs whose work is known at present, this one included.
+    covered: u32,
+}
 
-    /// Notes that a peer's entry was removed.
-    pub(crate) fn unlisted(&mut self, name: &str) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.listed = false;
+impl Peers {
+    pub(crate) fn new(me: VmCard) -> Self {
+        Self {
+            book: PeerBook::new(me),
+            holder: None,
+            members: Sums::default(),
+            collectors: Sums::default(),
+            rest: Sums::default(),
+            member_addresses: HashMap::new(),
+            arrivals: HashMap::new(),
+            covered: 1,
         }
     }
 
-    /// Takes the whole list.
-    pub(crate) fn replace_all(&mut self, listed: &[(String, SocketAddr)], now: TimePoint) {
-        self.peers.values_mut().for_each(|it| it.listed = false);
-        for (name, address) in listed {
-            self.listed(name, *address, now);
-        }
+    /// Notes which VM holds the duties.
+    pub(crate) fn holder_seen(&mut self, holder: Option<String>) {
+        self.holder = holder;
     }
 
-    fn forget(&mut self, now: TimePoint) {
-        self.peers.retain(|name, it| {
-            let kept = it.listed || now.since(it.heard) < FORGET_AFTER;
-            if !kept {
-                log::info!(peer = name.as_str(); "peer-forgotten");
-            }
-            kept
-        });
+    pub(crate) fn has_holder(&self) -> bool {
+        self.holder.is_some()
     }
 
-    /// Notes whether some VM holds the duties.
-    pub(crate) fn holder_seen(&mut self, seen: bool) {
-        self.has_holder = seen;
+    /// What other VMs took on in all, by service.
+    pub(crate) fn arrivals(&self, service: &ServiceName) -> f64 {
+        self.arrivals.values().filter_map(|it| it.get(service)).sum()
     }
 
-    pub(crate) fn has_holder(&self) -> bool {
-        self.has_holder
+    /// The part of the entry VMs whose spending is known here.
+    pub(crate) fn reachable_part(&self) -> f64 {
+        (f64::from(self.covered) / self.book.vms() as f64).min(1.0)
     }
 
-    /// Whether every peer was heard within this time.
-    pub(crate) fn all_heard_within(&self, time: Duration, now: TimePoint) -> bool {
-        self.peers.values().all(|it| now.since(it.heard) < time)
+    /// What all other VMs do, as far as told.
+    fn others(&self, now: TimePoint) -> Share {
+        let mut sum = Share::default();
+        self.members.add_to(&mut sum, None, now);
+        self.collectors.add_to(&mut sum, None, now);
+        self.rest.add_to(&mut sum, None, now);
+        sum
     }
+}
 
-    /// What peers took on in all, by service.
-    pub(crate) fn arrivals(&self, service: &ServiceName) -> f64 {
-        self.peers.values().filter_map(|it| it.arrivals.get(service)).sum()
+/// Tells peers, for as long as the process lives.
+pub(crate) async fn tell_peers(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    for turn in 0_u32.. {
+        let now = clock::now();
+        node.wall.borrow_mut().heard(String::new(), clock::wall_ms(), now);
+        for gone in node.peers.borrow_mut().book.forget(now) {
+            log::info!(peer = gone; "peer-forgotten");
+            node.wall.borrow_mut().forget(&gone);
+        }
+        node.backends.sweep();
+        take_over_sums(&node, now);
+        tell_shares(&node, &socket, now);
+        if turn % USAGE_PERIODS == 0 {
+            tell_usage(&node, &socket);
+        }
+        sleep(PERIOD).await;
     }
 }
 
-/// One telling.
-#[derive(Debug, Serialize, Deserialize)]
-struct Telling {
-    name: String,
-    incarnation: u64,
-    wall_ms: i64,
-    /// Work at servers, by the hash of their names.
-    work: Vec<(u64, WorkSum)>,
-    spent: IndexMap<ClientAccountName, f64>,
-    usage: Counts,
-    arrivals: IndexMap<ServiceName, f64>,
+/// Makes what others told the load that placements see.
+fn take_over_sums(node: &Node, now: TimePoint) {
+    let others = node.peers.borrow().others(now);
+    node.peers.borrow_mut().covered = others.vms + 1;
+    for (name, server) in node.servers.borrow_mut().all_mut() {
+        let work = others.works.get(&hash_text(name.as_str())).copied().unwrap_or_default();
+        server.load.set_others(work, now);
+    }
 }
 
-fn telling(node: &Node) -> Telling {
-    let work = node.own_work().into_iter().map(|(name, it)| (hash_text(name.as_str()), it));
+fn own_share(node: &Node) -> Share {
+    let works = node.own_work().into_iter().map(|(name, it)| (hash_text(name.as_str()), it));
     let quota = node.quota.borrow();
-    Telling {
-        name: node.settings.name.as_str().to_owned(),
-        incarnation: node.incarnation,
-        wall_ms: clock::wall_ms(),
-        work: work.collect(),
-        spent: quota.spent().map(|(account, it)| (account.clone(), it)).collect(),
-        usage: node.usage.borrow().own().clone(),
-        arrivals: node.arrivals.borrow().iter().map(|(name, it)| (name.clone(), *it)).collect(),
+    let spent = quota.spent().map(|(account, it)| (account.clone(), it));
+    Share { vms: 1, works: works.collect(), spent: spent.collect() }
+}
+
+fn tell_shares(node: &Node, socket: &UdpSocket, now: TimePoint) {
+    let own = own_share(node);
+    let peers = node.peers.borrow();
+    let members: Vec<_> = peers.members.fresh_tellers(now).cloned().collect();
+    let role = peers.book.role(!members.is_empty(), now);
+    let mut sent = Vec::new();
+    match role {
+        Role::Member { address, .. } => {
+            sent.push((address, Scope::Own, own));
+        }
+        Role::Collector { others } => {
+            for member in &members {
+                let Some(address) = peers.member_addresses.get(member) else { continue };
+                let mut rest = own.clone();
+                peers.members.add_to(&mut rest, Some(member), now);
+                peers.collectors.add_to(&mut rest, None, now);
+                sent.push((*address, Scope::Rest, rest));
+            }
+            let mut share = own;
+            peers.members.add_to(&mut share, None, now);
+            sent.extend(others.into_iter().map(|it| (it, Scope::Members, share.clone())));
+        }
+    }
+    drop(peers);
+    for (address, scope, share) in sent {
+        send(node, socket, address, Content::Share { scope, share });
+        node.peers.borrow_mut().book.asked(address, now);
     }
 }
 
-/// Tells all peers, for as long as the process lives.
-pub(crate) async fn tell_peers(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    loop {
-        let now = clock::now();
-        node.wall.borrow_mut().heard(String::new(), clock::wall_ms(), now);
-        node.peers.borrow_mut().forget(now);
-        node.backends.sweep();
-        let addresses: Vec<_> = node.peers.borrow().peers.values().map(|it| it.address).collect();
-        match bincode::serialize(&telling(&node)) {
-            Ok(bytes) => {
-                for address in &addresses {
-                    // A datagram that can't be sent is like one that is lost.
-                    if let Err(error) = socket.try_send_to(&bytes, *address) {
-                        log::debug!(peer:% = address, error:% = error; "tell-failed");
-                    }
-                }
+/// Tells usage and demand to the holder of the duties; in a small system to everyone, so that a successor
+/// knows them at once.
+fn tell_usage(node: &Node, socket: &UdpSocket) {
+    let addresses = {
+        let peers = node.peers.borrow();
+        let holder = peers.holder.as_deref().filter(|it| *it != peers.book.me().name);
+        match peers.book.role(true, clock::now()) {
+            Role::Collector { others } if peers.book.is_small() => others,
+            _ => {
+                holder.and_then(|it| peers.book.card(it)).map(|it| it.address).into_iter().collect()
             }
-            Err(error) => log::error!(error:% = error; "telling-not-encoded"),
         }
-        sleep(PERIOD + PERIOD_PER_PEER * addresses.len() as u32).await;
+    };
+    for address in addresses {
+        let counts = node.usage.borrow().own().clone();
+        let arrivals = node.arrivals.borrow();
+        let arrivals = arrivals.iter().map(|(name, it)| (name.clone(), *it)).collect();
+        send(node, socket, address, Content::Usage { counts, arrivals });
+    }
+}
+
+fn send(node: &Node, socket: &UdpSocket, address: SocketAddr, content: Content) {
+    let telling = Telling {
+        from: node.peers.borrow().book.me().clone(),
+        incarnation: node.incarnation,
+        wall_ms: clock::wall_ms(),
+        true_ms: node.wall.borrow().true_ms(clock::now()),
+        content,
+    };
+    match bincode::serialize(&telling) {
+        // A datagram that can't be sent is like one that is lost.
+        Ok(bytes) => {
+            if let Err(error) = socket.try_send_to(&bytes, address) {
+                log::debug!(peer:% = address, error:% = error; "tell-failed");
+            }
+        }
+        Err(error) => log::error!(error:% = error; "telling-not-encoded"),
     }
 }
 
@@ -162,38 +239,44 @@
             }
         };
         match bincode::deserialize::<Telling>(&buf[..length]) {
-            Ok(telling) => hear(&node, &telling, from),
+            Ok(telling) => hear(&node, telling),
             Err(error) => log::warn!(from:% = from, error:% = error; "telling-unreadable"),
         }
     }
 }
 
-fn hear(node: &Node, telling: &Telling, from: SocketAddr) {
+fn hear(node: &Node, telling: Telling) {
     let now = clock::now();
-    {
-        let mut peers = node.peers.borrow_mut();
-        if !peers.peers.contains_key(&telling.name) {
-            peers.listed(&telling.name, from, now);
+    let teller = telling.teller();
+    let name = telling.from.name.clone();
+    node.peers.borrow_mut().book.heard(&telling.from, now);
+    node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
+    match telling.content {
+        Content::Share { scope, share } => {
+            let growth = {
+                let mut peers = node.peers.borrow_mut();
+                if scope == Scope::Own {
+                    peers.member_addresses.insert(teller.clone(), telling.from.address);
+                }
+                let sums = match scope {
+                    Scope::Own => &mut peers.members,
+                    Scope::Members => &mut peers.collectors,
+                    Scope::Rest => &mut peers.rest,
+                };
+                sums.take(&teller, share, now)
+            };
+            if scope == Scope::Rest
+                && let Some(true_ms) = telling.true_ms
+            {
+                node.wall.borrow_mut().trust(true_ms, now);
+            }
+            if let Some(config) = node.config() {
+                node.quota.borrow_mut().others_spent(&growth, &config, now);
+            }
         }
-        if let Some(peer) = peers.peers.get_mut(&telling.name) {
-            peer.heard = now;
-            peer.arrivals.clone_from(&telling.arrivals);
+        Content::Usage { counts, arrivals } => {
+            node.usage.borrow_mut().heard(&name, telling.incarnation, &counts, now);
+            node.peers.borrow_mut().arrivals.insert(teller, arrivals);
         }
     }
-    node.wall.borrow_mut().heard(telling.name.clone(), telling.wall_ms, now);
-    node.usage.borrow_mut().heard(&telling.name, telling.incarnation, &telling.usage);
-    if let Some(config) = node.config() {
-        let mut quota = node.quota.borrow_mut();
-        quota.heard(&telling.name, telling.incarnation, &telling.spent, &config, now);
-    }
-    hear_work(node, telling, now);
-}
-
-fn hear_work(node: &Node, telling: &Telling, now: TimePoint) {
-    for (name, server) in node.servers.borrow_mut().all_mut() {
-        let hash = hash_text(name.as_str());
-        let told = telling.work.iter().find(|it| it.0 == hash);
-        let work = told.map_or(WorkSum::default(), |it| it.1);
-        server.load.heard(&telling.name, work, now);
-    }
 }
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -17,6 +17,8 @@
     pub data_centre: DataCentreName,
     /// Its address.
     pub ip: IpAddr,
+    /// Thousandths of a processor core that it may use.
+    pub cpu: u32,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where the platform asks whether it takes callers.
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -1,7 +1,8 @@
 //! What this VM learns from the platform's store, and its own entry there.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
+use quincevalve_forwarding::peer_book::VmCard;
 use tokio::time::sleep;
 
 use crate::{
@@ -13,7 +14,7 @@
     },
 };
 
-/// Keys of entry VMs, each with the address for datagrams.
+/// Keys of entry VMs, each with its card.
 const PEER_KEYS: &str = "peers/";
 /// The key that the holder of the duties keeps under its lease.
 pub(crate) const HOLDER_KEY: &str = "duty/holder";
@@ -79,13 +80,10 @@
     }
     log::info!(revision = snapshot.at.0, servers = snapshot.servers.len(); "store-read");
     node.servers.borrow_mut().replace_all(snapshot.servers, now);
-    let own_name = node.settings.name.as_str();
-    let peers: Vec<_> =
-        snapshot.own.iter().filter_map(peer).filter(|(name, _)| name != own_name).collect();
-    let mut book = node.peers.borrow_mut();
-    book.replace_all(&peers, now);
+    let mut peers = node.peers.borrow_mut();
+    peers.book.replace_all(snapshot.own.iter().filter_map(peer).collect());
     let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
-    book.holder_seen(holder.is_some());
+    peers.holder_seen(holder.map(|it| holder_name(&it.value)));
     snapshot.at
 }
 
@@ -112,28 +110,39 @@
             log::info!(server = name.as_str(); "server-removed");
             node.servers.borrow_mut().removed(&name, now);
         }
-        Change::Own(item) if item.key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(true),
+        Change::Own(item) if item.key == HOLDER_KEY => {
+            node.peers.borrow_mut().holder_seen(Some(holder_name(&item.value)));
+        }
         Change::Own(item) => {
-            if let Some((name, address)) = peer(&item)
-                && name != node.settings.name.as_str()
+            if let Some(card) = peer(&item)
+                && node.peers.borrow_mut().book.listed(card)
             {
-                node.peers.borrow_mut().listed(&name, address, now);
+                log::info!(peer = item.key; "peer-found");
             }
         }
-        Change::OwnRemoved(key) if key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(false),
+        Change::OwnRemoved(key) if key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(None),
         Change::OwnRemoved(key) => {
             if let Some(name) = key.strip_prefix(PEER_KEYS) {
-                node.peers.borrow_mut().unlisted(name);
+                node.peers.borrow_mut().book.unlisted(name);
             }
         }
         Change::Unreadable(what) => log::error!(what; "store-item-unreadable"),
     }
 }
 
-fn peer(item: &OwnItem) -> Option<(String, SocketAddr)> {
-    let name = item.key.strip_prefix(PEER_KEYS)?;
-    let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-    Some((name.to_owned(), address))
+fn peer(item: &OwnItem) -> Option<VmCard> {
+    item.key.strip_prefix(PEER_KEYS)?;
+    match serde_json::from_slice(&item.value) {
+        Ok(card) => Some(card),
+        Err(error) => {
+            log::error!(key = item.key, error:% = error; "peer-entry-unreadable");
+            None
+        }
+    }
+}
+
+fn holder_name(value: &[u8]) -> String {
+    String::from_utf8_lossy(value).into_owned()
 }
 
 /// Keeps this VM's entry in the store for as long as the process lives.
@@ -164,9 +173,10 @@
     S: PlatformStore,
 {
     let lease = store.grant(ENTRY_LIFETIME).await?;
-    let address = SocketAddr::new(node.settings.ip, node.settings.peer_port);
+    let card = serde_json::to_vec(node.peers.borrow().book.me())
+        .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
     let key = format!("{PEER_KEYS}{}", node.settings.name);
-    let put = (key, address.to_string().into_bytes(), Some(lease));
+    let put = (key, card, Some(lease));
     store.commit(&Commit { expected: Vec::new(), puts: vec![put] }).await?;
     Ok(lease)
 }
