A few entry VMs read the store and pass changes on, with a proof of how new they are

Change: collectors (in a small system two VMs) read every 0.3 s and pass on what changed with their tellings; a proof counts from the datagram that is echoed. A VM that is told nothing new for 1.1 s reads by itself. A new configuration is read by each VM. Orders follow a change of servers at once.

--- /dev/null
+++ b/crates/quincevalve_forwarding/src/change_log.rs
@@ -0,0 +1,78 @@
+//! The newest changes of a store, to pass them on to those who haven't seen them.
+
+use std::collections::VecDeque;
+
+/// Changes kept; some a second come, and who lags further behind reads the store itself.
+const KEPT: usize = 2_000;
+
+/// Changes after a revision up to another, without a gap.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeLog<C> {
+    after: u64,
+    upto: u64,
+    changes: VecDeque<(u64, C)>,
+}
+
+impl<C> Default for ChangeLog<C> {
+    fn default() -> Self {
+        Self { after: 0, upto: 0, changes: VecDeque::new() }
+    }
+}
+
+/// A part of a log for one reader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Excerpt<C> {
+    /// The revision that the reader has to have reached.
+    pub after: u64,
+    /// The revision that it has reached then.
+    pub upto: u64,
+    /// The changes between, oldest first.
+    pub changes: Vec<(u64, C)>,
+}
+
+impl<C> ChangeLog<C>
+where
+    C: Clone,
+{
+    /// Begins anew at a revision, for instance after the whole store was read.
+    pub fn restart(&mut self, at: u64) {
+        self.after = at;
+        self.upto = at;
+        self.changes.clear();
+    }
+
+    /// The newest revision that is known.
+    pub fn upto(&self) -> u64 {
+        self.upto
+    }
+
+    /// Adds the changes that follow, up to a revision.
+    pub fn extend(&mut self, changes: impl IntoIterator<Item = (u64, C)>, upto: u64) {
+        let known = self.upto;
+        self.changes.extend(changes.into_iter().filter(|(at, _)| *at > known));
+        self.upto = self.upto.max(upto);
+        while self.changes.len() > KEPT {
+            if let Some((at, _)) = self.changes.pop_front() {
+                self.after = at;
+            }
+        }
+    }
+
+    /// What a reader that has reached `seen` lacks, at most `most` changes; `None` where the log doesn't go
+    /// back that far.
+    pub fn since(&self, seen: u64, most: usize) -> Option<Excerpt<C>> {
+        if seen < self.after {
+            return None;
+        }
+        let mut changes: Vec<_> =
+            self.changes.iter().filter(|(at, _)| *at > seen).take(most + 1).cloned().collect();
+        let mut upto = self.upto;
+        if changes.len() > most {
+            // Changes of one revision come together or not at all.
+            let cut = changes[most].0;
+            changes.retain(|(at, _)| *at < cut);
+            upto = cut.saturating_sub(1);
+        }
+        Some(Excerpt { after: seen, upto: upto.max(seen), changes })
+    }
+}
--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -64,6 +64,8 @@
 /// Tokens of quota that keep one server busy for a second: its prompts are partly kept in memory, and the
 /// most that may be generated seldom is.
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
+/// Time between two looks at least: what comes in a shorter time says little of the demand.
+const LEAST_LOOK: Duration = Duration::from_millis(900);
 /// Part of what the quotas let expect that is always prepared for at first.
 const LEAST_PROMISED: f64 = 0.5;
 /// Looks at the demand before it is believed; until then the quotas say what to expect.
@@ -98,8 +100,14 @@
 impl Demand {
     /// Takes the seconds of work that all entry VMs took on since they started.
     pub fn observe(&mut self, total: f64, now: TimePoint) {
-        let last = self.last.replace((now, total));
-        let Some((at, before)) = last else { return };
+        let Some((at, before)) = self.last else {
+            self.last = Some((now, total));
+            return;
+        };
+        if now.since(at) < LEAST_LOOK {
+            return;
+        }
+        self.last = Some((now, total));
         let rate = (total - before).max(0.0) / now.since(at).as_secs_f64().max(0.1);
         let weight = if rate > self.busy { RISING } else { FALLING };
         self.busy += weight * (rate - self.busy);
--- a/crates/quincevalve_forwarding/src/peer_book.rs
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -14,6 +14,8 @@
 /// Up to this many VMs everyone tells everyone: a dozen datagrams a period are cheap, and there is no
 /// collector to lose.
 const SMALL: usize = 16;
+/// VMs of a small system that read the store for all: one, and one in case it can't.
+const READERS: usize = 2;
 /// A collector that has not answered for this long has gone or is out of reach; it answers ten times in it.
 const SILENT: Duration = Duration::from_millis(800);
 /// A peer that is neither listed nor heard for this long is forgotten.
@@ -164,6 +166,11 @@
         self.peers.keys().map(String::as_str)
     }
 
+    /// The name of the VM at an address.
+    pub fn name_of(&self, address: SocketAddr) -> Option<&str> {
+        self.peers.values().find(|it| it.card.address == address).map(|it| it.card.name.as_str())
+    }
+
     /// Whether every VM of a small system tells every other.
     pub fn is_small(&self) -> bool {
         self.vms() <= SMALL
@@ -187,6 +194,17 @@
         }
     }
 
+    /// Whether this VM reads the store for others: collectors do, and in a small system the first two.
+    pub fn reads_for_others(&self, has_members: bool, now: TimePoint) -> bool {
+        if !self.is_small() {
+            return matches!(self.role(has_members, now), Role::Collector { .. });
+        }
+        let mut cards: Vec<_> = self.peers.values().map(|it| &it.card).chain([&self.me]).collect();
+        cards.sort_by_key(|it| (std::cmp::Reverse(it.cpu), hash_text(&it.name)));
+        let mut readers = cards.into_iter().filter(|it| !self.is_silent(it, now)).take(READERS);
+        readers.any(|it| it.name == self.me.name)
+    }
+
     /// Of each data centre the first that answers, and where the very first doesn't, also that one.
     fn other_collectors(&self, now: TimePoint) -> Vec<SocketAddr> {
         let mut centres: Vec<&DataCentreName> = Vec::new();
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -4,11 +4,12 @@
 
 use indexmap::IndexMap;
 use quincevalve_names::{BackendServerName, DataCentreName, ServiceName, TimePoint};
+use serde::{Deserialize, Serialize};
 
 use crate::load::ServerLoad;
 
 /// What a server says of itself in the platform's list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// The service that it belongs to.
     pub service: ServiceName,
@@ -75,8 +76,9 @@
 }
 
 impl ServerTable {
-    /// Takes an entry of the list.
-    pub fn listed(&mut self, name: &BackendServerName, entry: ServerEntry, now: TimePoint) {
+    /// Takes an entry of the list; `true` if the server wasn't listed before.
+    pub fn listed(&mut self, name: &BackendServerName, entry: ServerEntry, now: TimePoint) -> bool {
+        let was_listed = self.servers.get(name).is_some_and(|it| it.listing == Listing::Listed);
         let draining = entry.draining;
         let server = self.servers.entry(name.clone()).or_insert_with(|| Server {
             load: ServerLoad::default(),
@@ -90,6 +92,7 @@
         if draining {
             server.leaving.get_or_insert(Leaving::Announced);
         }
+        !was_listed
     }
 
     /// Notes that an entry was removed.
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -22,7 +22,7 @@
         ActingHolder, CloudApi, CloudError, Commit, LeaseId, PlatformStore, ServerOrder,
         StoreError, StoreRevision,
     },
-    store_sync::HOLDER_KEY,
+    store_view::HOLDER_KEY,
 };
 
 /// The key that counts the holders; it has no lease.
@@ -45,6 +45,9 @@
 const HEARD_AFTER_MS: i64 = 500;
 /// Time between two plans of the fleet.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Pause after a change, so that changes that come together are planned for together.
+const CHANGES_TOGETHER: Duration = Duration::from_millis(50);
+
 /// A usage report as it was or will be sent.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Report {
@@ -308,7 +311,11 @@
                 fleet.planner.sent(&order, outcome, clock::now());
             }
         }
-        sleep(PLAN_PERIOD).await;
+        // A notice of a reclaim is answered at once: a server takes seconds to start.
+        tokio::select! {
+            () = sleep(PLAN_PERIOD) => {}
+            () = node.changed.notified() => sleep(CHANGES_TOGETHER).await,
+        }
     }
 }
 
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod settings;
 mod start;
 mod store_sync;
+mod store_view;
 
 pub use crate::start::{StartError, run};
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -24,9 +24,12 @@
 use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
-use crate::{backends::Backends, clock, peers::Peers, ports::HeaderNames, settings::NodeSettings};
+use crate::{
+    backends::Backends, clock, peers::Peers, ports::HeaderNames, settings::NodeSettings,
+    store_view::StoreView,
+};
 
 /// Where the process stands between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +74,11 @@
     pub(crate) backends: Backends,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
+    pub(crate) store_view: RefCell<StoreView>,
+    /// The newest version of the configuration that others have.
+    pub(crate) told_version: Cell<u64>,
+    /// Wakes those who wait for changes of servers or VMs.
+    pub(crate) changed: Notify,
 }
 
 impl Node {
@@ -92,6 +100,9 @@
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
+            store_view: RefCell::default(),
+            told_version: Cell::new(0),
+            changed: Notify::new(),
             settings,
             headers,
         }
@@ -144,6 +155,13 @@
         left(until) >= needs.min(route.timeout)
     }
 
+    /// Whether this VM reads the store for others.
+    pub(crate) fn reads_for_others(&self) -> bool {
+        let now = clock::now();
+        let peers = self.peers.borrow();
+        peers.book.reads_for_others(peers.has_members(now), now)
+    }
+
     /// The entry VMs that are known, this one included.
     pub(crate) fn vms(&self) -> usize {
         self.peers.borrow().book.vms()
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
+    change_log::Excerpt,
     peer_book::{PeerBook, Role, VmCard},
     sums::{Share, Sums},
     usage::Counts,
@@ -15,13 +16,21 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use crate::{clock, node::Node};
+use crate::{
+    clock,
+    node::Node,
+    ports::StoreRevision,
+    store_sync::prove,
+    store_view::{Passed, take_excerpt},
+};
 
 /// Time between two tellings. Loads and quotas are known everywhere after three of them at most, which is
 /// short against the objectives; shorter ones cost processor time and bring nothing that is measured.
 const PERIOD: Duration = Duration::from_millis(150);
 /// Periods between two tellings of usage and demand, which are needed by the second.
 const USAGE_PERIODS: u32 = 6;
+/// Changes of the store in one datagram at most; each takes some two hundred bytes.
+const MAX_PASSED: usize = 120;
 /// The largest datagram that is taken, in bytes.
 const MAX_DATAGRAM: usize = 60 << 10;
 
@@ -36,9 +45,30 @@
     Rest,
 }
 
+/// What the teller knows of the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Relayed {
+    /// How long ago the teller sent the question whose answer proves that this is the newest.
+    age: Duration,
+    /// The version of the configuration in force.
+    version: u64,
+    after: u64,
+    upto: u64,
+    changes: Vec<(u64, Passed)>,
+}
+
+/// The newest datagram that the teller has of the receiver.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Echo {
+    /// The receiver's clock when it sent that.
+    sent: TimePoint,
+    /// How long the teller has had it.
+    held: Duration,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 enum Content {
-    Share { scope: Scope, share: Share },
+    Share { scope: Scope, share: Share, relayed: Option<Relayed> },
     Usage { counts: Counts, arrivals: IndexMap<ServiceName, f64> },
 }
 
@@ -51,6 +81,11 @@
     wall_ms: i64,
     /// True time as the teller reckons it.
     true_ms: Option<i64>,
+    /// The teller's clock.
+    sent: TimePoint,
+    echo: Option<Echo>,
+    /// The revision of the store that the teller has reached.
+    seen: Option<u64>,
     content: Content,
 }
 
@@ -73,6 +108,8 @@
     /// Members' addresses, by teller.
     member_addresses: HashMap<String, SocketAddr>,
     arrivals: HashMap<String, IndexMap<ServiceName, f64>>,
+    /// The newest datagram of each VM, by name: its clock, ours, and what it had seen of the store.
+    newest: HashMap<String, (TimePoint, TimePoint, Option<u64>)>,
     /// VMs whose work is known at present, this one included.
     covered: u32,
 }
@@ -87,6 +124,7 @@
             rest: Sums::default(),
             member_addresses: HashMap::new(),
             arrivals: HashMap::new(),
+            newest: HashMap::new(),
             covered: 1,
         }
     }
@@ -100,6 +138,11 @@
         self.holder.is_some()
     }
 
+    /// Whether other VMs have chosen this one as their collector.
+    pub(crate) fn has_members(&self, now: TimePoint) -> bool {
+        self.members.is_fresh(now)
+    }
+
     /// What other VMs took on in all, by service.
     pub(crate) fn arrivals(&self, service: &ServiceName) -> f64 {
         self.arrivals.values().filter_map(|it| it.get(service)).sum()
@@ -181,11 +224,48 @@
     }
     drop(peers);
     for (address, scope, share) in sent {
-        send(node, socket, address, Content::Share { scope, share });
+        let relayed = if scope == Scope::Own { None } else { relayed(node, address, now) };
+        send(node, socket, address, Content::Share { scope, share, relayed });
         node.peers.borrow_mut().book.asked(address, now);
     }
 }
 
+/// What a VM that reads the store passes on to another.
+fn relayed(node: &Node, to: SocketAddr, now: TimePoint) -> Option<Relayed> {
+    if !node.reads_for_others() {
+        return None;
+    }
+    let age = node.freshness.get().age(now)?;
+    let version = node.config()?.version;
+    let seen = {
+        let peers = node.peers.borrow();
+        let name = peers.book.name_of(to)?;
+        peers.newest.get(name)?.2?
+    };
+    let excerpt = node.store_view.borrow().since(StoreRevision(seen), MAX_PASSED)?;
+    let Excerpt { after, upto, changes } = excerpt;
+    Some(Relayed { age, version, after, upto, changes })
+}
+
+/// Takes what another VM knows of the store.
+///
+/// The proof counts from when this VM sent the datagram that the other echoes, less the age of the other's
+/// own proof: however long the answer was on its way, it can't be taken for newer than it is.
+fn take_relayed(node: &Node, relayed: Relayed, echo: Option<Echo>) {
+    let Relayed { age, version, after, upto, changes } = relayed;
+    let is_contiguous = take_excerpt(node, Excerpt { after, upto, changes });
+    node.told_version.set(node.told_version.get().max(version));
+    let reached = node.store_view.borrow().reached();
+    let knows = node.config().is_some_and(|it| it.version >= version)
+        && reached.is_some_and(|it| it.0 >= upto);
+    let Some(echo) = echo.filter(|_| is_contiguous && knows) else { return };
+    let told_at = echo.sent + echo.held;
+    let proved = told_at.as_micros().checked_sub(age.as_micros() as u64);
+    if let Some(proved) = proved {
+        prove(node, TimePoint(proved));
+    }
+}
+
 /// Tells usage and demand to the holder of the duties; in a small system to everyone, so that a successor
 /// knows them at once.
 fn tell_usage(node: &Node, socket: &UdpSocket) {
@@ -208,11 +288,20 @@
 }
 
 fn send(node: &Node, socket: &UdpSocket, address: SocketAddr, content: Content) {
+    let now = clock::now();
+    let echo = {
+        let peers = node.peers.borrow();
+        let newest = peers.book.name_of(address).and_then(|it| peers.newest.get(it));
+        newest.map(|(sent, at, _)| Echo { sent: *sent, held: now.since(*at) })
+    };
     let telling = Telling {
+        sent: now,
+        echo,
+        seen: node.store_view.borrow().reached().map(|it| it.0),
         from: node.peers.borrow().book.me().clone(),
         incarnation: node.incarnation,
         wall_ms: clock::wall_ms(),
-        true_ms: node.wall.borrow().true_ms(clock::now()),
+        true_ms: node.wall.borrow().true_ms(now),
         content,
     };
     match bincode::serialize(&telling) {
@@ -249,10 +338,17 @@
     let now = clock::now();
     let teller = telling.teller();
     let name = telling.from.name.clone();
-    node.peers.borrow_mut().book.heard(&telling.from, now);
+    {
+        let mut peers = node.peers.borrow_mut();
+        peers.book.heard(&telling.from, now);
+        peers.newest.insert(name.clone(), (telling.sent, now, telling.seen));
+    }
     node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
     match telling.content {
-        Content::Share { scope, share } => {
+        Content::Share { scope, share, relayed } => {
+            if let Some(relayed) = relayed {
+                take_relayed(node, relayed, telling.echo);
+            }
             let growth = {
                 let mut peers = node.peers.borrow_mut();
                 if scope == Scope::Own {
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -68,8 +68,8 @@
 /// Changes since a revision.
 #[derive(Debug, Default)]
 pub struct Changes {
-    /// The changes, oldest first.
-    pub changes: Vec<Change>,
+    /// The changes with their revisions, oldest first.
+    pub changes: Vec<(StoreRevision, Change)>,
     /// The revision to go on from.
     pub at: StoreRevision,
 }
@@ -122,6 +122,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>>;
 
+    /// Reads the configuration, newest.
+    fn config(&self) -> impl Future<Output = Result<Option<ForwardingConfig>, StoreError>>;
+
     /// Reads one of the system's own keys, newest.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<OwnItem>, StoreError>>;
 
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -1,64 +1,70 @@
-//! What this VM learns from the platform's store, and its own entry there.
+//! How this VM keeps up with the platform's store, and its own entry there.
 
 use std::{rc::Rc, time::Duration};
 
-use quincevalve_forwarding::peer_book::VmCard;
+use quincevalve_names::TimePoint;
 use tokio::time::sleep;
 
 use crate::{
     clock,
     node::Node,
-    ports::{
-        Change, Changes, Commit, LeaseId, OwnItem, PlatformStore, Snapshot, StoreError,
-        StoreRevision,
-    },
+    ports::{Commit, LeaseId, PlatformStore, StoreError},
+    store_view::{PEER_KEYS, take_changes, take_snapshot},
 };
 
-/// Keys of entry VMs, each with its card.
-const PEER_KEYS: &str = "peers/";
-/// The key that the holder of the duties keeps under its lease.
-pub(crate) const HOLDER_KEY: &str = "duty/holder";
 /// The longest wait of one question for changes.
 const WAIT: Duration = Duration::from_millis(700);
-/// Pause after an answer. Servers renew their entries many times a second, so a waiting question is
-/// answered at once; with the pause a VM asks once a second, and a change is known in a little more than a
-/// second where two are allowed.
-const PAUSE: Duration = Duration::from_secs(1);
+/// Pause of a reader after an answer. Servers renew their entries many times a second, so a waiting question
+/// is answered at once; few VMs read for all others, so the pause is short.
+const READER_PAUSE: Duration = Duration::from_millis(300);
+/// Pause of a VM that reads for itself alone, since what it is told is too old.
+const LONE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after a failure: short, for a VM without a new proof refuses keys soon.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// A VM that is told nothing newer than this reads the store itself: a change must be in force two seconds
+/// after it was accepted, and the reading takes its part of that.
+const TOLD_AGE: Duration = Duration::from_millis(1_100);
+/// Pause between two looks whether what is told is new enough.
+const LOOK: Duration = Duration::from_millis(100);
 /// Lifetime of this VM's own entry; long against renewals, so that a slow store doesn't remove it.
-const ENTRY_LIFETIME: Duration = Duration::from_secs(10);
+const ENTRY_LIFETIME: Duration = Duration::from_secs(30);
 /// Time between two renewals of it.
-const ENTRY_RENEWAL: Duration = Duration::from_secs(3);
+const ENTRY_RENEWAL: Duration = Duration::from_secs(10);
 
 /// Keeps up with the store for as long as the process lives.
 pub(crate) async fn follow_store<S>(node: Rc<Node>, store: S)
 where
     S: PlatformStore,
 {
-    let mut at: Option<StoreRevision> = None;
     let mut is_lost = false;
+    let mut is_told = false;
     loop {
+        fetch_config(&node, &store).await;
+        if !must_read(&node) {
+            if !std::mem::replace(&mut is_told, true) {
+                log::info!("store-told-by-others");
+            }
+            sleep(LOOK).await;
+            continue;
+        }
+        if std::mem::take(&mut is_told) {
+            let age_ms =
+                node.freshness.get().age(clock::now()).map_or(0, |it| it.as_millis() as u64);
+            log::info!(age_ms; "store-read-here");
+        }
         let asked = clock::now();
-        let result = match at {
-            None => store.snapshot().await.map(|it| take_snapshot(&node, it)),
-            Some(after) => store.changes(after, WAIT).await.map(|it| take_changes(&node, it)),
-        };
-        let pause = match result {
-            Ok(next) => {
-                let mut freshness = node.freshness.get();
-                freshness.proved(asked);
-                node.freshness.set(freshness);
+        let pause = match read(&node, &store).await {
+            Ok(()) => {
+                prove(&node, asked);
                 if std::mem::take(&mut is_lost) {
-                    log::info!(revision = next.0; "store-regained");
+                    log::info!("store-regained");
                     node.servers.borrow_mut().store_found(clock::now());
                 }
-                at = Some(next);
-                if node.config.borrow().is_some() { PAUSE } else { FAILED_PAUSE }
+                if node.reads_for_others() { READER_PAUSE } else { LONE_PAUSE }
             }
             Err(StoreError::HistoryGone) => {
-                log::info!(revision = at.map_or(0, |it| it.0); "store-history-gone");
-                at = None;
+                log::info!("store-history-gone");
+                node.store_view.borrow_mut().forget();
                 Duration::ZERO
             }
             Err(error) => {
@@ -73,76 +79,53 @@
     }
 }
 
-fn take_snapshot(node: &Node, snapshot: Snapshot) -> StoreRevision {
-    let now = clock::now();
-    if let Some(config) = snapshot.config {
-        node.apply_config(config);
-    }
-    log::info!(revision = snapshot.at.0, servers = snapshot.servers.len(); "store-read");
-    node.servers.borrow_mut().replace_all(snapshot.servers, now);
-    let mut peers = node.peers.borrow_mut();
-    peers.book.replace_all(snapshot.own.iter().filter_map(peer).collect());
-    let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
-    peers.holder_seen(holder.map(|it| holder_name(&it.value)));
-    snapshot.at
-}
-
-fn take_changes(node: &Node, changes: Changes) -> StoreRevision {
-    for change in changes.changes {
-        take_change(node, change);
-    }
-    changes.at
+/// Whether this VM has to ask the store itself.
+fn must_read(node: &Node) -> bool {
+    let knows_all = node.store_view.borrow().reached().is_some() && node.config().is_some();
+    !knows_all || node.reads_for_others() || !node.freshness.get().is_within(TOLD_AGE, clock::now())
 }
 
-fn take_change(node: &Node, change: Change) {
-    let now = clock::now();
-    match change {
-        Change::Config(config) => node.apply_config(*config),
-        Change::Server(name, entry) => {
-            let mut servers = node.servers.borrow_mut();
-            let was = servers.get(&name).map(|it| it.entry.draining);
-            if was != Some(entry.draining) {
-                log::info!(server = name.as_str(), draining = entry.draining, reclaimable = entry.reclaimable; "server-listed");
-            }
-            servers.listed(&name, entry, now);
-        }
-        Change::ServerRemoved(name) => {
-            log::info!(server = name.as_str(); "server-removed");
-            node.servers.borrow_mut().removed(&name, now);
-        }
-        Change::Own(item) if item.key == HOLDER_KEY => {
-            node.peers.borrow_mut().holder_seen(Some(holder_name(&item.value)));
-        }
-        Change::Own(item) => {
-            if let Some(card) = peer(&item)
-                && node.peers.borrow_mut().book.listed(card)
-            {
-                log::info!(peer = item.key; "peer-found");
-            }
-        }
-        Change::OwnRemoved(key) if key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(None),
-        Change::OwnRemoved(key) => {
-            if let Some(name) = key.strip_prefix(PEER_KEYS) {
-                node.peers.borrow_mut().book.unlisted(name);
-            }
+async fn read<S>(node: &Node, store: &S) -> Result<(), StoreError>
+where
+    S: PlatformStore,
+{
+    let reached = node.store_view.borrow().reached();
+    match reached {
+        Some(after) if node.config().is_some() => {
+            let changes = store.changes(after, WAIT).await?;
+            take_changes(node, changes);
         }
-        Change::Unreadable(what) => log::error!(what; "store-item-unreadable"),
+        _ => take_snapshot(node, store.snapshot().await?),
     }
+    Ok(())
 }
 
-fn peer(item: &OwnItem) -> Option<VmCard> {
-    item.key.strip_prefix(PEER_KEYS)?;
-    match serde_json::from_slice(&item.value) {
-        Ok(card) => Some(card),
-        Err(error) => {
-            log::error!(key = item.key, error:% = error; "peer-entry-unreadable");
-            None
-        }
+/// Reads a configuration that others have and this VM lacks.
+async fn fetch_config<S>(node: &Node, store: &S)
+where
+    S: PlatformStore,
+{
+    let known = node.config().map_or(0, |it| it.version);
+    if node.told_version.get() <= known {
+        return;
+    }
+    match store.config().await {
+        Ok(Some(config)) => node.apply_config(config),
+        Ok(None) => {}
+        Err(error) => log::debug!(error:% = error; "config-not-read"),
     }
 }
 
-fn holder_name(value: &[u8]) -> String {
-    String::from_utf8_lossy(value).into_owned()
+/// Takes the answer to a question of `asked` for a proof that nothing is newer than what is known.
+///
+/// Not where others have a newer configuration: what was passed on may have led past it.
+pub(crate) fn prove(node: &Node, asked: TimePoint) {
+    if node.config().is_none_or(|it| it.version < node.told_version.get()) {
+        return;
+    }
+    let mut freshness = node.freshness.get();
+    freshness.proved(asked);
+    node.freshness.set(freshness);
 }
 
 /// Keeps this VM's entry in the store for as long as the process lives.
--- /dev/null
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -0,0 +1,179 @@
+//! What this VM knows of the platform's store, whether it read it itself or was told.
+
+use quincevalve_forwarding::{
+    change_log::{ChangeLog, Excerpt},
+    peer_book::VmCard,
+    servers::ServerEntry,
+};
+use quincevalve_names::BackendServerName;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock,
+    node::Node,
+    ports::{Change, Changes, OwnItem, Snapshot, StoreRevision},
+};
+
+/// Keys of entry VMs, each with its card.
+pub(crate) const PEER_KEYS: &str = "peers/";
+/// The key that the holder of the duties keeps under its lease.
+pub(crate) const HOLDER_KEY: &str = "duty/holder";
+
+/// A change that is passed on to other VMs. Configurations are too large for that: each VM reads a new one
+/// itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Passed {
+    Server(BackendServerName, ServerEntry),
+    ServerRemoved(BackendServerName),
+    Own { key: String, value: Vec<u8> },
+    OwnRemoved(String),
+}
+
+/// The revision that this VM has reached, and what led there.
+#[derive(Debug, Default)]
+pub(crate) struct StoreView {
+    log: ChangeLog<Passed>,
+    /// Whether everything was read once.
+    complete: bool,
+}
+
+impl StoreView {
+    /// The revision that was reached; `None` before everything was read once.
+    pub(crate) fn reached(&self) -> Option<StoreRevision> {
+        self.complete.then(|| StoreRevision(self.log.upto()))
+    }
+
+    /// What a VM lacks that has reached `seen`.
+    pub(crate) fn since(&self, seen: StoreRevision, most: usize) -> Option<Excerpt<Passed>> {
+        self.log.since(seen.0, most).filter(|_| self.complete)
+    }
+
+    /// Begins anew: what was reached is no longer kept by the store.
+    pub(crate) fn forget(&mut self) {
+        self.complete = false;
+    }
+}
+
+/// Takes the whole store.
+pub(crate) fn take_snapshot(node: &Node, snapshot: Snapshot) {
+    let now = clock::now();
+    if let Some(config) = snapshot.config {
+        node.apply_config(config);
+    }
+    if node.store_view.borrow().reached().is_some_and(|it| it >= snapshot.at) {
+        return;
+    }
+    log::info!(revision = snapshot.at.0, servers = snapshot.servers.len(); "store-read");
+    node.servers.borrow_mut().replace_all(snapshot.servers, now);
+    let mut peers = node.peers.borrow_mut();
+    peers.book.replace_all(snapshot.own.iter().filter_map(|it| card(&it.key, &it.value)).collect());
+    let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
+    peers.holder_seen(holder.map(|it| holder_name(&it.value)));
+    let mut view = node.store_view.borrow_mut();
+    view.log.restart(snapshot.at.0);
+    view.complete = true;
+}
+
+/// Takes changes that this VM read itself.
+pub(crate) fn take_changes(node: &Node, changes: Changes) {
+    let mut passed = Vec::new();
+    for (at, change) in changes.changes {
+        match change {
+            Change::Config(config) => node.apply_config(*config),
+            Change::Unreadable(what) => log::error!(what; "store-item-unreadable"),
+            Change::Server(name, entry) => passed.push((at.0, Passed::Server(name, entry))),
+            Change::ServerRemoved(name) => passed.push((at.0, Passed::ServerRemoved(name))),
+            Change::Own(OwnItem { key, value, .. }) => {
+                passed.push((at.0, Passed::Own { key, value }));
+            }
+            Change::OwnRemoved(key) => passed.push((at.0, Passed::OwnRemoved(key))),
+        }
+    }
+    take_passed(node, passed, changes.at);
+}
+
+/// Takes changes that another VM passed on; `false` where some before them are missing here.
+pub(crate) fn take_excerpt(node: &Node, excerpt: Excerpt<Passed>) -> bool {
+    let reached = node.store_view.borrow().reached();
+    if reached.is_none_or(|it| it.0 < excerpt.after) {
+        return false;
+    }
+    take_passed(node, excerpt.changes, StoreRevision(excerpt.upto));
+    true
+}
+
+/// Takes changes in order.
+///
+/// Failure: this VM waits for the store's answer while another VM passes newer changes on. Symptom: the
+/// answer, older than what is known by then, brings back a server that is gone. Changes up to the revision
+/// that was reached are left out.
+fn take_passed(node: &Node, passed: Vec<(u64, Passed)>, upto: StoreRevision) {
+    let reached = node.store_view.borrow().reached().map_or(0, |it| it.0);
+    let mut kept = Vec::new();
+    for (at, change) in passed.into_iter().filter(|(at, _)| *at > reached) {
+        // Servers renew their entries all the time; only what changes is worth passing on.
+        if apply(node, &change) {
+            kept.push((at, change));
+        }
+    }
+    if !kept.is_empty() {
+        node.changed.notify_waiters();
+    }
+    node.store_view.borrow_mut().log.extend(kept, upto.0);
+}
+
+/// Makes a change known here; `false` if nothing is new in it.
+fn apply(node: &Node, change: &Passed) -> bool {
+    let now = clock::now();
+    match change {
+        Passed::Server(name, entry) => {
+            let mut servers = node.servers.borrow_mut();
+            let known = servers.get(name).map(|it| it.entry.clone());
+            if known.as_ref().is_none_or(|it| it.draining != entry.draining) {
+                log::info!(
+                    server = name.as_str(), draining = entry.draining,
+                    reclaimable = entry.reclaimable;
+                    "server-listed"
+                );
+            }
+            let is_new = servers.listed(name, entry.clone(), now) || known.as_ref() != Some(entry);
+            return is_new;
+        }
+        Passed::ServerRemoved(name) => {
+            log::info!(server = name.as_str(); "server-removed");
+            node.servers.borrow_mut().removed(name, now);
+        }
+        Passed::Own { key, value } if key == HOLDER_KEY => {
+            node.peers.borrow_mut().holder_seen(Some(holder_name(value)));
+        }
+        Passed::Own { key, value } => {
+            if let Some(card) = card(key, value)
+                && node.peers.borrow_mut().book.listed(card)
+            {
+                log::info!(peer = key; "peer-found");
+            }
+        }
+        Passed::OwnRemoved(key) if key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(None),
+        Passed::OwnRemoved(key) => {
+            if let Some(name) = key.strip_prefix(PEER_KEYS) {
+                node.peers.borrow_mut().book.unlisted(name);
+            }
+        }
+    }
+    true
+}
+
+fn card(key: &str, value: &[u8]) -> Option<VmCard> {
+    key.strip_prefix(PEER_KEYS)?;
+    match serde_json::from_slice(value) {
+        Ok(card) => Some(card),
+        Err(error) => {
+            log::error!(key, error:% = error; "peer-entry-unreadable");
+            None
+        }
+    }
+}
+
+fn holder_name(value: &[u8]) -> String {
+    String::from_utf8_lossy(value).into_owned()
+}
