--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -66,8 +66,10 @@
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
 /// Time between two looks at least: what comes in a shorter time says little of the demand.
 const LEAST_LOOK: Duration = Duration::from_millis(900);
-/// Part of what the quotas let expect that is always prepared for at first.
-const LEAST_PROMISED: f64 = 0.5;
+/// Times what the quotas let expect that is prepared for at most at first: not all accounts have a quota.
+const MOST_PROMISED: f64 = 1.5;
+/// Time that a new planner needs to see all servers: they renew their entries within it.
+const ACQUAINTANCE: Duration = Duration::from_millis(2_800);
 /// Looks at the demand before it is believed; until then the quotas say what to expect.
 const LOOKS_BEFORE_BELIEF: u32 = 6;
 /// Time for which fewer reclaimable servers must be enough before fewer are ordered: longer than the times
@@ -91,7 +93,7 @@
 
 /// The demand for a service, in servers that would be busy all the time.
 #[derive(Clone, Debug, Default)]
-pub struct Demand {
+struct Demand {
     last: Option<(TimePoint, f64)>,
     busy: f64,
     looks: u32,
@@ -99,7 +101,7 @@
 
 impl Demand {
     /// Takes the seconds of work that all entry VMs took on since they started.
-    pub fn observe(&mut self, total: f64, now: TimePoint) {
+    fn observe(&mut self, total: f64, now: TimePoint) {
         let Some((at, before)) = self.last else {
             self.last = Some((now, total));
             return;
@@ -108,7 +110,7 @@
             return;
         }
         self.last = Some((now, total));
-        let rate = (total - before).max(0.0) / now.since(at).as_secs_f64().max(0.1);
+        let rate = (total - before).max(0.0) / now.since(at).as_secs_f64();
         let weight = if rate > self.busy { RISING } else { FALLING };
         self.busy += weight * (rate - self.busy);
         if self.busy > 0.0 {
@@ -117,7 +119,7 @@
     }
 
     /// Servers that would be busy all the time; at least `expected` until enough was seen.
-    pub fn busy(&self, expected: f64) -> f64 {
+    fn busy(&self, expected: f64) -> f64 {
         if self.looks < LOOKS_BEFORE_BELIEF { self.busy.max(expected) } else { self.busy }
     }
 }
@@ -135,12 +137,12 @@
 /// The demand to expect before any was measured, in busy servers.
 ///
 /// Failure: the duty passes to a VM that has not yet measured any demand. Symptom: it plans for none and
-/// gives the fleet back. Until it has measured, it takes the fleet for the right size, within what the
-/// quotas let expect.
-pub fn expected_at_first(promised: f64, present: &IndexMap<DataCentreName, Present>) -> f64 {
+/// gives the fleet back. Until it has measured, it takes the fleet for the right size, unless quotas let
+/// expect much less.
+fn expected_at_first(promised: f64, present: &IndexMap<DataCentreName, Present>) -> f64 {
     let servers: u32 = present.values().map(|it| it.reclaimable + it.on_demand).sum();
     let carried = f64::from(servers) * WANTED_BUSY;
-    carried.clamp(promised * LEAST_PROMISED, promised.max(promised * LEAST_PROMISED))
+    if promised <= 0.0 { carried } else { carried.min(promised * MOST_PROMISED).max(promised) }
 }
 
 /// Plans the servers of one service.
@@ -148,14 +150,46 @@
 /// Load: reclaimable servers cost a fraction of on-demand ones, and all of a data centre's go at once,
 /// for a while perhaps without replacement. They are spread evenly over the data centres, so that the loss
 /// of one leaves enough; what is missing while none can be had is ordered on demand where it is cheapest.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FleetPlanner {
+    since: TimePoint,
+    demand: Demand,
+    /// What was expected before any demand was measured, once all servers were seen.
+    expected: Option<f64>,
     sent: IndexMap<(DataCentreName, ServerKind), Sent>,
     fewer_since: IndexMap<(DataCentreName, ServerKind), TimePoint>,
 }
 
 impl FleetPlanner {
-    /// The orders that should be sent now.
+    /// Begins to plan at `now`.
+    pub fn new(now: TimePoint) -> Self {
+        Self {
+            since: now,
+            demand: Demand::default(),
+            expected: None,
+            sent: IndexMap::new(),
+            fewer_since: IndexMap::new(),
+        }
+    }
+
+    /// Takes the seconds of work that all entry VMs took on since they started, and returns the servers that
+    /// are expected to be busy all the time. `promised` is what quotas let expect.
+    pub fn observe(
+        &mut self,
+        total: f64,
+        promised: f64,
+        present: &IndexMap<DataCentreName, Present>,
+        now: TimePoint,
+    ) -> f64 {
+        self.demand.observe(total, now);
+        let mut expected = self.expected.unwrap_or_else(|| expected_at_first(promised, present));
+        if !self.is_new(now) {
+            expected = *self.expected.get_or_insert(expected);
+        }
+        self.demand.busy(expected)
+    }
+
+    /// The orders that should be sent now for `busy` servers.
     pub fn due(
         &mut self,
         scaling: &Scaling,
@@ -165,7 +199,18 @@
     ) -> Vec<Order> {
         let coming = |centre: &DataCentreName| self.coming(centre, scaling, now);
         let wanted = plan(scaling, busy, present, coming);
-        wanted.into_iter().filter(|it| self.is_due(it, now)).collect()
+        let is_new = self.is_new(now);
+        let is_fewer = |it: &Order| {
+            let there = present.get(&it.data_centre).copied().unwrap_or_default();
+            it.kind == ServerKind::OnDemand && it.count <= there.on_demand
+        };
+        // Nothing is given back before everything was seen: what looks superfluous may be all there is.
+        let wanted = wanted.into_iter().filter(|it| !(is_new && is_fewer(it)));
+        wanted.filter(|it| self.is_due(it, now)).collect()
+    }
+
+    fn is_new(&self, now: TimePoint) -> bool {
+        now.since(self.since) < ACQUAINTANCE
     }
 
     /// Notes an order that was sent.
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -5,10 +5,7 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     duty::Term,
-    fleet_size::{
-        Demand, FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_at_first,
-        expected_busy,
-    },
+    fleet_size::{FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_busy},
 };
 use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName, TimePoint};
 use rand::RngExt;
@@ -273,15 +270,6 @@
     }
 }
 
-/// What is known of one service's fleet.
-#[derive(Default)]
-struct Fleet {
-    /// What was expected before any demand was measured.
-    expected: Option<f64>,
-    demand: Demand,
-    planner: FleetPlanner,
-}
-
 async fn order_servers<C>(node: &Node, cloud: &C)
 where
     C: CloudApi,
@@ -289,7 +277,7 @@
     if !node.settings.duties.scaling {
         return std::future::pending().await;
     }
-    let mut fleets: IndexMap<ServiceName, Fleet> = IndexMap::new();
+    let mut planners: IndexMap<ServiceName, FleetPlanner> = IndexMap::new();
     loop {
         let Some(config) = node.config() else {
             sleep(PLAN_PERIOD).await;
@@ -298,17 +286,15 @@
         let promised = expected_busy(&config);
         for (name, service) in &config.services {
             let Some(scaling) = &service.scaling else { continue };
-            let fleet = fleets.entry(name.clone()).or_default();
-            fleet.demand.observe(total_work(node, name), clock::now());
+            let now = clock::now();
+            let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
             let present = present(node, name, scaling.prices.keys());
-            let expected =
-                *fleet.expected.get_or_insert_with(|| expected_at_first(promised, &present));
-            let busy = fleet.demand.busy(expected);
-            for order in fleet.planner.due(scaling, busy, &present, clock::now()) {
+            let busy = planner.observe(total_work(node, name), promised, &present, now);
+            for order in planner.due(scaling, busy, &present, now) {
                 let Some(outcome) = send_order(node, cloud, name, &order, busy).await else {
                     break;
                 };
-                fleet.planner.sent(&order, outcome, clock::now());
+                planner.sent(&order, outcome, clock::now());
             }
         }
         // A notice of a reclaim is answered at once: a server takes seconds to start.
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -12,8 +12,8 @@
     store_view::{PEER_KEYS, take_changes, take_snapshot},
 };
 
-/// The longest wait of one question for changes.
-const WAIT: Duration = Duration::from_millis(700);
+/// The longest wait of one question for changes. While it waits its VM has no new proof for others.
+const WAIT: Duration = Duration::from_millis(250);
 /// Pause of a reader after an answer. Servers renew their entries many times a second, so a waiting question
 /// is answered at once; few VMs read for all others, so the pause is short.
 const READER_PAUSE: Duration = Duration::from_millis(300);
@@ -21,9 +21,9 @@
 const LONE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after a failure: short, for a VM without a new proof refuses keys soon.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
-/// A VM that is told nothing newer than this reads the store itself: a change must be in force two seconds
-/// after it was accepted, and the reading takes its part of that.
-const TOLD_AGE: Duration = Duration::from_millis(1_100);
+/// A VM that is told nothing newer than this part of the time in which a change must be in force reads the
+/// store itself; the reading takes its part of the rest.
+const TOLD_PART: f64 = 0.6;
 /// Pause between two looks whether what is told is new enough.
 const LOOK: Duration = Duration::from_millis(100);
 /// Lifetime of this VM's own entry; long against renewals, so that a slow store doesn't remove it.
@@ -81,8 +81,9 @@
 
 /// Whether this VM has to ask the store itself.
 fn must_read(node: &Node) -> bool {
+    let told_age = node.settings.bounds.change_in_force.mul_f64(TOLD_PART);
     let knows_all = node.store_view.borrow().reached().is_some() && node.config().is_some();
-    !knows_all || node.reads_for_others() || !node.freshness.get().is_within(TOLD_AGE, clock::now())
+    !knows_all || node.reads_for_others() || !node.freshness.get().is_within(told_age, clock::now())
 }
 
 async fn read<S>(node: &Node, store: &S) -> Result<(), StoreError>
