Fleet: one step ahead of a wave of reclaims; a new holder inherits the measured demand

A new holder expected more than was measured and ordered on-demand servers for it.

Change: while one data centre has lost its reclaimable servers, the largest other one is taken for lost too; the report in the store carries the demand.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -53,6 +53,11 @@
 /// The part of its time that a server may be busy for a while: above it queues of prompts grow past the
 /// objectives of the short ones.
 const BEARABLE_BUSY: f64 = 0.75;
+/// The part of its time that a server may be busy before an on-demand one, several times as dear as a
+/// reclaimable one, is ordered beside it.
+const ON_DEMAND_BUSY: f64 = 0.85;
+/// The same for the few seconds that an on-demand server takes to start after the next reclaim.
+const SHORT_BUSY: f64 = 1.0;
 /// Data centres whose reclaimable servers may be gone at the same time without a server on demand.
 const LOST_CENTRES: usize = 1;
 /// Weight of a new second in the running mean of the demand when it is above the mean.
@@ -150,6 +155,9 @@
 /// Load: reclaimable servers cost a fraction of on-demand ones, and all of a data centre's go at once,
 /// for a while perhaps without replacement. They are spread evenly over the data centres, so that the loss
 /// of one leaves enough; what is missing while none can be had is ordered on demand where it is cheapest.
+/// Reclaims come in waves that take one data centre after the other within seconds, less than a server needs
+/// to start. While one data centre has lost its servers, the largest other one is therefore taken for lost
+/// too, and replaced on demand before it goes.
 #[derive(Clone, Debug)]
 pub struct FleetPlanner {
     since: TimePoint,
@@ -189,6 +197,17 @@
         self.demand.busy(expected)
     }
 
+    /// Busy servers as measured; `None` before enough was seen.
+    pub fn measured(&self) -> Option<f64> {
+        (self.demand.looks >= LOOKS_BEFORE_BELIEF).then_some(self.demand.busy)
+    }
+
+    /// Takes the demand that another planner measured last.
+    pub fn inherit(&mut self, busy: f64) {
+        self.demand.busy = busy;
+        self.demand.looks = LOOKS_BEFORE_BELIEF;
+    }
+
     /// The orders that should be sent now for `busy` servers.
     pub fn due(
         &mut self,
@@ -273,8 +292,14 @@
     let mut orders: Vec<_> =
         present.keys().map(|it| order(it, ServerKind::Reclaimable, each)).collect();
     let there = |centre: &DataCentreName, it: &Present| it.reclaimable.max(coming(centre));
-    let reclaimable: u32 = present.iter().map(|(centre, it)| there(centre, it)).sum();
-    let mut missing = (bearable.ceil() as u32).saturating_sub(reclaimable);
+    let counts: Vec<u32> = present.iter().map(|(centre, it)| there(centre, it)).collect();
+    let largest = counts.iter().copied().max().unwrap_or_default();
+    let at_risk = if counts.contains(&0) { largest } else { 0 };
+    let reclaimable = counts.iter().sum::<u32>();
+    let needed = |part: f64| (busy / part).ceil() as u32;
+    let now = needed(ON_DEMAND_BUSY).saturating_sub(reclaimable);
+    let after = needed(SHORT_BUSY).saturating_sub(reclaimable - at_risk);
+    let mut missing = now.max(after);
     let mut cheapest: Vec<_> = present.iter().collect();
     cheapest.sort_by(|a, b| price(scaling, a.0).total_cmp(&price(scaling, b.0)));
     for (centre, it) in cheapest {
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -42,14 +42,19 @@
 const HEARD_AFTER_MS: i64 = 500;
 /// Time between two plans of the fleet.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Time in which the last holder's report is read, from the taking over of the duties.
+const INHERIT_TIME: Duration = Duration::from_millis(50);
 /// Pause after a change, so that changes that come together are planned for together.
 const CHANGES_TOGETHER: Duration = Duration::from_millis(50);
 
 /// A usage report as it was or will be sent.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Report {
     window: u64,
     counts: IndexMap<ClientAccountName, u64>,
+    /// Busy servers by service as its holder measured them, for its successor.
+    busy: IndexMap<ServiceName, f64>,
 }
 
 /// Holds the duties whenever no other VM does, and does them.
@@ -177,16 +182,24 @@
     }
     let mut known: Option<(StoreRevision, Option<Report>)> = None;
     loop {
-        sleep(LOOK).await;
+        if known.is_some() {
+            sleep(LOOK).await;
+        }
         let Some((revision, last)) = &known else {
             match last_report(store).await {
                 Ok(found) => {
                     if let (Some(report), Some(holder)) = (&found.1, acting(node)) {
                         send_report(cloud, &holder, report).await;
                     }
+                    if let Some(report) = &found.1 {
+                        inherit(node, report);
+                    }
                     known = Some(found);
                 }
-                Err(error) => log::debug!(error:% = error; "last-report-unknown"),
+                Err(error) => {
+                    log::debug!(error:% = error; "last-report-unknown");
+                    sleep(LOOK).await;
+                }
             }
             continue;
         };
@@ -194,7 +207,8 @@
         if acting(node).is_none() {
             continue;
         }
-        let report = Report { window, counts: node.usage.borrow().total(window) };
+        let busy = node.busy.borrow().clone();
+        let report = Report { window, counts: node.usage.borrow().total(window), busy };
         match write_report(store, *revision, &report).await {
             Ok(revision) => {
                 if let Some(holder) = acting(node) {
@@ -211,6 +225,14 @@
     }
 }
 
+/// Takes over the demand that the last holder measured, unless some was measured here.
+fn inherit(node: &Node, report: &Report) {
+    let mut busy = node.busy.borrow_mut();
+    for (service, it) in &report.busy {
+        busy.entry(service.clone()).or_insert(*it);
+    }
+}
+
 async fn last_report<S>(store: &S) -> Result<(StoreRevision, Option<Report>), StoreError>
 where
     S: PlatformStore,
@@ -278,6 +300,8 @@
         return std::future::pending().await;
     }
     let mut planners: IndexMap<ServiceName, FleetPlanner> = IndexMap::new();
+    // What the last holder measured is read first, where it can be.
+    sleep(INHERIT_TIME).await;
     loop {
         let Some(config) = node.config() else {
             sleep(PLAN_PERIOD).await;
@@ -287,9 +311,19 @@
         for (name, service) in &config.services {
             let Some(scaling) = &service.scaling else { continue };
             let now = clock::now();
-            let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
+            let inherited = node.busy.borrow().get(name).copied();
+            let planner = planners.entry(name.clone()).or_insert_with(|| {
+                let mut planner = FleetPlanner::new(now);
+                if let Some(busy) = inherited {
+                    planner.inherit(busy);
+                }
+                planner
+            });
             let present = present(node, name, scaling.prices.keys());
             let busy = planner.observe(total_work(node, name), promised, &present, now);
+            if let Some(measured) = planner.measured() {
+                node.busy.borrow_mut().insert(name.clone(), measured);
+            }
             for order in planner.due(scaling, busy, &present, now) {
                 let Some(outcome) = send_order(node, cloud, name, &order, busy).await else {
                     break;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -71,6 +71,8 @@
     pub(crate) duty: RefCell<Duty>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) arrivals: RefCell<Arrivals>,
+    /// Busy servers by service, as this VM or the holder before it measured them.
+    pub(crate) busy: RefCell<IndexMap<ServiceName, f64>>,
     pub(crate) backends: Backends,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
@@ -97,6 +99,7 @@
             duty: RefCell::default(),
             peers: RefCell::new(Peers::new(card(&settings))),
             arrivals: RefCell::default(),
+            busy: RefCell::default(),
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
