Tests of the forwarding cores; reclaimable servers are ordered before on-demand ones

Change: on-demand orders wait for the answers of the reclaimable ones; a test for each core's safety rules: leaving is final, quotas and retries over all VMs, lease and number of the holder, sums without counting twice, excerpts without gaps, room for tokens on an engine.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -49,10 +49,10 @@
 
 /// The part of its time that a server is busy in a fleet of the wanted size. Measured on both users' loads:
 /// below it the first token of a long prompt waits for less than a tenth of its objective.
-const WANTED_BUSY: f64 = 0.6;
+const WANTED_BUSY: f64 = 0.65;
 /// The part of its time that a server may be busy for a while: above it queues of prompts grow past the
 /// objectives of the short ones.
-const BEARABLE_BUSY: f64 = 0.75;
+const BEARABLE_BUSY: f64 = 0.85;
 /// The part of its time that a server may be busy before an on-demand one, several times as dear as a
 /// reclaimable one, is ordered beside it.
 const ON_DEMAND_BUSY: f64 = 0.85;
@@ -208,7 +208,8 @@
         self.demand.looks = LOOKS_BEFORE_BELIEF;
     }
 
-    /// The orders that should be sent now for `busy` servers.
+    /// The orders that should be sent now for `busy` servers: reclaimable ones first, and with their answers
+    /// the others at the next call.
     pub fn due(
         &mut self,
         scaling: &Scaling,
@@ -225,7 +226,11 @@
         };
         // Nothing is given back before everything was seen: what looks superfluous may be all there is.
         let wanted = wanted.into_iter().filter(|it| !(is_new && is_fewer(it)));
-        wanted.filter(|it| self.is_due(it, now)).collect()
+        let due: Vec<_> = wanted.filter(|it| self.is_due(it, now)).collect();
+        // On-demand servers stand in for reclaimable ones that can't be had: that is known by the answers.
+        let (reclaimable, on_demand): (Vec<_>, Vec<_>) =
+            due.into_iter().partition(|it| it.kind == ServerKind::Reclaimable);
+        if reclaimable.is_empty() { on_demand } else { reclaimable }
     }
 
     fn is_new(&self, now: TimePoint) -> bool {
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -0,0 +1,85 @@
+//! One holder at a time, and what it may do when.
+
+mod support;
+
+use quincevalve_forwarding::duty::{Duty, Term};
+use quincevalve_names::FencingNumber;
+use support::{millis, ms};
+
+const TTL: std::time::Duration = std::time::Duration::from_secs(3);
+
+fn term(number: u64, holder: &str, previous: &str) -> Term {
+    Term { number: FencingNumber(number), holder: holder.to_owned(), previous: previous.to_owned() }
+}
+
+fn taken(before: &Term, asked_ms: u64) -> Duty {
+    let mut duty = Duty::default();
+    duty.took("vm-a", before, &before.next("vm-a"), TTL, ms(asked_ms));
+    duty
+}
+
+#[test]
+fn each_change_of_holder_has_a_higher_number() {
+    let first = Term::default().next("vm-a");
+    let second = first.next("vm-b");
+    assert!(second.number > first.number);
+    assert_eq!(second.previous, "vm-a");
+}
+
+#[test]
+fn who_never_took_the_duty_may_not_act() {
+    assert_eq!(Duty::default().may_act(ms(0)), None);
+}
+
+// The platform gets an order from a VM whose lease had run out: it stood still between two renewals, and
+// another had taken over. The renewal counts from when it was sent, on a clock that counts the stand-still.
+#[test]
+fn a_holder_that_stood_still_may_not_act() {
+    let duty = taken(&Term::default(), 0);
+    assert_eq!(duty.may_act(ms(1_000)), Some(FencingNumber(1)));
+    assert_eq!(duty.may_act(ms(2_401)), None);
+    assert!(duty.is_held(ms(2_999)));
+    assert!(!duty.is_held(ms(3_000)));
+}
+
+#[test]
+fn a_renewal_counts_from_when_it_was_sent() {
+    let mut duty = taken(&Term::default(), 0);
+    duty.renewed(ms(1_000));
+    assert_eq!(duty.may_act(ms(3_300)), Some(FencingNumber(1)));
+    assert_eq!(duty.may_act(ms(3_401)), None);
+    duty.renewed(ms(500));
+    assert_eq!(duty.may_act(ms(3_300)), Some(FencingNumber(1)));
+}
+
+// The platform sees A, B and A again within a lease, and can't tell A's new orders from old ones that were
+// held up. A waits a whole lease before it acts again.
+#[test]
+fn a_holder_that_returns_after_another_waits_for_a_lease() {
+    let mut duty = taken(&term(6, "vm-b", "vm-a"), 10_000);
+    for at in [10_500, 11_000, 12_000, 12_900] {
+        duty.renewed(ms(at));
+        assert_eq!(duty.may_act(ms(at)), None);
+    }
+    duty.renewed(ms(13_000));
+    assert_eq!(duty.may_act(ms(13_000)), Some(FencingNumber(7)));
+}
+
+fn acts_at_once(holder: &str, previous: &str) {
+    let duty = taken(&term(6, holder, previous), 0);
+    assert_eq!(duty.may_act(ms(1)), Some(FencingNumber(7)));
+}
+
+cases! { acts_at_once:
+    a_holder_that_follows_itself_acts_at_once => "vm-a", "vm-b";
+    a_holder_that_follows_a_third_acts_at_once => "vm-b", "vm-c";
+}
+
+#[test]
+fn a_lost_duty_is_lost() {
+    let mut duty = taken(&Term::default(), 0);
+    duty.lost();
+    assert_eq!(duty.may_act(ms(1)), None);
+    assert!(!duty.is_held(ms(1)));
+    assert!(millis(1) < TTL);
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -0,0 +1,176 @@
+//! How many servers are ordered, where and of which kind.
+
+mod support;
+
+use indexmap::IndexMap;
+use quincevalve_forwarding::{
+    config::Scaling,
+    fleet_size::{FleetPlanner, Order, OrderOutcome, Present, ServerKind},
+};
+use quincevalve_names::{DataCentreName, TimePoint};
+use support::{ms, scaling};
+
+type Fleet = IndexMap<DataCentreName, Present>;
+
+fn fleet(reclaimable: [u32; 4], on_demand: [u32; 4]) -> Fleet {
+    let counts = reclaimable.into_iter().zip(on_demand);
+    let counts = counts.map(|(reclaimable, on_demand)| Present { reclaimable, on_demand });
+    ["a", "b", "c", "d"].into_iter().map(Into::into).zip(counts).collect()
+}
+
+/// A planner that has been at work for a while and measured `busy` servers' worth of work a second.
+fn planner(busy: f64, fleet: &Fleet) -> (FleetPlanner, TimePoint) {
+    let mut planner = FleetPlanner::new(ms(0));
+    for second in 0..100_u32 {
+        let now = ms(u64::from(second) * 1_000);
+        planner.observe(busy * f64::from(second), 0.0, fleet, now);
+    }
+    (planner, ms(99_000))
+}
+
+fn count(orders: &[Order], kind: ServerKind) -> u32 {
+    orders.iter().filter(|it| it.kind == kind).map(|it| it.count).sum()
+}
+
+fn due(planner: &mut FleetPlanner, busy: f64, fleet: &Fleet, now: TimePoint) -> Vec<Order> {
+    planner.due(&scaling(), busy, fleet, now)
+}
+
+/// Sends what is due, reclaimable servers first, and returns all of it.
+fn send(planner: &mut FleetPlanner, busy: f64, fleet: &Fleet, outcome: OrderOutcome) -> Vec<Order> {
+    let now = ms(99_000);
+    let mut all = Vec::new();
+    for _ in 0..2 {
+        let orders = due(planner, busy, fleet, now);
+        for order in &orders {
+            let is_reclaimable = order.kind == ServerKind::Reclaimable;
+            planner.sent(order, if is_reclaimable { outcome } else { OrderOutcome::Taken }, now);
+        }
+        all.extend(orders);
+    }
+    all
+}
+
+#[test]
+fn the_demand_is_measured() {
+    let present = fleet([3; 4], [0; 4]);
+    let (planner, _) = planner(5.0, &present);
+    assert!((planner.measured().unwrap() - 5.0).abs() < 0.1);
+}
+
+#[test]
+fn reclaimable_servers_are_spread_evenly() {
+    let present = fleet([3; 4], [0; 4]);
+    let (mut planner, _) = planner(6.0, &present);
+    let orders = send(&mut planner, 6.0, &present, OrderOutcome::Taken);
+    let reclaimable: Vec<_> =
+        orders.iter().filter(|it| it.kind == ServerKind::Reclaimable).map(|it| it.count).collect();
+    assert_eq!(reclaimable, [3; 4]);
+    assert_eq!(count(&orders, ServerKind::OnDemand), 0);
+}
+
+#[test]
+fn the_loss_of_one_data_centre_leaves_enough() {
+    for busy in 1..14 {
+        let present = fleet([6; 4], [0; 4]);
+        let (mut planner, _) = planner(f64::from(busy), &present);
+        let orders = send(&mut planner, f64::from(busy), &present, OrderOutcome::Taken);
+        let reclaimable = count(&orders, ServerKind::Reclaimable);
+        let left = f64::from(reclaimable - reclaimable / 4);
+        assert!(left >= f64::from(busy) / 0.85 - 1e-9, "{busy}: {reclaimable}");
+    }
+}
+
+// Callers are refused for seconds: reclaims took one data centre after the other, and each on-demand server
+// came when the next was gone. While one is lost, the largest other one is replaced beforehand.
+#[test]
+fn a_wave_of_reclaims_is_met_one_step_ahead() {
+    let present = fleet([0, 3, 3, 0], [0; 4]);
+    let (mut planner, _) = planner(5.0, &present);
+    let orders = send(&mut planner, 5.0, &present, OrderOutcome::NoneAvailable);
+    assert!(count(&orders, ServerKind::OnDemand) >= 2, "{orders:?}");
+    let dearest = orders.iter().find(|it| it.kind == ServerKind::OnDemand && it.count > 0);
+    assert_eq!(dearest.map(|it| it.data_centre.as_str()), Some("b"), "not the cheapest");
+}
+
+#[test]
+fn on_demand_servers_have_room_where_no_reclaimable_one_is() {
+    let present = fleet([0; 4], [0; 4]);
+    let (mut planner, _) = planner(15.0, &present);
+    let orders = send(&mut planner, 15.0, &present, OrderOutcome::NoneAvailable);
+    assert!(count(&orders, ServerKind::OnDemand) >= 15, "{orders:?}");
+    assert!(orders.iter().all(|it| it.count <= 6));
+}
+
+// A fleet is given back by a VM that has just taken over the duty: it has measured nothing yet. What is there
+// is taken for the right size, and nothing is given back before all servers were seen.
+#[test]
+fn a_new_planner_gives_nothing_back() {
+    let present = fleet([4; 4], [1, 0, 0, 0]);
+    let mut planner = FleetPlanner::new(ms(0));
+    let busy = planner.observe(0.0, 4.0, &present, ms(0));
+    assert!(busy >= 4.0);
+    let orders = due(&mut planner, busy, &present, ms(0));
+    assert!(orders.iter().all(|it| it.kind == ServerKind::Reclaimable), "{orders:?}");
+}
+
+#[test]
+fn a_successor_inherits_the_demand() {
+    let present = fleet([4; 4], [0; 4]);
+    let mut planner = FleetPlanner::new(ms(0));
+    planner.inherit(3.0);
+    let busy = planner.observe(0.0, 9.0, &present, ms(0));
+    assert!((busy - 3.0).abs() < 1e-9);
+}
+
+#[test]
+fn servers_that_start_are_not_ordered_twice() {
+    let before = fleet([0; 4], [3; 4]);
+    let (mut planner, now) = planner(5.0, &before);
+    let orders = send(&mut planner, 5.0, &before, OrderOutcome::Taken);
+    assert_eq!(count(&orders, ServerKind::OnDemand), 0);
+    let next = due(&mut planner, 5.0, &before, now + support::millis(1_000));
+    assert!(next.is_empty(), "{next:?}");
+}
+
+fn is_repeated(outcome: OrderOutcome, after_ms: u64, expected: bool) {
+    let present = fleet([3; 4], [0; 4]);
+    let (mut planner, now) = planner(5.0, &present);
+    let orders = due(&mut planner, 5.0, &present, now);
+    for order in &orders {
+        planner.sent(order, outcome, now);
+    }
+    let later = now + support::millis(after_ms);
+    let again = due(&mut planner, 5.0, &present, later);
+    let reclaimable = again.iter().any(|it| it.kind == ServerKind::Reclaimable);
+    assert_eq!(reclaimable, expected, "{again:?}");
+}
+
+cases! { is_repeated:
+    a_taken_order_is_not_repeated => OrderOutcome::Taken, 60_000, false;
+    a_refused_order_waits => OrderOutcome::NoneAvailable, 2_000, false;
+    a_refused_order_is_tried_again => OrderOutcome::NoneAvailable, 2_500, true;
+    an_order_of_unknown_fate_is_sent_again => OrderOutcome::Unknown, 1_000, true;
+}
+
+// The fleet shrinks into the next wave of callers. Fewer reclaimable servers are ordered only after the time
+// in which none could be had if they were missed.
+#[test]
+fn reclaimable_servers_are_given_back_slowly() {
+    let present = fleet([5; 4], [0; 4]);
+    let (mut planner, now) = planner(9.0, &present);
+    send(&mut planner, 9.0, &present, OrderOutcome::Taken);
+    let at = |seconds: u64| now + support::millis(seconds * 1_000);
+    assert!(due(&mut planner, 2.0, &present, at(1)).is_empty());
+    assert!(due(&mut planner, 2.0, &present, at(29)).is_empty());
+    assert!(!due(&mut planner, 2.0, &present, at(32)).is_empty());
+}
+
+#[test]
+fn without_reclaimable_servers_all_are_on_demand() {
+    let only = Scaling { reclaimable_price: None, ..scaling() };
+    let present = fleet([0; 4], [3; 4]);
+    let (mut planner, now) = planner(5.0, &present);
+    let orders = planner.due(&only, 5.0, &present, now);
+    assert!(orders.iter().all(|it| it.kind == ServerKind::OnDemand && it.count == 2));
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -0,0 +1,131 @@
+//! Servers that leave, and lists that lag.
+
+mod support;
+
+use proptest::prelude::*;
+use quincevalve_forwarding::servers::{Leaving, ServerTable};
+use quincevalve_names::TimePoint;
+use support::{draining, entry, ms, server};
+
+fn usable(table: &ServerTable, now: TimePoint) -> bool {
+    table.usable(&"engines".into(), now).any(|(name, _)| *name == server(0))
+}
+
+// The caller's stream is cut seconds after it began. The server had announced that it leaves, and then an
+// older entry, still `ready`, was read. A server that left once must not get work again.
+#[test]
+fn an_old_entry_does_not_bring_a_leaving_server_back() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.listed(&server(0), draining("a"), ms(100));
+    table.listed(&server(0), entry("a"), ms(200));
+    assert!(!usable(&table, ms(200)));
+}
+
+// The caller is answered by a server of another service. The address was given to a new server, which said
+// so with its refusal; the entry of the old one is still listed.
+#[test]
+fn a_server_whose_address_another_has_gets_nothing_more() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.leaves(&server(0), Leaving::Replaced);
+    table.listed(&server(0), entry("a"), ms(100));
+    assert!(!usable(&table, ms(100)));
+}
+
+#[test]
+fn a_removed_server_gets_nothing_more() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.removed(&server(0), ms(100));
+    assert!(!usable(&table, ms(100)));
+}
+
+#[test]
+fn a_server_that_a_whole_list_lacks_was_removed() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.replace_all(vec![(server(1), entry("a"))], ms(100));
+    assert!(!usable(&table, ms(100)));
+}
+
+// Every caller is refused for two seconds after the store was away: all entries lapsed meanwhile, though the
+// servers live. They are used until the time is over in which living servers put their entries back.
+#[test]
+fn entries_that_lapsed_while_the_store_was_away_count_for_two_seconds() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.store_lost(ms(1_000));
+    table.store_found(ms(6_000));
+    table.removed(&server(0), ms(6_100));
+    assert!(usable(&table, ms(6_100)));
+    assert!(usable(&table, ms(8_000)));
+    assert!(!usable(&table, ms(8_400)));
+    table.listed(&server(0), entry("a"), ms(9_000));
+    assert!(usable(&table, ms(9_000)));
+}
+
+#[test]
+fn a_removal_long_after_an_outage_counts_at_once() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), entry("a"), ms(0));
+    table.store_lost(ms(1_000));
+    table.store_found(ms(2_000));
+    table.removed(&server(0), ms(9_000));
+    assert!(!usable(&table, ms(9_000)));
+}
+
+#[test]
+fn an_outage_does_not_bring_a_leaving_server_back() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), draining("a"), ms(0));
+    table.store_lost(ms(1_000));
+    table.store_found(ms(2_000));
+    table.removed(&server(0), ms(2_100));
+    assert!(!usable(&table, ms(2_100)));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Listed,
+    Draining,
+    Removed,
+    Lost,
+    Found,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Listed),
+        Just(Event::Draining),
+        Just(Event::Removed),
+        Just(Event::Lost),
+        Just(Event::Found),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Whatever is read in whatever order, no server is used again that once said that it leaves.
+    #[test]
+    fn leaving_is_final(events in prop::collection::vec(event(), 1..60)) {
+        let mut table = ServerTable::default();
+        let mut left = false;
+        for (at, event) in events.into_iter().enumerate() {
+            let now = ms(at as u64 * 300);
+            match event {
+                Event::Listed => { table.listed(&server(0), entry("a"), now); }
+                Event::Draining => { table.listed(&server(0), draining("a"), now); left = true; }
+                Event::Removed => table.removed(&server(0), now),
+                Event::Lost => table.store_lost(now),
+                Event::Found => table.store_found(now),
+            }
+            prop_assert!(!(left && usable(&table, now)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -0,0 +1,149 @@
+//! Quotas and retry budgets that hold over all entry VMs.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use quincevalve_forwarding::{
+    quota::{QuotaBook, cost},
+    retry_window::{RetryLimits, RetryWindow},
+    sums::{Share, Sums},
+};
+use quincevalve_names::ClientAccountName;
+use support::{config, ms, quota};
+
+fn desk() -> ClientAccountName {
+    "desk".into()
+}
+
+#[test]
+fn a_request_costs_its_prompt_and_the_most_that_it_may_generate() {
+    assert!((cost(&quota(1.0, 1.0), Some((1_460, 80))) - 1_540.0).abs() < 1e-9);
+    assert!((cost(&quota(1.0, 1.0), None) - 200.0).abs() < 1e-9);
+}
+
+#[test]
+fn what_was_refused_later_is_given_back() {
+    let mut book = QuotaBook::default();
+    let limit = quota(0.001, 10.0);
+    assert!(book.take(&desk(), &limit, 11.0, 1.0, ms(0)).is_ok());
+    assert!(book.take(&desk(), &limit, 11.0, 1.0, ms(1)).is_err());
+    book.give_back(&desk(), 11.0);
+    assert!(book.take(&desk(), &limit, 10.0, 1.0, ms(2)).is_ok());
+}
+
+#[test]
+fn who_is_over_its_quota_is_told_when_there_is_room() {
+    let mut book = QuotaBook::default();
+    let limit = quota(100.0, 10.0);
+    book.take(&desk(), &limit, 60.0, 1.0, ms(0)).unwrap();
+    let over = book.take(&desk(), &limit, 1.0, 1.0, ms(0)).unwrap_err();
+    assert!((400..=600).contains(&over.retry_after.as_millis()), "{over:?}");
+    let later = ms(over.retry_after.as_millis() as u64 + 20);
+    assert!(book.take(&desk(), &limit, 1.0, 1.0, later).is_ok());
+}
+
+// An account gets many times its quota: several VMs each let it in as if they were alone. What others spent
+// leaves the bucket here.
+#[test]
+fn what_others_spent_counts_here() {
+    let mut book = QuotaBook::default();
+    let limit = quota(0.001, 1_000.0);
+    let config = config(1, Vec::new());
+    book.take(&desk(), &limit, 1.0, 1.0, ms(0)).unwrap();
+    book.others_spent(&[(desk(), 1_500.0)].into_iter().collect(), &config, ms(1));
+    assert!(book.take(&desk(), &limit, 1.0, 1.0, ms(2)).is_err());
+}
+
+/// Two VMs that tell each other every 150 ms, or don't, with callers who ask for far more than the quota.
+fn let_in(hear_each_other: bool, seconds: u64) -> f64 {
+    let limit = quota(1_000.0, 1_000.0);
+    let config = config(1, Vec::new());
+    let mut books = [QuotaBook::default(), QuotaBook::default()];
+    let mut sums = [Sums::default(), Sums::default()];
+    let mut total = 0.0;
+    let part = if hear_each_other { 1.0 } else { 0.5 };
+    for step in 0..seconds * 100 {
+        let now = ms(step * 10);
+        for book in &mut books {
+            if book.take(&desk(), &limit, 50.0, part, now).is_ok() {
+                total += 50.0;
+            }
+        }
+        if hear_each_other && step % 15 == 0 {
+            for at in 0..2 {
+                let spent = books[1 - at].spent().map(|(account, it)| (account.clone(), it));
+                let share = Share { vms: 1, spent: spent.collect(), ..Share::default() };
+                let growth = sums[at].take("other", share, now);
+                books[at].others_spent(&growth, &config, now);
+            }
+        }
+    }
+    total
+}
+
+#[test]
+fn the_sum_over_vms_stays_near_the_quota() {
+    let total = let_in(true, 20);
+    assert!((19_000.0..24_000.0).contains(&total), "{total}");
+}
+
+#[test]
+fn vms_that_do_not_hear_each_other_use_their_part() {
+    // Each side of a cut has its own burst, once.
+    let total = let_in(false, 20);
+    assert!((19_000.0..23_000.0).contains(&total), "{total}");
+}
+
+const LIMITS: RetryLimits =
+    RetryLimits { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
+
+#[test]
+fn an_empty_budget_refuses() {
+    let mut window = RetryWindow::default();
+    let none = RetryLimits { slack: 0.0, ..LIMITS };
+    assert!(!window.spend(&none, 1, ms(0)));
+}
+
+#[test]
+fn repeats_of_long_ago_do_not_count() {
+    let mut window = RetryWindow::default();
+    while window.spend(&LIMITS, 1, ms(0)) {}
+    assert!(!window.spend(&LIMITS, 1, ms(9_000)));
+    assert!(window.spend(&LIMITS, 1, ms(10_001)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // A service that fails gets more load from its own failures, and stays down. Whatever the mix of requests
+    // and failures on any number of VMs, no window holds more repeats than the budget of them all.
+    #[test]
+    fn repeats_over_all_vms_stay_within_the_budget(
+        vms in 1..12_usize,
+        steps in prop::collection::vec((0..12_usize, any::<bool>(), 0..400_u64), 1..600),
+    ) {
+        let mut windows = vec![RetryWindow::default(); vms];
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        let mut now = 0;
+        for (vm, is_request, pause) in steps {
+            now += pause;
+            let window = &mut windows[vm % vms];
+            if is_request {
+                window.request(ms(now));
+                requests.push(now);
+            } else if window.spend(&LIMITS, vms, ms(now)) {
+                repeats.push(now);
+            }
+            let within = |times: &[u64]| times.iter().filter(|it| now - **it <= 10_000).count();
+            let allowed = LIMITS.slack + LIMITS.ratio * within(&requests) as f64;
+            prop_assert!(within(&repeats) as f64 <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/placement.rs
@@ -0,0 +1,218 @@
+//! Which server gets a request, and which requests get none.
+
+mod support;
+
+use std::collections::HashMap;
+
+use quincevalve_forwarding::{
+    load::{Work, WorkSum},
+    placement::{NoPlace, Placement},
+    servers::ServerTable,
+};
+use quincevalve_names::{BackendServerName, TimePoint};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use support::{Asking, entry, millis, ms, prompt, server, table};
+
+fn rng() -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(1)
+}
+
+fn place(table: &ServerTable, asking: &Asking) -> Result<Placement, NoPlace> {
+    table.place(&asking.ask(), &mut rng(), ms(0))
+}
+
+fn load(table: &mut ServerTable, at: usize, prefill: u32, count: u32) {
+    let server = table.get_mut(&server(at)).expect("a server of the table");
+    for _ in 0..count {
+        server.load.begin(Work { prefill, memory: prefill, output: 100, urgency: 1 }, ms(0));
+    }
+}
+
+#[test]
+fn without_servers_there_is_no_place() {
+    assert_eq!(place(&ServerTable::default(), &Asking::default()), Err(NoPlace::NoServer));
+}
+
+#[test]
+fn a_server_that_had_the_request_does_not_get_it_again() {
+    let asking = Asking { had: vec![server(0)], ..Asking::default() };
+    assert_eq!(place(&table(1), &asking), Err(NoPlace::NoServer));
+    assert_eq!(place(&table(2), &asking).unwrap().server, server(1));
+}
+
+#[test]
+fn the_server_with_the_shorter_queue_is_chosen() {
+    let mut table = table(2);
+    load(&mut table, 0, 10_000, 3);
+    assert_eq!(place(&table, &Asking::default()).unwrap().server, server(1));
+}
+
+// A request is taken and answered late: it was sent where a queue of prompts stands before it. Where no
+// server can begin in time, the caller is told at once, with the time of the nearest.
+#[test]
+fn a_request_that_cannot_be_in_time_is_refused() {
+    let mut table = table(1);
+    load(&mut table, 0, 12_000, 5);
+    let asking = Asking { within: millis(300), ..Asking::default() };
+    let Err(NoPlace::Busy { predicted }) = place(&table, &asking) else { panic!("a place") };
+    assert!(predicted > millis(500), "{predicted:?}");
+}
+
+#[test]
+fn work_that_others_told_counts() {
+    let mut table = table(2);
+    let others = WorkSum { requests: 9, prefill: 60_000, recent: 60_000, ..WorkSum::default() };
+    table.get_mut(&server(0)).unwrap().load.set_others(others, ms(0));
+    assert_eq!(place(&table, &Asking::default()).unwrap().server, server(1));
+}
+
+#[test]
+fn urgent_prompts_wait_for_urgent_ones_only() {
+    let mut table = table(1);
+    load(&mut table, 0, 9_000, 6);
+    let urgent = Asking { urgency: 0, within: millis(400), ..Asking::default() };
+    let other = Asking { urgency: 1, within: millis(400), ..Asking::default() };
+    assert!(place(&table, &urgent).is_ok());
+    assert!(matches!(place(&table, &other), Err(NoPlace::Busy { .. })));
+}
+
+// Long answers die at their deadlines though their first tokens came in time: the engine read prompts all
+// the time, and made a token only between two chunks. Sustained prompts are kept below the rate at which it
+// has time for tokens, whatever the queue is at the moment.
+#[test]
+fn an_engine_is_left_time_for_tokens() {
+    let mut table = table(1);
+    let server = table.get_mut(&server(0)).unwrap();
+    for _ in 0..10 {
+        let work = Work { prefill: 9_500, memory: 9_500, output: 100, urgency: 1 };
+        server.load.begin(work, ms(0));
+        server.load.prefilled(work);
+    }
+    assert!(matches!(place(&table, &Asking::default()), Err(NoPlace::Busy { .. })));
+    let later = ms(1_000);
+    let placed = table.place(&Asking::default().ask(), &mut rng(), later);
+    assert!(placed.is_ok());
+}
+
+#[test]
+fn an_engine_without_free_slots_gets_nothing() {
+    let mut table = table(1);
+    load(&mut table, 0, 1, 122);
+    assert!(matches!(place(&table, &Asking::default()), Err(NoPlace::Busy { .. })));
+}
+
+#[test]
+fn an_engine_without_memory_gets_nothing() {
+    let mut table = table(1);
+    let server = table.get_mut(&server(0)).unwrap();
+    let work = Work { prefill: 0, memory: 340_000, output: 100, urgency: 1 };
+    server.load.begin(work, ms(0));
+    server.load.begin(work, ms(0));
+    assert!(matches!(place(&table, &Asking::default()), Err(NoPlace::Busy { .. })));
+}
+
+/// Places requests about `subjects` shared parts on 12 idle servers, and counts servers by part.
+fn homes(subjects: u64) -> HashMap<u64, Vec<BackendServerName>> {
+    let table = table(12);
+    let mut rng = rng();
+    let mut homes: HashMap<u64, Vec<BackendServerName>> = HashMap::new();
+    for request in 0..subjects * 20 {
+        let part = request % subjects;
+        let prompt = Some(prompt(12_000, Some((part, 5_400))));
+        let asking = Asking { prompt, ..Asking::default() };
+        let placed = table.place(&asking.ask(), &mut rng, ms(0)).expect("idle servers");
+        let servers = homes.entry(part).or_default();
+        if !servers.contains(&placed.server) {
+            servers.push(placed.server);
+        }
+    }
+    homes
+}
+
+#[test]
+fn a_shared_part_stays_on_one_idle_server_and_parts_spread() {
+    let homes = homes(100);
+    assert!(homes.values().all(|it| it.len() == 1), "{homes:?}");
+    let mut used: Vec<_> = homes.values().flatten().collect();
+    used.sort();
+    used.dedup();
+    assert_eq!(used.len(), 12);
+}
+
+// A traveller waits though most servers idle: the server that keeps the shared part is overrun. Beyond some
+// hundred milliseconds of queue the part is read again elsewhere.
+#[test]
+fn a_hot_part_spills_over() {
+    let mut table = table(12);
+    let prompt = Some(prompt(12_000, Some((7, 5_400))));
+    let asking = Asking { prompt, ..Asking::default() };
+    let home = place(&table, &asking).unwrap().server;
+    let at = (0..12).find(|it| server(*it) == home).unwrap();
+    load(&mut table, at, 7_000, 7);
+    assert_ne!(place(&table, &asking).unwrap().server, home);
+}
+
+#[test]
+fn a_paused_server_is_avoided_while_another_is_there() {
+    let mut table = table(2);
+    table.get_mut(&server(0)).unwrap().load.unreachable(TimePoint::ZERO);
+    for seed in 0..20 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let placed = table.place(&Asking::default().ask(), &mut rng, ms(0)).unwrap();
+        assert_eq!(placed.server, server(1));
+    }
+}
+
+#[test]
+fn a_paused_server_is_better_than_none() {
+    let mut table = table(1);
+    table.get_mut(&server(0)).unwrap().load.unreachable(TimePoint::ZERO);
+    assert!(place(&table, &Asking::default()).is_ok());
+}
+
+#[test]
+fn pauses_grow_and_end() {
+    let mut table = table(1);
+    let load = &mut table.get_mut(&server(0)).unwrap().load;
+    load.unreachable(ms(0));
+    assert!(load.is_paused(ms(399)) && !load.is_paused(ms(400)));
+    load.unreachable(ms(1_000));
+    assert!(load.is_paused(ms(1_799)) && !load.is_paused(ms(1_800)));
+    load.answered(millis(10), millis(10));
+    load.unreachable(ms(5_000));
+    assert!(!load.is_paused(ms(5_400)));
+}
+
+#[test]
+fn a_server_that_fails_lately_is_put_back() {
+    let mut table = table(2);
+    for _ in 0..10 {
+        table.get_mut(&server(0)).unwrap().load.failed();
+    }
+    assert_eq!(place(&table, &Asking::default()).unwrap().server, server(1));
+}
+
+#[test]
+fn a_slow_server_is_put_back() {
+    let mut table = table(2);
+    for _ in 0..20 {
+        table.get_mut(&server(0)).unwrap().load.answered(millis(800), millis(100));
+    }
+    assert_eq!(place(&table, &Asking::default()).unwrap().server, server(1));
+}
+
+// Calls of a plain service are lost when data centres are cut off from each other. They stay in theirs while
+// its server has room.
+#[test]
+fn calls_stay_in_their_data_centre_while_there_is_room() {
+    let mut table = ServerTable::default();
+    for (at, centre) in ["a", "b"].iter().enumerate() {
+        let small = quincevalve_forwarding::servers::ServerEntry { slots: 6, ..entry(centre) };
+        table.listed(&server(at), small, ms(0));
+    }
+    let call = Asking { prompt: None, ..Asking::default() };
+    assert_eq!(place(&table, &call).unwrap().server, server(0));
+    load(&mut table, 0, 0, 12);
+    assert_eq!(place(&table, &call).unwrap().server, server(1));
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/support/mod.rs
@@ -0,0 +1,157 @@
+//! Builders that the tests of the forwarding cores share.
+#![allow(dead_code, unreachable_pub, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use quincevalve_forwarding::{
+    config::{
+        Account, CallerLimits, Engine, ForwardingConfig, Quota, QuotaUnit, Repeat, Route, Scaling,
+        Service, Target,
+    },
+    placement::{Ask, Prompt},
+    servers::{ServerEntry, ServerTable},
+};
+use quincevalve_names::{BackendServerName, DataCentreName, ServiceName, TimePoint};
+
+/// Names each case of a test and gives it its own test function.
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident => $($argument:expr),+;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($argument),+);
+            }
+        )+
+    };
+}
+
+pub fn ms(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+pub fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn limits() -> CallerLimits {
+    CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 4 << 20,
+        head_time: millis(3_000),
+        idle_time: millis(15_000),
+    }
+}
+
+pub fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![Target { service: "engines".into(), weight: 1 }],
+        repeat: Repeat::NonIdempotent,
+        timeout: millis(1_000),
+        objective: millis(200),
+        max_servers: 1,
+        urgency: 1,
+        anonymous: false,
+    }
+}
+
+pub fn config(version: u64, routes: Vec<Route>) -> ForwardingConfig {
+    let account =
+        Account { keys: vec!["key-1".into()], urgency: None, quota: Some(quota(1_000.0, 1_000.0)) };
+    let accounts = IndexMap::from([("desk".into(), account)]);
+    let services = IndexMap::from([("engines".into(), Service::default())]);
+    ForwardingConfig::new(version, routes, services, accounts, limits())
+}
+
+pub fn quota(per_second: f64, burst: f64) -> Quota {
+    Quota { per_second, burst, unit: QuotaUnit::Tokens { unsized_request: 200 } }
+}
+
+pub fn engine() -> Engine {
+    Engine { slots: 128, kv_tokens: 800_000, moves: true }
+}
+
+pub fn scaling() -> Scaling {
+    let centres = ["a", "b", "c", "d"];
+    let prices = [1.0, 0.8, 1.25, 0.9];
+    Scaling {
+        min: 1,
+        max: 6,
+        boot: millis(4_000),
+        reclaimable_price: Some(0.18),
+        prices: centres.iter().zip(prices).map(|(it, price)| ((*it).into(), price)).collect(),
+    }
+}
+
+pub fn entry(centre: &str) -> ServerEntry {
+    ServerEntry {
+        service: "engines".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: centre.into(),
+        slots: 128,
+        draining: false,
+        reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+pub fn draining(centre: &str) -> ServerEntry {
+    ServerEntry { draining: true, ..entry(centre) }
+}
+
+pub fn table(count: usize) -> ServerTable {
+    let mut table = ServerTable::default();
+    for at in 0..count {
+        let centre = ["a", "b", "c", "d"][at % 4];
+        table.listed(&server(at), entry(centre), TimePoint::ZERO);
+    }
+    table
+}
+
+pub fn server(at: usize) -> BackendServerName {
+    format!("server-{at}").as_str().into()
+}
+
+pub fn prompt(input: u32, shared: Option<(u64, u32)>) -> Prompt {
+    Prompt { input, output: 400, expected_output: None, shared }
+}
+
+/// What a request asks that comes to an entry VM of data centre `a`.
+pub struct Asking {
+    pub service: ServiceName,
+    pub data_centre: DataCentreName,
+    pub prompt: Option<Prompt>,
+    pub urgency: u8,
+    pub within: Duration,
+    pub had: Vec<BackendServerName>,
+}
+
+impl Default for Asking {
+    fn default() -> Self {
+        Self {
+            service: "engines".into(),
+            data_centre: "a".into(),
+            prompt: Some(prompt(2_000, None)),
+            urgency: 1,
+            within: millis(800),
+            had: Vec::new(),
+        }
+    }
+}
+
+impl Asking {
+    pub fn ask(&self) -> Ask<'_> {
+        Ask {
+            service: &self.service,
+            prompt: self.prompt.map(|it| (it, engine())),
+            urgency: self.urgency,
+            within: self.within,
+            data_centre: &self.data_centre,
+            had: &self.had,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/telling.rs
@@ -0,0 +1,238 @@
+//! Who collects what entry VMs tell, and what the sums are.
+
+mod support;
+
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
+use quincevalve_forwarding::{
+    change_log::ChangeLog,
+    load::WorkSum,
+    peer_book::{PeerBook, Role, VmCard},
+    sums::{Share, Sums},
+    usage::{Counts, Usage},
+    wall_clock::WallClock,
+};
+use quincevalve_names::{ClientAccountName, TimePoint};
+use support::ms;
+
+fn desk() -> ClientAccountName {
+    "desk".into()
+}
+
+fn card(at: usize) -> VmCard {
+    VmCard {
+        name: format!("vm-{at}"),
+        address: ([10, 0, (at / 200) as u8, (at % 200) as u8], 7600).into(),
+        data_centre: ["a", "b", "c", "d"][at % 4].into(),
+        cpu: if at < 8 { 500 } else { 120 },
+    }
+}
+
+fn book(me: usize, count: usize) -> PeerBook {
+    let mut book = PeerBook::new(card(me));
+    book.replace_all((0..count).map(card).collect());
+    book
+}
+
+fn collector_of(book: &PeerBook, now: TimePoint) -> Option<String> {
+    match book.role(false, now) {
+        Role::Collector { .. } => None,
+        Role::Member { collector, .. } => Some(collector),
+    }
+}
+
+#[test]
+fn in_a_small_system_everyone_tells_everyone() {
+    let Role::Collector { others } = book(0, 8).role(false, ms(0)) else { panic!("a member") };
+    assert_eq!(others.len(), 7);
+}
+
+#[test]
+fn in_a_large_system_the_strongest_of_a_data_centre_collects() {
+    let chosen: HashSet<_> =
+        (0..360).filter_map(|me| collector_of(&book(me, 360), ms(0))).collect();
+    assert_eq!(chosen.len(), 4, "{chosen:?}");
+    for name in &chosen {
+        let at: usize = name["vm-".len()..].parse().unwrap();
+        assert!(at < 8, "{name} has few cores");
+    }
+}
+
+#[test]
+fn a_collector_tells_one_vm_of_each_other_data_centre() {
+    let collectors = (0..360).filter(|me| collector_of(&book(*me, 360), ms(0)).is_none());
+    for me in collectors {
+        let Role::Collector { others } = book(me, 360).role(false, ms(0)) else { panic!("member") };
+        assert!(others.len() <= 6, "{others:?}");
+    }
+}
+
+// A VM's placements get worse by the second: the VM that collects for its data centre is gone, and nobody
+// answers. After less than a second the next one is chosen.
+#[test]
+fn a_silent_collector_is_replaced() {
+    let mut book = book(100, 360);
+    let first = collector_of(&book, ms(0)).unwrap();
+    let address = book.card(&first).unwrap().address;
+    book.asked(address, ms(0));
+    assert_eq!(collector_of(&book, ms(500)), Some(first.clone()));
+    let second = collector_of(&book, ms(900)).unwrap();
+    assert_ne!(first, second);
+    let card = book.card(&first).unwrap().clone();
+    book.heard(&card, ms(1_000));
+    assert_eq!(collector_of(&book, ms(1_000)), Some(first));
+}
+
+#[test]
+fn a_vm_that_is_neither_listed_nor_heard_is_forgotten() {
+    let mut book = book(0, 3);
+    book.heard(&card(1), ms(0));
+    book.unlisted("vm-1");
+    assert!(book.forget(ms(9_000)).is_empty());
+    assert_eq!(book.forget(ms(10_001)), ["vm-1"]);
+    assert_eq!(book.vms(), 2);
+}
+
+#[test]
+fn two_of_a_small_system_read_the_store() {
+    let readers = (0..8).filter(|me| book(*me, 8).reads_for_others(false, ms(0))).count();
+    assert_eq!(readers, 2);
+}
+
+fn work(requests: u32) -> IndexMap<u64, WorkSum> {
+    IndexMap::from([(1, WorkSum { requests, ..WorkSum::default() })])
+}
+
+fn share(requests: u32, spent: f64) -> Share {
+    Share { vms: 1, works: work(requests), spent: IndexMap::from([("desk".into(), spent)]) }
+}
+
+fn sum(sums: &Sums, except: Option<&str>, now: TimePoint) -> Share {
+    let mut sum = Share::default();
+    sums.add_to(&mut sum, except, now);
+    sum
+}
+
+#[test]
+fn a_member_is_told_the_rest_without_itself() {
+    let mut sums = Sums::default();
+    sums.take("vm-1", share(3, 0.0), ms(0));
+    sums.take("vm-2", share(4, 0.0), ms(0));
+    assert_eq!(sum(&sums, None, ms(0)).works, work(7));
+    assert_eq!(sum(&sums, Some("vm-1"), ms(0)).works, work(4));
+}
+
+#[test]
+fn what_was_told_long_ago_does_not_count() {
+    let mut sums = Sums::default();
+    sums.take("vm-1", share(3, 0.0), ms(0));
+    assert!(sum(&sums, None, ms(1_500)).works.is_empty());
+    assert!(!sums.is_fresh(ms(1_500)));
+}
+
+// An account is refused though it has spent little: a VM chose another collector, and all it had ever spent
+// was counted once more there. Only what grows after the first telling counts.
+#[test]
+fn a_teller_that_moves_brings_nothing_that_was_counted_before() {
+    let mut sums = Sums::default();
+    assert!(sums.take("vm-1", share(0, 500.0), ms(0)).is_empty());
+    let growth = sums.take("vm-1", share(0, 520.0), ms(100));
+    assert!((growth[&desk()] - 20.0).abs() < 1e-9);
+    assert!((sum(&sums, None, ms(100)).spent[&desk()] - 20.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_restarted_teller_takes_nothing_back() {
+    let mut sums = Sums::default();
+    sums.take("vm-1", share(0, 500.0), ms(0));
+    sums.take("vm-1", share(0, 600.0), ms(100));
+    assert!(sums.take("vm-1", share(0, 10.0), ms(200)).is_empty());
+    assert!((sum(&sums, None, ms(200)).spent[&desk()] - 100.0).abs() < 1e-9);
+}
+
+fn log() -> ChangeLog<&'static str> {
+    let mut log = ChangeLog::default();
+    log.restart(10);
+    log.extend([(11, "a"), (13, "b"), (13, "c"), (17, "d")], 20);
+    log
+}
+
+#[test]
+fn an_excerpt_holds_what_is_lacking() {
+    let excerpt = log().since(11, 100).unwrap();
+    assert_eq!(excerpt.changes, [(13, "b"), (13, "c"), (17, "d")]);
+    assert_eq!((excerpt.after, excerpt.upto), (11, 20));
+}
+
+// A VM believes that it knows a revision of which it got only half: a datagram had no room for the rest.
+// An excerpt ends before the revision that doesn't fit.
+#[test]
+fn an_excerpt_never_ends_inside_a_revision() {
+    let excerpt = log().since(10, 2).unwrap();
+    assert_eq!(excerpt.changes, [(11, "a")]);
+    assert_eq!(excerpt.upto, 12);
+}
+
+#[test]
+fn a_log_does_not_reach_back_before_its_start() {
+    assert_eq!(log().since(9, 100), None);
+}
+
+#[test]
+fn old_answers_add_nothing() {
+    let mut log = log();
+    log.extend([(12, "old")], 15);
+    assert_eq!(log.upto(), 20);
+    assert_eq!(log.since(10, 100).unwrap().changes.len(), 4);
+}
+
+#[test]
+fn totals_of_a_vm_that_is_gone_still_count() {
+    let mut usage = Usage::default();
+    usage.began(7, &"desk".into());
+    let told = IndexMap::from([("desk".into(), 5)]);
+    usage.heard("vm-1", 1, &[(7, told.clone())].into(), ms(0));
+    usage.heard("vm-1", 1, &[(7, IndexMap::from([("desk".into(), 3)]))].into(), ms(1));
+    usage.heard("vm-1", 2, &[(7, told)].into(), ms(2));
+    assert_eq!(usage.total(7)[&desk()], 11);
+    assert!(usage.total(8).is_empty());
+}
+
+#[test]
+fn a_report_waits_for_those_who_were_not_heard() {
+    let mut usage = Usage::default();
+    usage.heard("vm-1", 1, &Counts::new(), ms(1_000));
+    assert!(usage.all_heard(["vm-1"].into_iter(), ms(1_000)));
+    assert!(!usage.all_heard(["vm-1"].into_iter(), ms(1_001)));
+    assert!(!usage.all_heard(["vm-1", "vm-2"].into_iter(), ms(0)));
+}
+
+// Usage is booked in windows that have long passed: the time of day of one VM jumped. The median of what
+// all clocks say doesn't move with one of them.
+#[test]
+fn one_clock_that_jumps_does_not_move_true_time() {
+    let mut clock = WallClock::default();
+    for source in 0..5 {
+        clock.heard(source, 1_000_000 + source, ms(0));
+    }
+    let before = clock.true_ms(ms(500)).unwrap();
+    clock.heard(0, 9_000_000, ms(0));
+    let after = clock.true_ms(ms(500)).unwrap();
+    assert!((after - before).abs() <= 2, "{before} {after}");
+    assert_eq!(before, 1_000_502);
+}
+
+#[test]
+fn without_any_clock_there_is_no_true_time() {
+    assert_eq!(WallClock::<u8>::default().true_ms(ms(0)), None);
+}
+
+#[test]
+fn what_a_better_informed_vm_reckons_goes_first_while_it_is_fresh() {
+    let mut clock = WallClock::default();
+    clock.heard(0, 1_000, ms(0));
+    clock.trust(5_000, ms(0));
+    assert_eq!(clock.true_ms(ms(100)), Some(5_100));
+    assert_eq!(clock.true_ms(ms(4_000)), Some(5_000));
+}
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -42,6 +42,8 @@
 const HEARD_AFTER_MS: i64 = 500;
 /// Time between two plans of the fleet.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Kinds of servers, which are ordered one after the other.
+const KINDS: usize = 2;
 /// Time in which the last holder's report is read, from the taking over of the duties.
 const INHERIT_TIME: Duration = Duration::from_millis(50);
 /// Pause after a change, so that changes that come together are planned for together.
@@ -324,11 +326,12 @@
             if let Some(measured) = planner.measured() {
                 node.busy.borrow_mut().insert(name.clone(), measured);
             }
-            for order in planner.due(scaling, busy, &present, now) {
-                let Some(outcome) = send_order(node, cloud, name, &order, busy).await else {
-                    break;
-                };
-                planner.sent(&order, outcome, clock::now());
+            for _ in 0..KINDS {
+                for order in planner.due(scaling, busy, &present, clock::now()) {
+                    let sent = send_order(node, cloud, name, &order, busy).await;
+                    let Some(outcome) = sent else { break };
+                    planner.sent(&order, outcome, clock::now());
+                }
             }
         }
         // A notice of a reclaim is answered at once: a server takes seconds to start.
