Servers that were taken back are ordered again

Change: an order whose servers are lacking after their time to start is sent again; test failing before.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -226,7 +226,16 @@
         };
         // Nothing is given back before everything was seen: what looks superfluous may be all there is.
         let wanted = wanted.into_iter().filter(|it| !(is_new && is_fewer(it)));
-        let due: Vec<_> = wanted.filter(|it| self.is_due(it, now)).collect();
+        let lacks = |it: &Order| {
+            let there = present.get(&it.data_centre).copied().unwrap_or_default();
+            let count = match it.kind {
+                ServerKind::Reclaimable => there.reclaimable,
+                ServerKind::OnDemand => there.on_demand,
+            };
+            count < it.count
+        };
+        let started = scaling.boot + LISTING_TIME;
+        let due: Vec<_> = wanted.filter(|it| self.is_due(it, lacks(it), started, now)).collect();
         // On-demand servers stand in for reclaimable ones that can't be had: that is known by the answers.
         let (reclaimable, on_demand): (Vec<_>, Vec<_>) =
             due.into_iter().partition(|it| it.kind == ServerKind::Reclaimable);
@@ -252,7 +261,10 @@
     }
 
     /// Whether an order says something new, and fewer servers have been enough for long enough.
-    fn is_due(&mut self, order: &Order, now: TimePoint) -> bool {
+    ///
+    /// Failure: servers are reclaimed or crash for good, and the order that brought them stands. Symptom:
+    /// nobody replaces them. An order whose servers are lacking after their time to start is sent again.
+    fn is_due(&mut self, order: &Order, lacks: bool, started: Duration, now: TimePoint) -> bool {
         let key = (order.data_centre.clone(), order.kind);
         let Some(last) = self.sent.get(&key).copied() else { return true };
         match last.outcome {
@@ -262,7 +274,7 @@
         }
         if order.count >= last.count {
             self.fewer_since.swap_remove(&key);
-            return order.count > last.count;
+            return order.count > last.count || (lacks && now.since(last.at) >= started);
         }
         let since = *self.fewer_since.entry(key).or_insert(now);
         let patience = match order.kind {
--- a/crates/quincevalve_forwarding/tests/fleet_size.rs
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -133,6 +133,21 @@
     assert!(next.is_empty(), "{next:?}");
 }
 
+// A fleet runs on dear on-demand servers for the rest of the day: its reclaimable ones were taken back, and
+// the order that once brought them was not sent again.
+#[test]
+fn servers_that_were_taken_back_are_ordered_again() {
+    let whole = fleet([3; 4], [0; 4]);
+    let (mut planner, now) = planner(6.0, &whole);
+    send(&mut planner, 6.0, &whole, OrderOutcome::Taken);
+    let later = now + support::millis(20_000);
+    assert!(due(&mut planner, 6.0, &whole, later).is_empty());
+    let hit = fleet([3, 0, 3, 3], [0; 4]);
+    let orders = due(&mut planner, 6.0, &hit, later);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!((orders[0].data_centre.as_str(), orders[0].count), ("b", 3));
+}
+
 fn is_repeated(outcome: OrderOutcome, after_ms: u64, expected: bool) {
     let present = fleet([3; 4], [0; 4]);
     let (mut planner, now) = planner(5.0, &present);
