--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -94,7 +94,11 @@
 /// The part of an engine's memory that running requests may take; the rest keeps shared prompts.
 const MEMORY_PART: f64 = 0.85;
 /// The part of an engine's slots that are used; the rest is for what other VMs just sent.
-const SLOT_PART: f64 = 0.95;
+const SLOT_PART: f64 = 0.88;
+/// Milliseconds that a server is put back for if all its slots are taken; fades with the third power, so that
+/// half-filled servers are as good as idle ones. VMs that don't yet know of each other's newest requests
+/// would fill the last slots together, and the late ones wait for an answer to end.
+const SLOTS_MS: f64 = 400.0;
 /// Milliseconds that a server is put back for if all its answers fail lately.
 const FAILING_MS: f64 = 800.0;
 /// Milliseconds that it costs to read a thousand tokens again that another server keeps: beside the time,
@@ -144,7 +148,7 @@
                 let own = score(*part, name);
                 scores.iter().position(|it| *it == own).unwrap_or(0)
             });
-            let Prediction { ms: predicted_ms, work, room, reading } =
+            let Prediction { ms: predicted_ms, work, room, reading, slots } =
                 predict(ask, server, rank, now);
             let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
             nearest = Some(nearest.map_or(predicted, |it| it.min(predicted)));
@@ -154,6 +158,7 @@
             let mut cost = predicted_ms * (1.0 + JITTER * rng.random::<f64>());
             cost += FAILING_MS * server.load.failing();
             cost += READING_MS * reading * reading;
+            cost += SLOTS_MS * slots.powi(3);
             cost += READ_AGAIN_MS * read_again(ask, rank) / 1_000.0;
             if server.entry.data_centre != *ask.data_centre {
                 cost += if ask.prompt.is_some() { OTHER_DATA_CENTRE_MS } else { CALL_ACROSS_MS };
@@ -174,10 +179,12 @@
     rendezvous_score(part, hash_text(server.as_str()))
 }
 
-/// Tokens that a server would read although another keeps them.
+/// Tokens that a server would read although another keeps them, as they weigh. The second in order is where a
+/// hot part spills over, and often keeps it too.
 fn read_again(ask: &Ask<'_>, rank: usize) -> f64 {
     let shared = ask.prompt.and_then(|(prompt, _)| prompt.shared);
-    shared.filter(|_| rank > 0).map_or(0.0, |(_, tokens)| f64::from(tokens))
+    let weight = [0.0, 0.6].get(rank).copied().unwrap_or(1.0);
+    shared.map_or(0.0, |(_, tokens)| f64::from(tokens) * weight)
 }
 
 /// What is expected of a request at a server.
@@ -189,6 +196,8 @@
     room: bool,
     /// The part of its time that the server reads prompts already.
     reading: f64,
+    /// The part of its slots that are taken.
+    slots: f64,
 }
 
 fn predict(ask: &Ask<'_>, server: &Server, rank: usize, now: TimePoint) -> Prediction {
@@ -201,7 +210,7 @@
         let spread = f64::from(load.requests) / slots;
         let work = Work { urgency: ask.urgency, ..Work::default() };
         let ms = each * (1.0 + 0.3 * spread + queued / slots);
-        return Prediction { ms, work, room: true, reading: 0.0 };
+        return Prediction { ms, work, room: true, reading: 0.0, slots: 0.0 };
     };
     let kept = prompt.shared.map_or(0, |(_, tokens)| match rank {
         0 => tokens,
@@ -216,12 +225,12 @@
     let step = STEP_MS_PER_REQUEST * f64::from(load.requests);
     let predicted = (FIRST_TOKEN_MS + read_ms + step) * server.load.slowness();
     let memory_left = engine.kv_tokens as f64 * MEMORY_PART - load.memory as f64;
-    let slots = f64::from(engine.slots) * SLOT_PART;
+    let slots = f64::from(load.requests) / f64::from(engine.slots.max(1));
     let reading = server.load.reading_part(&load);
     let own_part = f64::from(prefill) / PREFILL_PER_MS / 1_000.0;
     let most = READING_PART[usize::from(ask.urgency).min(READING_PART.len() - 1)];
-    let room = f64::from(load.requests) < slots
+    let room = slots < SLOT_PART
         && (f64::from(memory) <= memory_left || load.requests == 0)
         && (reading + own_part <= most || reading <= IDLE_READING_PART);
-    Prediction { ms: predicted, work, room, reading }
+    Prediction { ms: predicted, work, room, reading, slots }
 }
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -50,7 +50,7 @@
 struct Relayed {
     /// How long ago the teller sent the question whose answer proves that this is the newest.
     age: Duration,
-    /// The version of the configuration in force.
+    /// The newest version of the configuration that the teller knows of.
     version: u64,
     after: u64,
     upto: u64,
@@ -236,7 +236,7 @@
         return None;
     }
     let age = node.freshness.get().age(now)?;
-    let version = node.config()?.version;
+    let version = node.config()?.version.max(node.told_version.get());
     let seen = {
         let peers = node.peers.borrow();
         let name = peers.book.name_of(to)?;
--- a/crates/quincevalve_node/src/store_view.rs
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -25,8 +25,17 @@
 pub(crate) enum Passed {
     Server(BackendServerName, ServerEntry),
     ServerRemoved(BackendServerName),
-    Own { key: String, value: Vec<u8> },
+    Own {
+        key: String,
+        value: Vec<u8>,
+    },
     OwnRemoved(String),
+    /// There is a configuration of this version.
+    ///
+    /// Failure: a VM that can't read the new configuration passes on what came after it. Symptom: who is told
+    /// so looks up to date and serves by the old one. The version stands among the changes, so that nobody
+    /// gets past it without knowing of it.
+    Config(u64),
 }
 
 /// The revision that this VM has reached, and what led there.
@@ -79,7 +88,10 @@
     let mut passed = Vec::new();
     for (at, change) in changes.changes {
         match change {
-            Change::Config(config) => node.apply_config(*config),
+            Change::Config(config) => {
+                passed.push((at.0, Passed::Config(config.version)));
+                node.apply_config(*config);
+            }
             Change::Unreadable(what) => log::error!(what; "store-item-unreadable"),
             Change::Server(name, entry) => passed.push((at.0, Passed::Server(name, entry))),
             Change::ServerRemoved(name) => passed.push((at.0, Passed::ServerRemoved(name))),
@@ -153,6 +165,9 @@
                 log::info!(peer = key; "peer-found");
             }
         }
+        Passed::Config(version) => {
+            node.told_version.set(node.told_version.get().max(*version));
+        }
         Passed::OwnRemoved(key) if key == HOLDER_KEY => node.peers.borrow_mut().holder_seen(None),
         Passed::OwnRemoved(key) => {
             if let Some(name) = key.strip_prefix(PEER_KEYS) {
