Placement looks at a few servers; a data centre out of reach is avoided as a whole

Cause: VMs that hear of an idle server at the same time all send there (a server told to run 4 requests ran 15); during a cut each VM tried each of 22 servers of the cut data centre; a reclaimed data centre's earlier order was awaited for seconds.

Change: a request looks at its shared part's two homes and three random servers; two servers out of reach pause their data centre; servers that start where a reclaim strikes are not awaited. Tests for each.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -92,6 +92,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Sent {
     count: u32,
+    /// Servers of the kind that were there then.
+    there: u32,
     at: TimePoint,
     outcome: OrderOutcome,
 }
@@ -166,6 +168,8 @@
     expected: Option<f64>,
     sent: IndexMap<(DataCentreName, ServerKind), Sent>,
     fewer_since: IndexMap<(DataCentreName, ServerKind), TimePoint>,
+    /// The servers that the newest orders were reckoned from.
+    seen: IndexMap<DataCentreName, Present>,
 }
 
 impl FleetPlanner {
@@ -177,6 +181,7 @@
             expected: None,
             sent: IndexMap::new(),
             fewer_since: IndexMap::new(),
+            seen: IndexMap::new(),
         }
     }
 
@@ -217,6 +222,7 @@
         present: &IndexMap<DataCentreName, Present>,
         now: TimePoint,
     ) -> Vec<Order> {
+        self.seen.clone_from(present);
         let coming = |centre: &DataCentreName| self.coming(centre, scaling, now);
         let wanted = plan(scaling, busy, present, coming);
         let is_new = self.is_new(now);
@@ -226,16 +232,8 @@
         };
         // Nothing is given back before everything was seen: what looks superfluous may be all there is.
         let wanted = wanted.into_iter().filter(|it| !(is_new && is_fewer(it)));
-        let lacks = |it: &Order| {
-            let there = present.get(&it.data_centre).copied().unwrap_or_default();
-            let count = match it.kind {
-                ServerKind::Reclaimable => there.reclaimable,
-                ServerKind::OnDemand => there.on_demand,
-            };
-            count < it.count
-        };
         let started = scaling.boot + LISTING_TIME;
-        let due: Vec<_> = wanted.filter(|it| self.is_due(it, lacks(it), started, now)).collect();
+        let due: Vec<_> = wanted.filter(|it| self.is_due(it, started, now)).collect();
         // On-demand servers stand in for reclaimable ones that can't be had: that is known by the answers.
         let (reclaimable, on_demand): (Vec<_>, Vec<_>) =
             due.into_iter().partition(|it| it.kind == ServerKind::Reclaimable);
@@ -248,15 +246,28 @@
 
     /// Notes an order that was sent.
     pub fn sent(&mut self, order: &Order, outcome: OrderOutcome, now: TimePoint) {
-        let sent = Sent { count: order.count, at: now, outcome };
+        let there = self.there(&order.data_centre, order.kind);
+        let sent = Sent { count: order.count, there, at: now, outcome };
         self.sent.insert((order.data_centre.clone(), order.kind), sent);
     }
 
-    /// Reclaimable servers in a data centre that were ordered and still start.
+    /// Servers of a kind that were there when the newest orders were reckoned.
+    fn there(&self, centre: &DataCentreName, kind: ServerKind) -> u32 {
+        let seen = self.seen.get(centre).copied().unwrap_or_default();
+        match kind {
+            ServerKind::Reclaimable => seen.reclaimable,
+            ServerKind::OnDemand => seen.on_demand,
+        }
+    }
+
+    /// Reclaimable servers in a data centre that were ordered and still start. A reclaim takes those that
+    /// start too: where there are fewer than at the order, none are awaited.
     fn coming(&self, centre: &DataCentreName, scaling: &Scaling, now: TimePoint) -> u32 {
         let sent = self.sent.get(&(centre.clone(), ServerKind::Reclaimable));
         let started = scaling.boot + LISTING_TIME;
+        let there = self.there(centre, ServerKind::Reclaimable);
         sent.filter(|it| it.outcome == OrderOutcome::Taken && now.since(it.at) < started)
+            .filter(|it| there >= it.there)
             .map_or(0, |it| it.count)
     }
 
@@ -264,7 +275,8 @@
     ///
     /// Failure: servers are reclaimed or crash for good, and the order that brought them stands. Symptom:
     /// nobody replaces them. An order whose servers are lacking after their time to start is sent again.
-    fn is_due(&mut self, order: &Order, lacks: bool, started: Duration, now: TimePoint) -> bool {
+    fn is_due(&mut self, order: &Order, started: Duration, now: TimePoint) -> bool {
+        let lacks = self.there(&order.data_centre, order.kind) < order.count;
         let key = (order.data_centre.clone(), order.kind);
         let Some(last) = self.sent.get(&key).copied() else { return true };
         match last.outcome {
--- a/crates/quincevalve_forwarding/src/peer_book.rs
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -216,10 +216,11 @@
         let mut collectors = Vec::new();
         for centre in centres {
             for card in self.ranked(centre).take(COLLECTORS_TRIED) {
-                if card.name != self.me.name {
-                    collectors.push(card.address);
+                if card.name == self.me.name {
+                    break;
                 }
-                if !self.is_silent(card, now) && card.name != self.me.name {
+                collectors.push(card.address);
+                if !self.is_silent(card, now) {
                     break;
                 }
             }
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     config::Engine,
-    load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, is_urgent},
+    load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
     servers::{Server, ServerTable},
 };
 
@@ -71,6 +71,8 @@
     pub work: Work,
     /// When the first answer is expected, from now.
     pub predicted: Duration,
+    /// The work that the server had, as far as known.
+    pub seen: WorkSum,
 }
 
 /// Why there is no server for a request.
@@ -118,6 +120,11 @@
 /// Milliseconds that another data centre costs a call of a plain service: a cut between data centres takes
 /// all calls that are on their way across it, and a call has no prompt that another server keeps.
 const CALL_ACROSS_MS: f64 = 25.0;
+/// Servers that are taken to keep a shared part: one, and one that it spills over to.
+const HOMES: usize = 2;
+/// Servers beside those that a request looks at. Two random ones already spread load nearly evenly, and more
+/// bring the herd back.
+const RANDOM_CANDIDATES: usize = 3;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
 const JITTER: f64 = 0.1;
 
@@ -132,49 +139,103 @@
         R: Rng,
     {
         let usable: Vec<_> = self.usable(ask.service, now).collect();
-        let reachable = usable.iter().any(|(_, it)| !it.load.is_paused(now));
-        let homes = ask.prompt.and_then(|(prompt, _)| prompt.shared).map(|(part, _)| {
-            let mut scores: Vec<_> = usable.iter().map(|(name, _)| score(part, name)).collect();
-            scores.sort_unstable_by_key(|it| std::cmp::Reverse(*it));
-            (part, scores)
-        });
-        let mut best: Option<(f64, Placement)> = None;
-        let mut nearest: Option<Duration> = None;
-        for (name, server) in usable {
-            if ask.had.contains(name) || (reachable && server.load.is_paused(now)) {
-                continue;
-            }
-            let rank = homes.as_ref().map_or(0, |(part, scores)| {
-                let own = score(*part, name);
-                scores.iter().position(|it| *it == own).unwrap_or(0)
-            });
-            let Prediction { ms: predicted_ms, work, room, reading, slots } =
-                predict(ask, server, rank, now);
-            let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
-            nearest = Some(nearest.map_or(predicted, |it| it.min(predicted)));
-            if !room || predicted > ask.within {
-                continue;
-            }
-            let mut cost = predicted_ms * (1.0 + JITTER * rng.random::<f64>());
-            cost += FAILING_MS * server.load.failing();
-            cost += READING_MS * reading * reading;
-            cost += SLOTS_MS * slots.powi(3);
-            cost += READ_AGAIN_MS * read_again(ask, rank) / 1_000.0;
-            if server.entry.data_centre != *ask.data_centre {
-                cost += if ask.prompt.is_some() { OTHER_DATA_CENTRE_MS } else { CALL_ACROSS_MS };
-            }
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Placement { server: name.clone(), work, predicted }));
-            }
+        let some = candidates(ask, &usable, rng);
+        if let Ok(placement) = best_of(ask, &usable, &some, rng, now) {
+            return Ok(placement);
+        }
+        // None of a few has room: look at all before the caller is refused.
+        let all: Vec<_> = (0..usable.len()).collect();
+        best_of(ask, &usable, &all, rng, now)
+    }
+}
+
+fn best_of<R>(
+    ask: &Ask<'_>,
+    usable: &[(&BackendServerName, &Server)],
+    candidates: &[usize],
+    rng: &mut R,
+    now: TimePoint,
+) -> Result<Placement, NoPlace>
+where
+    R: Rng,
+{
+    let reachable = usable.iter().any(|(_, it)| !it.load.is_paused(now));
+    let homes = homes(ask, usable);
+    let mut best: Option<(f64, Placement)> = None;
+    let mut nearest: Option<Duration> = None;
+    for at in candidates {
+        let (name, server) = usable[*at];
+        if ask.had.contains(name) || (reachable && server.load.is_paused(now)) {
+            continue;
+        }
+        let rank = homes.iter().position(|it| it == at).unwrap_or(homes.len());
+        let Prediction { ms: predicted_ms, work, room, reading, slots } =
+            predict(ask, server, rank, now);
+        let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
+        nearest = Some(nearest.map_or(predicted, |it| it.min(predicted)));
+        if !room || predicted > ask.within {
+            continue;
         }
-        match (best, nearest) {
-            (Some((_, placement)), _) => Ok(placement),
-            (None, Some(predicted)) => Err(NoPlace::Busy { predicted }),
-            (None, None) => Err(NoPlace::NoServer),
+        let mut cost = predicted_ms * (1.0 + JITTER * rng.random::<f64>());
+        cost += FAILING_MS * server.load.failing();
+        cost += READING_MS * reading * reading;
+        cost += SLOTS_MS * slots.powi(3);
+        cost += READ_AGAIN_MS * read_again(ask, rank) / 1_000.0;
+        if server.entry.data_centre != *ask.data_centre {
+            cost += if ask.prompt.is_some() { OTHER_DATA_CENTRE_MS } else { CALL_ACROSS_MS };
         }
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            let seen = server.load.total(now);
+            best = Some((cost, Placement { server: name.clone(), work, predicted, seen }));
+        }
+    }
+    match (best, nearest) {
+        (Some((_, placement)), _) => Ok(placement),
+        (None, Some(predicted)) => Err(NoPlace::Busy { predicted }),
+        (None, None) => Err(NoPlace::NoServer),
     }
 }
 
+/// The servers that are looked at for a request.
+///
+/// Failure: many VMs hear of a server with little work at the same time, and until they hear of each other's
+/// newest requests all of them send theirs there. Symptom: with 85 VMs, a server that was told to run 4
+/// requests ran 15, and first tokens were late while others idled. Each request therefore looks at a few
+/// servers of its own choice, beside those that keep its prompt's shared part.
+fn candidates<R>(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)], rng: &mut R) -> Vec<usize>
+where
+    R: Rng,
+{
+    if ask.prompt.is_none() || usable.len() <= RANDOM_CANDIDATES {
+        return (0..usable.len()).collect();
+    }
+    let mut chosen = homes(ask, usable);
+    for _ in 0..RANDOM_CANDIDATES {
+        let at = rng.random_range(0..usable.len());
+        if !chosen.contains(&at) {
+            chosen.push(at);
+        }
+    }
+    chosen
+}
+
+/// The servers that come first in order for a prompt's shared part, best first.
+fn homes(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)]) -> Vec<usize> {
+    let Some((part, _)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
+        return Vec::new();
+    };
+    let mut first: [Option<(u64, usize)>; HOMES] = [None; HOMES];
+    for (at, (name, _)) in usable.iter().enumerate() {
+        let mut candidate = Some((score(part, name), at));
+        for place in &mut first {
+            if candidate > *place {
+                std::mem::swap(place, &mut candidate);
+            }
+        }
+    }
+    first.into_iter().flatten().map(|(_, at)| at).collect()
+}
+
 fn score(part: u64, server: &BackendServerName) -> u64 {
     rendezvous_score(part, hash_text(server.as_str()))
 }
@@ -183,7 +244,13 @@
 /// hot part spills over, and often keeps it too.
 fn read_again(ask: &Ask<'_>, rank: usize) -> f64 {
     let shared = ask.prompt.and_then(|(prompt, _)| prompt.shared);
-    let weight = [0.0, 0.6].get(rank).copied().unwrap_or(1.0);
+    let weight = if rank == 0 {
+        0.0
+    } else if rank < HOMES {
+        0.6
+    } else {
+        1.0
+    };
     shared.map_or(0.0, |(_, tokens)| f64::from(tokens) * weight)
 }
 
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -73,8 +73,17 @@
     store_back: Option<TimePoint>,
     /// Since when the store can't be reached.
     store_away: Option<TimePoint>,
+    /// Servers that could not be reached lately, by data centre.
+    unreached: IndexMap<DataCentreName, Vec<(TimePoint, BackendServerName)>>,
 }
 
+/// Different servers of a data centre that have to be out of reach for the whole data centre to count so.
+const UNREACHED_SERVERS: usize = 2;
+/// Time within which they have to be.
+const UNREACHED_WITHIN: Duration = Duration::from_millis(1_500);
+/// How long a data centre that is out of reach is left alone before a request tries it again.
+const CENTRE_PAUSE: Duration = Duration::from_millis(1_500);
+
 impl ServerTable {
     /// Takes an entry of the list; `true` if the server wasn't listed before.
     pub fn listed(&mut self, name: &BackendServerName, entry: ServerEntry, now: TimePoint) -> bool {
@@ -131,6 +140,26 @@
         }
     }
 
+    /// Notes that a server could not be reached from here.
+    ///
+    /// Failure: a data centre is cut off, and each of its servers has to be tried to be known for out of
+    /// reach. Symptom: a caller for each of them waits for a connection in vain. After two different servers
+    /// the whole data centre is left alone for a while.
+    pub fn unreachable(&mut self, name: &BackendServerName, now: TimePoint) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.load.unreachable(now);
+        let centre = server.entry.data_centre.clone();
+        let lately = self.unreached.entry(centre.clone()).or_default();
+        lately.retain(|(at, it)| now.since(*at) <= UNREACHED_WITHIN && it != name);
+        lately.push((now, name.clone()));
+        if lately.len() < UNREACHED_SERVERS {
+            return;
+        }
+        for server in self.servers.values_mut().filter(|it| it.entry.data_centre == centre) {
+            server.load.full(CENTRE_PAUSE, now);
+        }
+    }
+
     /// Notes that the store stopped answering.
     pub fn store_lost(&mut self, now: TimePoint) {
         self.store_away.get_or_insert(now);
--- a/crates/quincevalve_forwarding/tests/fleet_size.rs
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -148,6 +148,23 @@
     assert_eq!((orders[0].data_centre.as_str(), orders[0].count), ("b", 3));
 }
 
+// Nothing stands in for a data centre's servers for four seconds after their reclaim: more had been ordered
+// there just before, and were awaited. A reclaim takes those that start, too.
+#[test]
+fn servers_that_start_where_a_reclaim_strikes_are_not_awaited() {
+    let whole = fleet([3; 4], [0; 4]);
+    let (mut planner, _) = planner(8.0, &whole);
+    send(&mut planner, 8.0, &whole, OrderOutcome::Taken);
+    let hit = fleet([0, 3, 3, 0], [0; 4]);
+    let at = |millis: u64| ms(99_000 + millis);
+    let refused = due(&mut planner, 8.0, &hit, at(7_000));
+    for order in &refused {
+        planner.sent(order, OrderOutcome::NoneAvailable, at(7_000));
+    }
+    let orders = due(&mut planner, 8.0, &hit, at(7_000));
+    assert!(count(&orders, ServerKind::OnDemand) >= 4, "{orders:?}");
+}
+
 fn is_repeated(outcome: OrderOutcome, after_ms: u64, expected: bool) {
     let present = fleet([3; 4], [0; 4]);
     let (mut planner, now) = planner(5.0, &present);
--- a/crates/quincevalve_forwarding/tests/placement.rs
+++ b/crates/quincevalve_forwarding/tests/placement.rs
@@ -171,6 +171,25 @@
     assert!(place(&table, &Asking::default()).is_ok());
 }
 
+// Caller after caller waits for a connection in vain: a data centre is cut off, and its servers are tried one
+// by one. After two of them the others are left alone too, for a while.
+#[test]
+fn a_data_centre_out_of_reach_is_avoided_as_a_whole() {
+    let mut table = table(16);
+    table.unreachable(&server(1), ms(0));
+    table.unreachable(&server(5), ms(100));
+    let placed = |seed| {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        table.place(&Asking::default().ask(), &mut rng, ms(200)).map(|it| it.server)
+    };
+    for seed in 0..50 {
+        let name = placed(seed).unwrap();
+        let at = (0..16).find(|it| server(*it) == name).unwrap();
+        assert_ne!(at % 4, 1, "{name} is in the data centre that is cut off");
+    }
+    assert!(!table.get(&server(9)).unwrap().load.is_paused(ms(1_700)));
+}
+
 #[test]
 fn pauses_grow_and_end() {
     let mut table = table(1);
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -107,9 +107,11 @@
         had.push(place.server.clone());
         let mut guard = WorkGuard::new(node, &place);
         let sent = Instant::now();
-        log::debug!(
-            id = req.id, server = place.server.as_str(), predicted_ms = place.predicted.as_millis() as u64;
-            "sent"
+        log::info!(
+            id = req.id, server = place.server.as_str(), urgency = req.urgency,
+            predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
+            prefill = place.seen.prefill, recent = place.seen.recent, waited_ms = req.arrived.elapsed().as_millis() as u64;
+            "placed"
         );
         let failed = match exchange(node, &req, &body, &place, &[]).await {
             Ok(answer) => {
--- a/crates/quincevalve_node/src/exchange.rs
+++ b/crates/quincevalve_node/src/exchange.rs
@@ -59,7 +59,7 @@
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "connect-failed");
-            note(node, place, |it, now| it.load.unreachable(now));
+            node.servers.borrow_mut().unreachable(&place.server, clock::now());
             return Err(Failed::NotRun);
         }
         Err(_) => return Err(Failed::NotRun),
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -26,7 +26,7 @@
 
 /// Time between two tellings. Loads and quotas are known everywhere after three of them at most, which is
 /// short against the objectives; shorter ones cost processor time and bring nothing that is measured.
-const PERIOD: Duration = Duration::from_millis(150);
+const PERIOD: Duration = Duration::from_millis(120);
 /// Periods between two tellings of usage and demand, which are needed by the second.
 const USAGE_PERIODS: u32 = 6;
 /// Changes of the store in one datagram at most; each takes some two hundred bytes.
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -166,6 +166,12 @@
             let Some(events) = self.whole_events(&data) else { continue };
             if !std::mem::replace(&mut self.began, true) {
                 source.guard.prefilled();
+                log::info!(
+                    id = self.req.id, server = source.place.server.as_str(),
+                    took_ms = source.sent.elapsed().as_millis() as u64,
+                    predicted_ms = source.place.predicted.as_millis() as u64;
+                    "stream-began"
+                );
                 note_answered(&self.node, &source.place, source.sent);
                 self.node.note_began(self.req.account.as_ref());
             }
