On-demand servers stay until the reclaimable ones that start do serve

Change: servers that start keep more from being ordered, only servers that serve let others go; what is ordered stays where it is. A test that failed before.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -223,8 +223,23 @@
         now: TimePoint,
     ) -> Vec<Order> {
         self.seen.clone_from(present);
-        let coming = |centre: &DataCentreName| self.coming(centre, scaling, now);
-        let wanted = plan(scaling, busy, present, coming);
+        let each = reclaimable_each(scaling, busy, present.len());
+        let mut wanted = Vec::new();
+        if scaling.reclaimable_price.is_some() {
+            let reclaimable = |it: &DataCentreName| Order {
+                data_centre: it.clone(),
+                kind: ServerKind::Reclaimable,
+                count: each,
+            };
+            wanted.extend(present.keys().map(reclaimable));
+            wanted.extend(self.on_demand(scaling, busy, now));
+        } else {
+            wanted.extend(present.keys().map(|it| Order {
+                data_centre: it.clone(),
+                kind: ServerKind::OnDemand,
+                count: each,
+            }));
+        }
         let is_new = self.is_new(now);
         let is_fewer = |it: &Order| {
             let there = present.get(&it.data_centre).copied().unwrap_or_default();
@@ -240,6 +255,52 @@
         if reclaimable.is_empty() { on_demand } else { reclaimable }
     }
 
+    /// The on-demand servers that each data centre should have.
+    ///
+    /// Failure: reclaimable servers are ordered again after a wave, and the on-demand ones are given back for
+    /// them before they serve. Symptom: for the seconds that they take to start, or until the next reclaim
+    /// takes them too, there are far too few. Servers that start keep more from being ordered; only servers
+    /// that serve let others go, unless there is nobody to serve yet.
+    fn on_demand(&self, scaling: &Scaling, busy: f64, now: TimePoint) -> Vec<Order> {
+        let serve: Vec<u32> = self.seen.values().map(|it| it.reclaimable).collect();
+        let soon: Vec<u32> = self
+            .seen
+            .iter()
+            .map(|(centre, it)| it.reclaimable.max(self.coming(centre, scaling, now)))
+            .collect();
+        let least = on_demand_needed(busy, &soon);
+        let most = on_demand_needed(busy, &serve).max(least);
+        let ordered = |centre: &DataCentreName| {
+            let sent = self.sent.get(&(centre.clone(), ServerKind::OnDemand));
+            sent.map_or(0, |it| it.count)
+        };
+        let now_ordered: u32 = self.seen.keys().map(ordered).sum();
+        let is_idle = self.demand.looks == 0;
+        let mut wanted = if is_idle { least } else { now_ordered.clamp(least, most) };
+        let mut cheapest: Vec<_> = self.seen.keys().collect();
+        cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
+        // What is ordered stays where it is as far as it is wanted; more goes where it is cheapest.
+        let mut counts: IndexMap<&DataCentreName, u32> = IndexMap::new();
+        for centre in &cheapest {
+            let kept = ordered(centre).min(wanted);
+            wanted -= kept;
+            counts.insert(centre, kept);
+        }
+        for (centre, count) in &mut counts {
+            let reclaimable = self.there(centre, ServerKind::Reclaimable);
+            let room = scaling.max.saturating_sub(reclaimable + *count);
+            let more = wanted.min(room);
+            wanted -= more;
+            *count += more;
+        }
+        let order = |(centre, count): (&DataCentreName, u32)| Order {
+            data_centre: centre.clone(),
+            kind: ServerKind::OnDemand,
+            count,
+        };
+        counts.into_iter().map(order).collect()
+    }
+
     fn is_new(&self, now: TimePoint) -> bool {
         now.since(self.since) < ACQUAINTANCE
     }
@@ -297,46 +358,25 @@
     }
 }
 
-/// The servers that a service should have.
-fn plan(
-    scaling: &Scaling,
-    busy: f64,
-    present: &IndexMap<DataCentreName, Present>,
-    coming: impl Fn(&DataCentreName) -> u32,
-) -> Vec<Order> {
-    let centres = present.len().max(1);
+/// Reclaimable servers that each data centre should have for `busy` servers' worth of work.
+fn reclaimable_each(scaling: &Scaling, busy: f64, centres: usize) -> u32 {
+    let centres = centres.max(1);
     let wanted = (busy / WANTED_BUSY).max(1.0);
     let bearable = (busy / BEARABLE_BUSY).max(1.0);
     let left = centres.saturating_sub(LOST_CENTRES).max(1);
     let evenly = (wanted / centres as f64).max(bearable / left as f64);
-    let each = (evenly.ceil() as u32).clamp(scaling.min, scaling.max);
-    let order = |data_centre: &DataCentreName, kind, count| Order {
-        data_centre: data_centre.clone(),
-        kind,
-        count,
-    };
-    if scaling.reclaimable_price.is_none() {
-        return present.keys().map(|it| order(it, ServerKind::OnDemand, each)).collect();
-    }
-    let mut orders: Vec<_> =
-        present.keys().map(|it| order(it, ServerKind::Reclaimable, each)).collect();
-    let there = |centre: &DataCentreName, it: &Present| it.reclaimable.max(coming(centre));
-    let counts: Vec<u32> = present.iter().map(|(centre, it)| there(centre, it)).collect();
-    let largest = counts.iter().copied().max().unwrap_or_default();
-    let at_risk = if counts.contains(&0) { largest } else { 0 };
-    let reclaimable = counts.iter().sum::<u32>();
+    (evenly.ceil() as u32).clamp(scaling.min, scaling.max)
+}
+
+/// On-demand servers that are needed beside reclaimable ones, given by data centre.
+fn on_demand_needed(busy: f64, reclaimable: &[u32]) -> u32 {
+    let largest = reclaimable.iter().copied().max().unwrap_or_default();
+    let at_risk = if reclaimable.contains(&0) { largest } else { 0 };
+    let all = reclaimable.iter().sum::<u32>();
     let needed = |part: f64| (busy / part).ceil() as u32;
-    let now = needed(ON_DEMAND_BUSY).saturating_sub(reclaimable);
-    let after = needed(SHORT_BUSY).saturating_sub(reclaimable - at_risk);
-    let mut missing = now.max(after);
-    let mut cheapest: Vec<_> = present.iter().collect();
-    cheapest.sort_by(|a, b| price(scaling, a.0).total_cmp(&price(scaling, b.0)));
-    for (centre, it) in cheapest {
-        let more = missing.min(scaling.max.saturating_sub(there(centre, it)));
-        orders.push(order(centre, ServerKind::OnDemand, more));
-        missing -= more;
-    }
-    orders
+    let now = needed(ON_DEMAND_BUSY).saturating_sub(all);
+    let after = needed(SHORT_BUSY).saturating_sub(all - at_risk);
+    now.max(after)
 }
 
 fn price(scaling: &Scaling, centre: &DataCentreName) -> f64 {
--- a/crates/quincevalve_forwarding/tests/fleet_size.rs
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -165,6 +165,30 @@
     assert!(count(&orders, ServerKind::OnDemand) >= 4, "{orders:?}");
 }
 
+// Most of the fleet is gone for seconds: reclaimable servers could be ordered again, and the on-demand ones
+// that stood in for them were given back while the others still started.
+#[test]
+fn on_demand_servers_stay_until_those_that_start_serve() {
+    let none = fleet([0; 4], [0; 4]);
+    let (mut planner, _) = planner(8.0, &none);
+    let orders = send(&mut planner, 8.0, &none, OrderOutcome::NoneAvailable);
+    assert!(count(&orders, ServerKind::OnDemand) >= 8);
+    let at = |millis: u64| ms(99_000 + millis);
+    let standing_in = fleet([0; 4], [0, 6, 0, 4]);
+    for order in due(&mut planner, 8.0, &standing_in, at(13_000)) {
+        planner.sent(&order, OrderOutcome::Taken, at(13_000));
+    }
+    for after in [13_100, 15_000, 18_000] {
+        let orders = due(&mut planner, 8.0, &standing_in, at(after));
+        assert!(orders.is_empty(), "{after}: {orders:?}");
+    }
+    let back = fleet([4; 4], [0, 6, 0, 4]);
+    due(&mut planner, 8.0, &back, at(18_500));
+    let orders = due(&mut planner, 8.0, &back, at(21_000));
+    assert_eq!(orders.len(), 2, "{orders:?}");
+    assert_eq!(count(&orders, ServerKind::OnDemand), 0);
+}
+
 fn is_repeated(outcome: OrderOutcome, after_ms: u64, expected: bool) {
     let present = fleet([3; 4], [0; 4]);
     let (mut planner, now) = planner(5.0, &present);
