Streams of engines that go are moved to others

Change: a second before an engine goes its streams are stopped, their memory copied, and the same request goes on from the copy at another engine; the call is a port that platform/ implements.

--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -53,10 +53,16 @@
     pub load: ServerLoad,
     listing: Listing,
     leaving: Option<Leaving>,
+    /// When it will be gone, as far as known.
+    goes_at: Option<TimePoint>,
     /// When it was first seen.
     pub since: TimePoint,
 }
 
+/// Time from the announcement to the end of a server that doesn't say it: as long as it has to be served
+/// without new work, and a little.
+const USUAL_LEAVE: Duration = Duration::from_millis(2_600);
+
 /// How long an entry that lapsed in an outage of the store may be missing after the store's return.
 ///
 /// Servers that live put their entries back within two seconds; one that is still missing then is gone.
@@ -93,6 +99,7 @@
             load: ServerLoad::default(),
             listing: Listing::Listed,
             leaving: None,
+            goes_at: None,
             since: now,
             entry: entry.clone(),
         });
@@ -100,6 +107,9 @@
         server.listing = Listing::Listed;
         if draining {
             server.leaving.get_or_insert(Leaving::Announced);
+            let left = server.entry.leaves_in.unwrap_or(USUAL_LEAVE);
+            let goes_at = now + left;
+            server.goes_at = Some(server.goes_at.map_or(goes_at, |it| it.min(goes_at)));
         }
         !was_listed
     }
@@ -190,6 +200,11 @@
         }
     }
 
+    /// When a server that leaves will be gone, as far as known.
+    pub fn goes_at(&self, name: &BackendServerName) -> Option<TimePoint> {
+        self.servers.get(name)?.goes_at
+    }
+
     /// A server by name.
     pub fn get(&self, name: &BackendServerName) -> Option<&Server> {
         self.servers.get(name)
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod front;
 mod identify;
+mod mover;
 mod node;
 mod peers;
 pub mod ports;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -26,6 +26,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::{sync::Notify, time::Instant};
 
+use crate::mover::Mover;
 use crate::{
     backends::Backends, clock, peers::Peers, ports::HeaderNames, settings::NodeSettings,
     store_view::StoreView,
@@ -76,6 +77,7 @@
     pub(crate) backends: Backends,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
+    pub(crate) mover: Mover,
     pub(crate) store_view: RefCell<StoreView>,
     /// The newest version of the configuration that others have.
     pub(crate) told_version: Cell<u64>,
@@ -84,7 +86,7 @@
 }
 
 impl Node {
-    pub(crate) fn new(settings: NodeSettings, headers: HeaderNames) -> Self {
+    pub(crate) fn new(settings: NodeSettings, headers: HeaderNames, mover: Mover) -> Self {
         let seed = clock::now().as_micros() ^ quincevalve_names::hash_text(settings.name.as_str());
         Self {
             incarnation: clock::wall_ms() as u64,
@@ -103,6 +105,7 @@
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
+            mover,
             store_view: RefCell::default(),
             told_version: Cell::new(0),
             changed: Notify::new(),
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -1,8 +1,8 @@
 //! What the process needs from the platform, in the project's own terms.
 
-use std::{future::Future, time::Duration};
+use std::{future::Future, net::SocketAddr, time::Duration};
 
-use http::HeaderName;
+use http::{HeaderName, HeaderValue};
 use indexmap::IndexMap;
 use quincevalve_forwarding::{config::ForwardingConfig, servers::ServerEntry};
 use quincevalve_names::{
@@ -196,6 +196,32 @@
     ) -> impl Future<Output = Result<(), CloudError>>;
 }
 
+/// A running request that was stopped at its server, its memory copied to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MovedRun {
+    /// What the request has to carry to go on from the copy.
+    pub ticket: HeaderValue,
+}
+
+/// A run that could not be moved; it goes on where it is, unless its server has stopped it.
+#[derive(Debug, Snafu)]
+#[snafu(display("engine: {source}"))]
+pub struct MoveError {
+    /// Why.
+    pub source: CallError,
+}
+
+/// What a model engine can be told beside requests.
+pub trait EngineApi: Clone + 'static {
+    /// Stops a running request and copies its memory to another engine.
+    fn move_run(
+        &self,
+        from: SocketAddr,
+        to: SocketAddr,
+        attempt_id: &str,
+    ) -> impl Future<Output = Result<MovedRun, MoveError>>;
+}
+
 /// The names of the headers that callers, servers and the system exchange.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -225,6 +251,8 @@
     pub urgency: HeaderName,
     /// The last event that was received of a stream.
     pub last_event: HeaderName,
+    /// Where the memory is from which a moved run goes on.
+    pub moved_from: HeaderName,
     /// Headers that only the system may set; a caller's are removed.
     pub internal: Vec<HeaderName>,
 }
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -1,6 +1,6 @@
 //! A stream of events on its way from a server to the caller.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, HeaderValue, Response};
@@ -9,13 +9,13 @@
 use quincevalve_forwarding::{config::Repeat, placement::Placement};
 use tokio::{
     sync::mpsc,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use crate::{
     backends::{Connection, KeepAlive},
     body::{AnswerBody, BrokenOff},
-    dispatch,
+    clock, dispatch,
     dispatch::{WorkGuard, passed_on},
     exchange::{ServerAnswer, exchange, note, note_answered},
     identify::Identified,
@@ -45,8 +45,14 @@
     TimedOut,
     /// The caller has left.
     CallerLeft,
+    /// The server goes before the stream is likely to end.
+    MustMove,
 }
 
+/// Time before a server goes at which its streams are moved: its announcement was up to 700 ms on its way, and
+/// the copies of a whole engine take 200 ms. Streams that end before are not moved.
+const MOVE_BEFORE: Duration = Duration::from_millis(1_100);
+
 /// Begins to pass a stream on.
 pub(crate) fn stream(
     node: &Rc<Node>,
@@ -98,7 +104,7 @@
     async fn run(mut self, mut source: Source) {
         let mut servers = vec![source.place.server.clone()];
         loop {
-            let end = self.pump(&mut source).await;
+            let end = self.pump(&mut source, self.can_move()).await;
             match end {
                 End::Whole => {
                     self.ended("whole", &servers);
@@ -110,6 +116,10 @@
                     return;
                 }
                 End::CallerLeft => return self.ended("caller-left", &servers),
+                End::MustMove => match self.move_on(source, &mut servers).await {
+                    Some(next) => source = next,
+                    None => return,
+                },
                 End::TimedOut => {
                     self.ended("timed-out", &servers);
                     return self.break_off().await;
@@ -142,11 +152,14 @@
     }
 
     /// Passes whole events on until the source ends.
-    async fn pump(&mut self, source: &mut Source) -> End {
+    async fn pump(&mut self, source: &mut Source, can_move: bool) -> End {
         loop {
+            let move_at = if can_move { self.move_at(&source.place) } else { None };
             let frame = tokio::select! {
                 biased;
                 () = self.tx.closed() => return End::CallerLeft,
+                () = wait_until(move_at) => return End::MustMove,
+                () = self.node.changed.notified(), if can_move && move_at.is_none() => continue,
                 frame = timeout_at(self.req.deadline, source.incoming.frame()) => frame,
             };
             let data = match frame {
@@ -181,6 +194,87 @@
         }
     }
 
+    fn can_move(&self) -> bool {
+        let engine = self.req.config.services.get(&self.req.service).and_then(|it| it.engine);
+        engine.is_some_and(|it| it.moves)
+    }
+
+    /// When the stream has to be moved, if its server goes.
+    fn move_at(&self, place: &Placement) -> Option<Instant> {
+        let goes_at = self.node.servers.borrow().goes_at(&place.server)?;
+        let left = goes_at.since(clock::now());
+        Some(Instant::now() + left.saturating_sub(MOVE_BEFORE))
+    }
+
+    /// Moves the run to another engine and goes on there; `None` where the stream has ended one way or the
+    /// other.
+    ///
+    /// Failure: engines are reclaimed with two seconds' notice, and most long answers take longer. Symptom:
+    /// the streams of a whole data centre are cut, and all that was read and generated is lost. The engine
+    /// stops the run, copies its memory, and the same request goes on from the copy; it is the same run.
+    async fn move_on(
+        &mut self,
+        mut source: Source,
+        servers: &mut Vec<quincevalve_names::BackendServerName>,
+    ) -> Option<Source> {
+        let to = dispatch::place_again(&self.node, &self.req, servers);
+        let addresses = {
+            let table = self.node.servers.borrow();
+            let address = |it: &Placement| table.get(&it.server).map(|it| it.entry.address);
+            to.as_ref().and_then(|to| Some((address(&source.place)?, address(to)?)))
+        };
+        let moving =
+            addresses.and_then(|(from, to)| self.node.mover.move_run(from, to, &self.req.id));
+        // What the engine makes until it stops still comes on the old stream.
+        let end = self.pump(&mut source, false).await;
+        let ended = matches!(end, End::Whole | End::CallerLeft | End::TimedOut);
+        if ended {
+            return self.end_without_move(end, source, servers).await;
+        }
+        let moved = match moving {
+            Some(moving) => moving.await.ok(),
+            None => None,
+        };
+        drop(source);
+        if let (Some(Ok(moved)), Some(to)) = (moved, to) {
+            let extra = (self.node.headers.moved_from.clone(), moved.ticket);
+            servers.push(to.server.clone());
+            if let Some(next) = self.go_on(to, Some(extra)).await {
+                return Some(next);
+            }
+        }
+        if let Some(next) = self.resume(servers).await {
+            return Some(next);
+        }
+        self.ended("broke-off", servers);
+        self.break_off().await;
+        None
+    }
+
+    async fn end_without_move(
+        &mut self,
+        end: End,
+        source: Source,
+        servers: &[quincevalve_names::BackendServerName],
+    ) -> Option<Source> {
+        match end {
+            End::Whole => {
+                self.ended("whole", servers);
+                self.node.backends.keep(
+                    &source.place.server,
+                    source.connection,
+                    &source.keep_alive,
+                );
+            }
+            End::TimedOut => {
+                self.ended("timed-out", servers);
+                self.break_off().await;
+            }
+            _ => self.ended("caller-left", servers),
+        }
+        None
+    }
+
     /// The whole events that have come, and the id of the last of them.
     fn whole_events(&mut self, data: &[u8]) -> Option<Bytes> {
         self.partial.extend_from_slice(data);
@@ -202,37 +296,57 @@
         }
         self.partial.clear();
         while (servers.len() as u32) < self.req.route.max_servers {
-            if Instant::now() >= self.req.deadline || !self.node.spend_retry(&self.req.service) {
+            if Instant::now() >= self.req.deadline {
                 return None;
             }
             let place = dispatch::place_again(&self.node, &self.req, servers)?;
             servers.push(place.server.clone());
-            let mut guard = WorkGuard::new(&self.node, &place);
-            let sent = Instant::now();
-            let extra: Vec<(HeaderName, HeaderValue)> = self
-                .last_event
-                .iter()
-                .map(|it| (self.node.headers.last_event.clone(), it.clone()))
-                .collect();
-            log::info!(id = self.req.id, server = place.server.as_str(); "stream-resumed");
-            let answer = exchange(&self.node, &self.req, &self.body, &place, &extra).await;
-            if let Ok(answer) = answer
-                && answer.sealed
-                && answer.response.status().is_success()
-            {
-                guard.prefilled();
-                return Some(Source {
-                    incoming: answer.response.into_body(),
-                    connection: answer.connection,
-                    keep_alive: answer.keep_alive,
-                    place,
-                    guard,
-                    sent,
-                });
+            if let Some(source) = self.go_on(place, None).await {
+                return Some(source);
             }
         }
         None
     }
+
+    /// Sends the request to another server, to go on after the last event that the caller has.
+    async fn go_on(
+        &mut self,
+        place: Placement,
+        extra: Option<(HeaderName, HeaderValue)>,
+    ) -> Option<Source> {
+        if !self.node.spend_retry(&self.req.service) {
+            return None;
+        }
+        self.partial.clear();
+        let mut guard = WorkGuard::new(&self.node, &place);
+        let sent = Instant::now();
+        let last = self.last_event.iter();
+        let last = last.map(|it| (self.node.headers.last_event.clone(), it.clone()));
+        let moved = extra.is_some();
+        let extra: Vec<(HeaderName, HeaderValue)> = last.chain(extra).collect();
+        log::info!(id = self.req.id, server = place.server.as_str(), moved; "stream-resumed");
+        let answer = exchange(&self.node, &self.req, &self.body, &place, &extra).await.ok()?;
+        if !answer.sealed || !answer.response.status().is_success() {
+            return None;
+        }
+        guard.prefilled();
+        Some(Source {
+            incoming: answer.response.into_body(),
+            connection: answer.connection,
+            keep_alive: answer.keep_alive,
+            place,
+            guard,
+            sent,
+        })
+    }
+}
+
+/// Waits until a time, or for ever where there is none.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
 }
 
 /// The `id` of the last event that has one.
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -13,9 +13,10 @@
 
 use crate::{
     clock, duties, front,
+    mover::Mover,
     node::{Node, Phase},
     peers,
-    ports::{CloudApi, HeaderNames, PlatformStore},
+    ports::{CloudApi, EngineApi, HeaderNames, PlatformStore},
     settings::NodeSettings,
     store_sync,
 };
@@ -52,33 +53,37 @@
 }
 
 /// Runs the process until it is told to stop and its requests have ended.
-pub async fn run<S, C>(
+pub async fn run<S, C, E>(
     settings: NodeSettings,
     headers: HeaderNames,
     store: S,
     cloud: C,
+    engines: E,
 ) -> Result<(), StartError>
 where
     S: PlatformStore,
     C: CloudApi,
+    E: EngineApi,
 {
     let local = LocalSet::new();
-    local.run_until(serve(settings, headers, store, cloud)).await
+    local.run_until(serve(settings, headers, store, cloud, engines)).await
 }
 
-async fn serve<S, C>(
+async fn serve<S, C, E>(
     settings: NodeSettings,
     headers: HeaderNames,
     store: S,
     cloud: C,
+    engines: E,
 ) -> Result<(), StartError>
 where
     S: PlatformStore,
     C: CloudApi,
+    E: EngineApi,
 {
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
-    let node = Rc::new(Node::new(settings, headers));
+    let node = Rc::new(Node::new(settings, headers, Mover::start(engines)));
     let (closing_tx, closing) = watch::channel(false);
     let front = listen("front", node.settings.front).await?;
     let ready = listen("ready", node.settings.ready).await?;
