Logs on standard output that never hold a request up, and metrics

Cause: lines went to standard error from the request path, without a bound; there were no metrics.

Change: a bounded queue and a thread of its own write JSON lines; a request's lines are held past 200 a second and written if it failed or was late, else counted; counters and histograms on the second internal port.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod duty;
 pub mod fleet_size;
 pub mod freshness;
+pub mod line_budget;
 pub mod load;
 pub mod peer_book;
 pub mod placement;
--- /dev/null
+++ b/crates/quincevalve_forwarding/src/line_budget.rs
@@ -0,0 +1,58 @@
+//! How many log lines of requests are written under load.
+
+use quincevalve_names::TimePoint;
+
+/// Lines a second that are written whatever they tell: a calm VM writes some fifty, and four times as many
+/// cost less than a hundredth of a core.
+const LINES_PER_SECOND: f64 = 200.0;
+/// Lines that may be written at once after a calm time.
+const BURST: f64 = 400.0;
+
+/// A token bucket for log lines. Lines that it refuses wait with their request, and are written after all if
+/// the request fails or is late; the others are counted.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_forwarding::line_budget::LineBudget;
+/// use quincevalve_names::TimePoint;
+/// let mut budget = LineBudget::default();
+/// let written = (0..1_000).filter(|_| budget.take(TimePoint::ZERO)).count();
+/// assert_eq!(written, 400);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct LineBudget {
+    level: f64,
+    at: TimePoint,
+    left_out: u64,
+}
+
+impl Default for LineBudget {
+    fn default() -> Self {
+        Self { level: BURST, at: TimePoint::ZERO, left_out: 0 }
+    }
+}
+
+impl LineBudget {
+    /// Whether a line may be written now.
+    pub fn take(&mut self, now: TimePoint) -> bool {
+        let grown = LINES_PER_SECOND * now.since(self.at).as_secs_f64();
+        self.level = (self.level + grown).min(BURST);
+        self.at = self.at.max(now);
+        let may = self.level >= 1.0;
+        if may {
+            self.level -= 1.0;
+        }
+        may
+    }
+
+    /// Notes lines that are not written.
+    pub fn leave_out(&mut self, lines: u64) {
+        self.left_out += lines;
+    }
+
+    /// The lines that were left out since the last call.
+    pub fn take_left_out(&mut self) -> u64 {
+        std::mem::take(&mut self.left_out)
+    }
+}
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -171,6 +171,11 @@
         self.others = (now, work);
     }
 
+    /// How long ago the others told their work.
+    pub fn told_age(&self, now: TimePoint) -> Duration {
+        now.since(self.others.0)
+    }
+
     /// The work of all entry VMs, as far as known.
     pub fn total(&self, now: TimePoint) -> WorkSum {
         let (at, others) = self.others;
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -73,6 +73,8 @@
     pub predicted: Duration,
     /// The work that the server had, as far as known.
     pub seen: WorkSum,
+    /// How long ago others told their part of it.
+    pub told_age: Duration,
 }
 
 /// Why there is no server for a request.
@@ -186,7 +188,9 @@
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let seen = server.load.total(now);
-            best = Some((cost, Placement { server: name.clone(), work, predicted, seen }));
+            let told_age = server.load.told_age(now);
+            let server = name.clone();
+            best = Some((cost, Placement { server, work, predicted, seen, told_age }));
         }
     }
     match (best, nearest) {
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -16,11 +16,12 @@
 use crate::{
     body::AnswerBody,
     clock,
-    exchange::{Failed, ServerAnswer, exchange, note, note_answered},
+    exchange::{Failed, ServerAnswer, about, exchange, note_answered},
     identify::{Identified, is_hop_by_hop},
     node::Node,
     refusal::Refusal,
     relay,
+    story::note,
 };
 
 /// A request that finds all servers too busy waits at most this part of its objective for room: a wait
@@ -61,7 +62,7 @@
 
 impl WorkGuard {
     pub(crate) fn new(node: &Rc<Node>, place: &Placement) -> Self {
-        note(node, place, |it, now| it.load.begin(place.work, now));
+        about(node, place, |it, now| it.load.begin(place.work, now));
         Self { node: node.clone(), server: place.server.clone(), work: place.work, reading: true }
     }
 
@@ -107,10 +108,12 @@
         had.push(place.server.clone());
         let mut guard = WorkGuard::new(node, &place);
         let sent = Instant::now();
-        log::info!(
-            id = req.id, server = place.server.as_str(), urgency = req.urgency,
+        note!(
+            node, req,
+            server = place.server.as_str(), urgency = req.urgency,
             predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
-            prefill = place.seen.prefill, recent = place.seen.recent, waited_ms = req.arrived.elapsed().as_millis() as u64;
+            prefill = place.seen.prefill, recent = place.seen.recent,
+            told_age_ms = place.told_age.as_millis() as u64;
             "placed"
         );
         let failed = match exchange(node, &req, &body, &place, &[]).await {
@@ -140,7 +143,7 @@
         if !may_send_again(node, &req, failed, runs, refusals) {
             return Err(give_up(runs));
         }
-        log::info!(id = req.id, servers = had.len(), runs, refusals; "send-again");
+        note!(node, req, servers = had.len(), runs = runs, refusals = refusals; "send-again");
     }
 }
 
@@ -252,11 +255,11 @@
     let status = answer.response.status();
     if !answer.sealed && !status.is_client_error() && !status.is_server_error() {
         log::warn!(id = req.id, server = place.server.as_str(), status = status.as_u16(); "unsealed");
-        note(node, place, |it, _| it.load.failed());
+        about(node, place, |it, _| it.load.failed());
         return Err(Failed::MayHaveRun);
     }
     if !answer.sealed || status.is_server_error() {
-        note(node, place, |it, _| it.load.failed());
+        about(node, place, |it, _| it.load.failed());
     }
     if !answer.sealed {
         return Err(Failed::MayHaveRun);
@@ -265,7 +268,7 @@
         && req.repeat() == Repeat::Idempotent
         && runs + 1 < req.route.max_servers;
     if again {
-        log::info!(id = req.id, server = place.server.as_str(), status = status.as_u16(); "server-error");
+        note!(node, req, server = place.server.as_str(), status = status.as_u16(); "server-error");
         return Err(Failed::MayHaveRun);
     }
     if status.is_success() && req.repeat().is_stream() {
@@ -277,7 +280,7 @@
         Err(_) => return Err(Failed::TimedOut),
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "answer-broke-off");
-            note(node, place, |it, _| it.load.failed());
+            about(node, place, |it, _| it.load.failed());
             return Err(Failed::MayHaveRun);
         }
         Ok(Ok(whole)) => whole.to_bytes(),
--- a/crates/quincevalve_node/src/exchange.rs
+++ b/crates/quincevalve_node/src/exchange.rs
@@ -18,6 +18,7 @@
     clock,
     identify::{Identified, text},
     node::{Node, left},
+    story::note,
 };
 
 /// A server that said that it is full is left alone for this long: a request ends about that often.
@@ -71,10 +72,12 @@
     let Some(outgoing) = outgoing(node, req, body, place, extra) else {
         return Err(Failed::NotRun);
     };
+    let service = req.service.as_str();
     let sent = connection.sender.try_send_request(outgoing);
     let response = match timeout_at(req.deadline, sent).await {
         Err(_) => {
-            note(node, place, |it, _| it.load.failed());
+            about(node, place, |it, _| it.load.failed());
+            node.metrics.sending(service, "timed-out");
             return Err(Failed::TimedOut);
         }
         Ok(Ok(response)) => response,
@@ -89,9 +92,10 @@
             if unsent {
                 return Err(Failed::NotRun);
             }
+            node.metrics.sending(service, "lost");
             // Other connections of the same age are likely to be gone too.
             node.backends.forget(&place.server);
-            note(node, place, |it, now| it.load.unreachable(now));
+            about(node, place, |it, now| it.load.unreachable(now));
             return Err(Failed::MayHaveRun);
         }
     };
@@ -120,18 +124,20 @@
         return Err(Failed::MayHaveRun);
     }
     if not_run {
-        log::info!(
-            id = req.id, server = place.server.as_str(), status = status.as_u16();
+        note!(
+            node, req, server = place.server.as_str(), status = status.as_u16();
             "server-refused"
         );
         if status == StatusCode::MISDIRECTED_REQUEST {
             node.servers.borrow_mut().leaves(&place.server, Leaving::Replaced);
             node.backends.forget(&place.server);
         } else {
-            note(node, place, |it, now| it.load.full(FULL_PAUSE, now));
+            about(node, place, |it, now| it.load.full(FULL_PAUSE, now));
         }
+        node.metrics.sending(req.service.as_str(), "refused");
         return Err(Failed::NotRun);
     }
+    node.metrics.sending(req.service.as_str(), "answered");
     let keep_alive = KeepAlive::of(response.headers());
     let sealed = response.headers().contains_key(&names.seal);
     Ok(ServerAnswer { response, connection, keep_alive, sealed })
@@ -172,7 +178,7 @@
 }
 
 /// Changes what is known of the server that was picked.
-pub(crate) fn note(node: &Node, place: &Placement, change: impl FnOnce(&mut Server, TimePoint)) {
+pub(crate) fn about(node: &Node, place: &Placement, change: impl FnOnce(&mut Server, TimePoint)) {
     if let Some(server) = node.servers.borrow_mut().get_mut(&place.server) {
         change(server, clock::now());
     }
@@ -180,5 +186,5 @@
 
 /// Takes the time to a first answer into the server's record.
 pub(crate) fn note_answered(node: &Node, place: &Placement, sent: Instant) {
-    note(node, place, |it, _| it.load.answered(sent.elapsed(), place.predicted));
+    about(node, place, |it, _| it.load.answered(sent.elapsed(), place.predicted));
 }
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -22,6 +22,7 @@
     identify::{Identified, identify, text},
     node::{InFlight, Node, Phase},
     refusal::Refusal,
+    story::note,
 };
 
 /// Pause after a failure to accept, which is a lack of descriptors: connections end in that time.
@@ -94,10 +95,7 @@
     let arrived = Instant::now();
     let id = text(req.headers(), &node.headers.attempt_id).unwrap_or_default().to_owned();
     let mut answer = match serve(&node, req, arrived).await {
-        Ok(answer) => {
-            log_answer(&id, arrived, answer.status());
-            answer
-        }
+        Ok(answer) => answer,
         Err(refused) => {
             log_refusal(&node, &id, arrived, refused);
             refused.refusal.answer(refused.retry_after)
@@ -109,9 +107,22 @@
     Ok(answer)
 }
 
-fn log_answer(id: &str, arrived: Instant, status: StatusCode) {
-    let took_ms = arrived.elapsed().as_millis() as u64;
-    log::info!(id, status = status.as_u16(), took_ms; "answered");
+/// Ends the story of a request that was answered as a whole; a stream's goes on.
+fn note_answer(node: &Node, req: &Identified, status: StatusCode) {
+    let took = req.arrived.elapsed();
+    note!(
+        node, req,
+        route = &req.route.name, status = status.as_u16(), took_ms = took.as_millis() as u64,
+        version = req.config.version;
+        "answered"
+    );
+    if req.repeat().is_stream() && status.is_success() {
+        return;
+    }
+    node.metrics.first_answer(&req.route.name, took);
+    node.metrics.request(&req.route.name, status.as_str());
+    let was_bad = took > req.route.objective || !status.is_success();
+    req.story.end(node, &req.id, was_bad);
 }
 
 fn log_refusal(node: &Node, id: &str, arrived: Instant, refused: Refused) {
@@ -142,9 +153,18 @@
     if !node.can_finish(&identified.route) {
         return Err(Refused { refusal: Refusal::Stopping, retry_after: Some(STOPPING_RETRY) });
     }
-    let cost = take_quota(node, &identified)?;
+    let cost = take_quota(node, &identified).inspect_err(|refused| {
+        node.metrics.request(&identified.route.name, refused.refusal.name());
+    })?;
     let identified = Rc::new(identified);
     let answer = dispatch(node, identified.clone(), body).await;
+    match &answer {
+        Ok(answer) => note_answer(node, &identified, answer.status()),
+        Err(refused) => {
+            identified.story.end(node, &identified.id, true);
+            node.metrics.request(&identified.route.name, refused.refusal.name());
+        }
+    }
     if let Err(refused) = &answer
         && refused.refusal.outcome() == quincevalve_names::Outcome::NotRun
         && let Some(account) = &identified.account
--- a/crates/quincevalve_node/src/identify.rs
+++ b/crates/quincevalve_node/src/identify.rs
@@ -10,7 +10,7 @@
 use quincevalve_names::{ClientAccountName, ServiceName, hash_text};
 use tokio::time::Instant;
 
-use crate::{node::Node, ports::HeaderNames, refusal::Refusal};
+use crate::{node::Node, ports::HeaderNames, refusal::Refusal, story::Story};
 
 /// A request whose head has been read and understood.
 #[derive(Debug)]
@@ -29,6 +29,7 @@
     pub(crate) arrived: Instant,
     /// When the caller stops waiting, or the route's timeout ends, whichever comes first.
     pub(crate) deadline: Instant,
+    pub(crate) story: Story,
 }
 
 impl Identified {
@@ -73,6 +74,7 @@
         route,
         service,
         account,
+        story: Story::default(),
     })
 }
 
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod front;
 mod identify;
+mod metrics;
 mod mover;
 mod node;
 mod peers;
@@ -22,5 +23,6 @@
 mod start;
 mod store_sync;
 mod store_view;
+mod story;
 
-pub use crate::start::{StartError, run};
+pub use crate::start::{Listeners, StartError, run};
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -13,6 +13,7 @@
     config::{ForwardingConfig, Route},
     duty::Duty,
     freshness::Freshness,
+    line_budget::LineBudget,
     load::{Work, WorkSum},
     peer_book::VmCard,
     quota::QuotaBook,
@@ -26,10 +27,9 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::{sync::Notify, time::Instant};
 
-use crate::mover::Mover;
 use crate::{
-    backends::Backends, clock, peers::Peers, ports::HeaderNames, settings::NodeSettings,
-    store_view::StoreView,
+    backends::Backends, clock, metrics::Metrics, mover::Mover, peers::Peers, ports::HeaderNames,
+    settings::NodeSettings, store_view::StoreView,
 };
 
 /// Where the process stands between its start and its end.
@@ -78,6 +78,8 @@
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) mover: Mover,
+    pub(crate) lines: RefCell<LineBudget>,
+    pub(crate) metrics: Metrics,
     pub(crate) store_view: RefCell<StoreView>,
     /// The newest version of the configuration that others have.
     pub(crate) told_version: Cell<u64>,
@@ -106,6 +108,8 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
             mover,
+            lines: RefCell::default(),
+            metrics: Metrics::default(),
             store_view: RefCell::default(),
             told_version: Cell::new(0),
             changed: Notify::new(),
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -177,11 +177,21 @@
         tell_shares(&node, &socket, now);
         if turn % USAGE_PERIODS == 0 {
             tell_usage(&node, &socket);
+            tell_left_out(&node);
         }
         sleep(PERIOD).await;
     }
 }
 
+/// Says how many lines of requests were not written since the last time.
+fn tell_left_out(node: &Node) {
+    let lines = node.lines.borrow_mut().take_left_out();
+    if lines > 0 {
+        log::info!(lines; "lines-left-out");
+        node.metrics.left_out(lines);
+    }
+}
+
 /// Makes what others told the load that placements see.
 fn take_over_sums(node: &Node, now: TimePoint) {
     let others = node.peers.borrow().others(now);
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -17,9 +17,10 @@
     body::{AnswerBody, BrokenOff},
     clock, dispatch,
     dispatch::{WorkGuard, passed_on},
-    exchange::{ServerAnswer, exchange, note, note_answered},
+    exchange::{ServerAnswer, about, exchange, note_answered},
     identify::Identified,
     node::{InFlight, Node},
+    story::note,
 };
 
 /// Events that may wait for a slow caller before the server's stream is no longer read.
@@ -82,6 +83,7 @@
         partial: BytesMut::new(),
         last_event: None,
         began: false,
+        first_after: None,
         _in_flight: InFlight::new(node),
     };
     tokio::task::spawn_local(relay.run(source));
@@ -97,6 +99,8 @@
     partial: BytesMut,
     last_event: Option<HeaderValue>,
     began: bool,
+    /// From the request's arrival to the first event.
+    first_after: Option<Duration>,
     _in_flight: InFlight,
 }
 
@@ -125,7 +129,7 @@
                     return self.break_off().await;
                 }
                 End::BrokeOff => {
-                    note(&self.node, &source.place, |it, _| it.load.failed());
+                    about(&self.node, &source.place, |it, _| it.load.failed());
                     drop(source);
                     let Some(next) = self.resume(&mut servers).await else {
                         self.ended("broke-off", &servers);
@@ -138,11 +142,17 @@
     }
 
     fn ended(&self, how: &str, servers: &[quincevalve_names::BackendServerName]) {
-        log::info!(
-            id = self.req.id, how, servers = servers.len(), server = servers.last().map_or("", |it| it.as_str()),
-            took_ms = self.req.arrived.elapsed().as_millis() as u64;
+        let first_ms = self.first_after.map_or(0, |it| it.as_millis() as u64);
+        note!(
+            self.node, self.req,
+            how = how, servers = servers.len(), server = servers.last().map_or("", |it| it.as_str()),
+            first_ms = first_ms, took_ms = self.req.arrived.elapsed().as_millis() as u64;
             "stream-ended"
         );
+        self.node.metrics.request(&self.req.route.name, how);
+        let was_late = self.first_after.is_none_or(|it| it > self.req.route.objective);
+        let was_bad = was_late || !matches!(how, "whole" | "caller-left");
+        self.req.story.end(&self.node, &self.req.id, was_bad);
     }
 
     /// Cuts the caller's connection, so that the answer doesn't look complete.
@@ -179,12 +189,15 @@
             let Some(events) = self.whole_events(&data) else { continue };
             if !std::mem::replace(&mut self.began, true) {
                 source.guard.prefilled();
-                log::info!(
-                    id = self.req.id, server = source.place.server.as_str(),
+                note!(
+                    self.node, self.req,
+                    server = source.place.server.as_str(),
                     took_ms = source.sent.elapsed().as_millis() as u64,
                     predicted_ms = source.place.predicted.as_millis() as u64;
                     "stream-began"
                 );
+                self.first_after = Some(self.req.arrived.elapsed());
+                self.node.metrics.first_answer(&self.req.route.name, self.req.arrived.elapsed());
                 note_answered(&self.node, &source.place, source.sent);
                 self.node.note_began(self.req.account.as_ref());
             }
@@ -324,7 +337,7 @@
         let last = last.map(|it| (self.node.headers.last_event.clone(), it.clone()));
         let moved = extra.is_some();
         let extra: Vec<(HeaderName, HeaderValue)> = last.chain(extra).collect();
-        log::info!(id = self.req.id, server = place.server.as_str(), moved; "stream-resumed");
+        note!(self.node, self.req, server = place.server.as_str(), moved = moved; "stream-resumed");
         let answer = exchange(&self.node, &self.req, &self.body, &place, &extra).await.ok()?;
         if !answer.sealed || !answer.response.status().is_success() {
             return None;
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -1,6 +1,6 @@
 //! The start and the end of the process.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -40,7 +40,7 @@
         /// Which of them.
         what: &'static str,
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Why.
         source: io::Error,
     },
@@ -52,9 +52,48 @@
     },
 }
 
+/// The sockets of a process.
+#[derive(Debug)]
+pub struct Listeners {
+    front: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+    peers: UdpSocket,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings; port 0 stands for any free one.
+    pub async fn bind(settings: &NodeSettings) -> Result<Self, StartError> {
+        let address = SocketAddr::new(settings.ip, settings.peer_port);
+        let peers = UdpSocket::bind(address).await;
+        Ok(Self {
+            front: listen("front", settings.front).await?,
+            ready: listen("ready", settings.ready).await?,
+            metrics: listen("metrics", settings.metrics).await?,
+            peers: peers.context(ListenSnafu { what: "peers", address })?,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn front_address(&self) -> io::Result<SocketAddr> {
+        self.front.local_addr()
+    }
+
+    /// Where the platform asks whether callers are taken.
+    pub fn ready_address(&self) -> io::Result<SocketAddr> {
+        self.ready.local_addr()
+    }
+
+    /// Where metrics are served.
+    pub fn metrics_address(&self) -> io::Result<SocketAddr> {
+        self.metrics.local_addr()
+    }
+}
+
 /// Runs the process until it is told to stop and its requests have ended.
 pub async fn run<S, C, E>(
     settings: NodeSettings,
+    listeners: Listeners,
     headers: HeaderNames,
     store: S,
     cloud: C,
@@ -66,11 +105,12 @@
     E: EngineApi,
 {
     let local = LocalSet::new();
-    local.run_until(serve(settings, headers, store, cloud, engines)).await
+    local.run_until(serve(settings, listeners, headers, store, cloud, engines)).await
 }
 
 async fn serve<S, C, E>(
     settings: NodeSettings,
+    listeners: Listeners,
     headers: HeaderNames,
     store: S,
     cloud: C,
@@ -85,16 +125,14 @@
     let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let node = Rc::new(Node::new(settings, headers, Mover::start(engines)));
     let (closing_tx, closing) = watch::channel(false);
-    let front = listen("front", node.settings.front).await?;
-    let ready = listen("ready", node.settings.ready).await?;
-    let peer_address = std::net::SocketAddr::new(node.settings.ip, node.settings.peer_port);
-    let socket = UdpSocket::bind(peer_address).await;
-    let socket = Rc::new(socket.context(ListenSnafu { what: "peers", address: peer_address })?);
+    let Listeners { front, ready, metrics, peers: socket } = listeners;
+    let socket = Rc::new(socket);
     log::info!(
         vm = node.settings.name.as_str(), data_centre = node.settings.data_centre.as_str(),
         incarnation = node.incarnation; "started"
     );
     spawn_local(front::serve_ready(node.clone(), ready));
+    spawn_local(crate::metrics::serve_metrics(node.clone(), metrics));
     spawn_local(front::serve_callers(node.clone(), front, closing));
     spawn_local(store_sync::follow_store(node.clone(), store.clone()));
     spawn_local(store_sync::keep_entry(node.clone(), store.clone()));
@@ -111,6 +149,7 @@
     stop_duties.send_replace(true);
     drain(&node, &closing_tx).await;
     log::info!(left = node.in_flight.get(); "stopped");
+    log::logger().flush();
     Ok(())
 }
 
@@ -130,9 +169,6 @@
     }
 }
 
-async fn listen(
-    what: &'static str,
-    address: std::net::SocketAddr,
-) -> Result<TcpListener, StartError> {
+async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.context(ListenSnafu { what, address })
 }
--- a/crates/quincevalve_program/src/lib.rs
+++ b/crates/quincevalve_program/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every program of quincevalve shares: command line, settings files, logs and metrics.
 
 mod arguments;
+mod bounded_stdout;
 mod launch;
 mod logs;
 mod metrics;
--- a/crates/quincevalve_program/src/logs.rs
+++ b/crates/quincevalve_program/src/logs.rs
@@ -1,15 +1,17 @@
-//! Structured logs on standard error.
+//! Structured logs: lines for people on standard error, JSON objects for collectors on standard output.
 
 use std::fmt;
 
 use log::LevelFilter;
 use logforth::{
     append::Stderr,
-    layout::{JsonLayout, TextLayout},
+    layout::TextLayout,
     record::{Level, LevelFilter as RecordFilter},
 };
 use serde::{Deserialize, Serialize};
 
+use crate::bounded_stdout::BoundedStdout;
+
 /// The form of a log line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -17,7 +19,7 @@
     /// For people.
     #[default]
     Text,
-    /// One JSON object a line, for collectors.
+    /// One JSON object a line on standard output, for collectors.
     Json,
 }
 
@@ -74,14 +76,12 @@
     // record is held against the level once more.
     let filter = RecordFilter::MoreSevereEqual(settings.level.into());
     let text = || Stderr::default().with_layout(TextLayout::default());
-    let json = || Stderr::default().with_layout(JsonLayout::default());
     let builder = match settings.format {
         LogFormat::Text => {
             logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(text()))
         }
-        LogFormat::Json => {
-            logforth::starter_log::builder().dispatch(|it| it.filter(filter).append(json()))
-        }
+        LogFormat::Json => logforth::starter_log::builder()
+            .dispatch(|it| it.filter(filter).append(BoundedStdout::start())),
     };
     if builder.try_apply().is_ok() {
         log::set_max_level(settings.level.into());
