--- /dev/null
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -0,0 +1,490 @@
+//! A process of the forwarding path between scripted callers and servers on loopback.
+#![allow(dead_code, unreachable_pub, reason = "each test file uses its own part")]
+
+use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::HeaderName;
+use indexmap::IndexMap;
+use quincevalve_forwarding::{
+    config::{Account, CallerLimits, Engine, ForwardingConfig, Repeat, Route, Service, Target},
+    retry_window::RetryLimits,
+    servers::ServerEntry,
+};
+use quincevalve_names::{BackendServerName, ClientAccountName};
+use quincevalve_node::{
+    Listeners,
+    ports::{
+        ActingHolder, Change, Changes, CloudApi, CloudError, Commit, EngineApi, HeaderNames,
+        LeaseId, MoveError, MovedRun, OwnItem, PlatformStore, ServerOrder, Snapshot, StoreError,
+        StoreRevision,
+    },
+    settings::{Bounds, Duties, NodeSettings},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Notify, mpsc},
+    task::{LocalSet, spawn_local},
+    time::sleep,
+};
+
+/// Runs a test on one thread, as the process does.
+pub fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = LocalSet::new();
+    runtime.expect("a runtime").block_on(local.run_until(test));
+}
+
+/// A store that holds one configuration and some servers, and can fall silent.
+#[derive(Clone, Default)]
+pub struct FakeStore(Rc<StoreState>);
+
+#[derive(Default)]
+struct StoreState {
+    config: RefCell<Option<ForwardingConfig>>,
+    servers: RefCell<Vec<(BackendServerName, ServerEntry)>>,
+    changes: RefCell<Vec<(StoreRevision, BackendServerName, ServerEntry)>>,
+    silent: RefCell<bool>,
+    changed: Notify,
+}
+
+impl FakeStore {
+    pub fn fall_silent(&self) {
+        *self.0.silent.borrow_mut() = true;
+    }
+
+    /// Writes a changed entry of a server.
+    pub fn change(&self, name: &str, entry: ServerEntry) {
+        let mut changes = self.0.changes.borrow_mut();
+        let at = StoreRevision(100 + changes.len() as u64 + 1);
+        changes.push((at, name.into(), entry));
+        self.0.changed.notify_waiters();
+    }
+
+    async fn answer(&self) {
+        if *self.0.silent.borrow() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl PlatformStore for FakeStore {
+    async fn snapshot(&self) -> Result<Snapshot, StoreError> {
+        self.answer().await;
+        Ok(Snapshot {
+            config: self.0.config.borrow().clone(),
+            servers: self.0.servers.borrow().clone(),
+            own: Vec::new(),
+            at: StoreRevision(100),
+        })
+    }
+
+    async fn changes(&self, after: StoreRevision, wait: Duration) -> Result<Changes, StoreError> {
+        self.answer().await;
+        let news = || {
+            let changes = self.0.changes.borrow();
+            let news = changes.iter().filter(|(at, ..)| *at > after);
+            let change = |(at, name, entry): &(StoreRevision, BackendServerName, ServerEntry)| {
+                (*at, Change::Server(name.clone(), entry.clone()))
+            };
+            news.map(change).collect::<Vec<_>>()
+        };
+        if news().is_empty() {
+            tokio::select! {
+                () = self.0.changed.notified() => {}
+                () = sleep(wait) => {}
+            }
+        }
+        let changes = news();
+        let at = changes.last().map_or(after, |(at, _)| *at);
+        Ok(Changes { changes, at })
+    }
+
+    async fn config(&self) -> Result<Option<ForwardingConfig>, StoreError> {
+        self.answer().await;
+        Ok(self.0.config.borrow().clone())
+    }
+
+    async fn get(&self, _: &str) -> Result<Option<OwnItem>, StoreError> {
+        self.answer().await;
+        Ok(None)
+    }
+
+    async fn commit(&self, _: &Commit) -> Result<StoreRevision, StoreError> {
+        self.answer().await;
+        Ok(StoreRevision(100))
+    }
+
+    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        self.answer().await;
+        Ok(LeaseId(1))
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<(), StoreError> {
+        self.answer().await;
+        Ok(())
+    }
+
+    async fn revoke(&self, _: LeaseId) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+#[derive(Clone)]
+pub struct FakeCloud;
+
+impl CloudApi for FakeCloud {
+    async fn report_usage(
+        &self,
+        _: &ActingHolder,
+        _: u64,
+        _: &IndexMap<ClientAccountName, u64>,
+    ) -> Result<(), CloudError> {
+        Ok(())
+    }
+
+    async fn order(&self, _: &ActingHolder, _: &ServerOrder) -> Result<(), CloudError> {
+        Ok(())
+    }
+}
+
+/// Engines that take orders to move runs, and tell the test of them.
+#[derive(Clone)]
+pub struct FakeEngines(mpsc::UnboundedSender<String>);
+
+impl EngineApi for FakeEngines {
+    async fn move_run(
+        &self,
+        from: SocketAddr,
+        _: SocketAddr,
+        attempt_id: &str,
+    ) -> Result<MovedRun, MoveError> {
+        self.0.send(attempt_id.to_owned()).expect("the test waits for moves");
+        let ticket = format!("{from}/copy-1").parse().expect("a header value");
+        Ok(MovedRun { ticket })
+    }
+}
+
+pub fn headers() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        attempt_id: name("x-attempt"),
+        deadline_ms: name("x-deadline-ms"),
+        key: name("x-key"),
+        account: name("x-account"),
+        prompt_parts: name("x-parts"),
+        token_counts: name("x-tokens"),
+        length_hint: name("x-hint"),
+        expected_server: name("x-expected"),
+        answering_server: name("x-answering"),
+        seal: name("x-seal"),
+        not_run: name("x-not-run"),
+        urgency: name("x-urgency"),
+        last_event: name("last-event-id"),
+        moved_from: name("x-moved-from"),
+        internal: vec![name("x-moved-from"), name("x-urgency"), name("x-internal")],
+    }
+}
+
+fn settings() -> NodeSettings {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    NodeSettings {
+        name: "vm-1".into(),
+        data_centre: "a".into(),
+        ip: any.ip(),
+        cpu: 250,
+        front: any,
+        ready: any,
+        peer_port: 0,
+        metrics: any,
+        bounds: Bounds {
+            change_in_force: Duration::from_secs(2),
+            key_removed: Duration::from_secs(5),
+            keys_fail_closed: true,
+            grace: Duration::from_secs(8),
+        },
+        retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        duties: Duties {
+            usage: false,
+            scaling: false,
+            usage_window: Duration::from_secs(5),
+            lease: Duration::from_secs(3),
+        },
+    }
+}
+
+fn route(prefix: &str, repeat: Repeat) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![Target { service: "engines".into(), weight: 1 }],
+        repeat,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(5),
+        max_servers: 2,
+        urgency: 1,
+        anonymous: false,
+    }
+}
+
+fn config() -> ForwardingConfig {
+    let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
+    let engine = Engine { slots: 64, kv_tokens: 100_000, moves: true };
+    let service = Service { engine: Some(engine), ..Service::default() };
+    let limits = CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 1_000,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let routes = vec![
+        route("/safe/", Repeat::Idempotent),
+        route("/once/", Repeat::NonIdempotent),
+        route("/stream/", Repeat::Stream),
+        route("/resumable/", Repeat::ResumableStream),
+    ];
+    ForwardingConfig::new(
+        1,
+        routes,
+        IndexMap::from([("engines".into(), service)]),
+        IndexMap::from([("desk".into(), account)]),
+        limits,
+    )
+}
+
+pub fn entry(address: SocketAddr) -> ServerEntry {
+    ServerEntry {
+        service: "engines".into(),
+        address,
+        data_centre: "a".into(),
+        slots: 64,
+        draining: false,
+        reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+/// What a scripted server does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Sends these bytes and keeps the connection.
+    Send(String),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(String),
+    /// Sends these bytes and waits until the caller closes the connection.
+    SendAndWait(String),
+    /// Sends these bytes, waits for the word, and closes the connection.
+    SendAndHold(String, Rc<Notify>),
+}
+
+/// A request as a server got it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub server: usize,
+    pub head: String,
+    pub body: String,
+}
+
+impl Arrival {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let line = self.head.lines().find(|it| it.starts_with(&format!("{name}: ")))?;
+        Some(&line[name.len() + 2..])
+    }
+}
+
+/// The process with its scripted servers.
+pub struct World {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    pub store: FakeStore,
+    pub arrivals: mpsc::UnboundedReceiver<Arrival>,
+    /// Servers whose caller closed the connection.
+    pub left: mpsc::UnboundedReceiver<usize>,
+    pub moves: mpsc::UnboundedReceiver<String>,
+    pub servers: Vec<SocketAddr>,
+}
+
+impl World {
+    /// Starts the process and `count` servers that answer by `script`, which gets the number of the arrival
+    /// and the arrival.
+    pub async fn start<F>(count: usize, script: F) -> Self
+    where
+        F: Fn(usize, &Arrival) -> Reply + 'static,
+    {
+        let store = FakeStore::default();
+        let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
+        let (left_tx, left) = mpsc::unbounded_channel();
+        let script = Rc::new(script);
+        let seen = Rc::new(RefCell::new(0));
+        let mut servers = Vec::new();
+        for at in 0..count {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            servers.push(address);
+            let name = format!("server-{at}");
+            store.0.servers.borrow_mut().push((name.as_str().into(), entry(address)));
+            let (script, seen) = (script.clone(), seen.clone());
+            let (arrivals, left) = (arrivals_tx.clone(), left_tx.clone());
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (script, seen) = (script.clone(), seen.clone());
+                    let (arrivals, left) = (arrivals.clone(), left.clone());
+                    spawn_local(serve(at, stream, script, seen, arrivals, left));
+                }
+            });
+        }
+        *store.0.config.borrow_mut() = Some(config());
+        let settings = settings();
+        let listeners = Listeners::bind(&settings).await.expect("free ports");
+        let front = listeners.front_address().expect("an address");
+        let ready = listeners.ready_address().expect("an address");
+        let metrics = listeners.metrics_address().expect("an address");
+        let (moves_tx, moves) = mpsc::unbounded_channel();
+        let engines = FakeEngines(moves_tx);
+        let process = quincevalve_node::run(
+            settings,
+            listeners,
+            headers(),
+            store.clone(),
+            FakeCloud,
+            engines,
+        );
+        spawn_local(async move { process.await.expect("a process that runs") });
+        let world = Self { front, ready, metrics, store, arrivals, left, moves, servers };
+        while !world.get(world.ready, "/readyz").await.starts_with("HTTP/1.1 200") {
+            sleep(Duration::from_millis(5)).await;
+        }
+        world
+    }
+
+    /// Sends a request to the front and reads until the connection ends.
+    pub async fn ask(&self, path: &str, id: &str, more: &str) -> String {
+        exchange(self.front, &request(path, id, more)).await
+    }
+
+    pub async fn get(&self, address: SocketAddr, path: &str) -> String {
+        let text = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        exchange(address, &text).await
+    }
+
+    /// The arrivals until now.
+    pub fn arrived(&mut self) -> Vec<Arrival> {
+        std::iter::from_fn(|| self.arrivals.try_recv().ok()).collect()
+    }
+}
+
+/// A request with a key and one body.
+pub fn request(path: &str, id: &str, more: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-key: key-1\r\nx-attempt: {id}\r\n\
+         x-deadline-ms: 15000\r\nconnection: close\r\ncontent-length: 4\r\n{more}\r\nbody"
+    )
+}
+
+pub async fn exchange(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a listener");
+    stream.write_all(text.as_bytes()).await.expect("a reader");
+    let mut answer = Vec::new();
+    // A reset ends the answer like a close.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn serve<F>(
+    server: usize,
+    mut stream: TcpStream,
+    script: Rc<F>,
+    seen: Rc<RefCell<usize>>,
+    arrivals: mpsc::UnboundedSender<Arrival>,
+    left: mpsc::UnboundedSender<usize>,
+) where
+    F: Fn(usize, &Arrival) -> Reply,
+{
+    while let Some(arrival) = read_request(server, &mut stream).await {
+        let number = *seen.borrow();
+        *seen.borrow_mut() += 1;
+        let reply = script(number, &arrival);
+        let _ = arrivals.send(arrival);
+        match reply {
+            Reply::Send(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+            Reply::SendAndClose(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                return;
+            }
+            Reply::SendAndWait(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                let mut rest = [0; 64];
+                while matches!(stream.read(&mut rest).await, Ok(read) if read > 0) {}
+                let _ = left.send(server);
+                return;
+            }
+            Reply::SendAndHold(text, word) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                word.notified().await;
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(server: usize, stream: &mut TcpStream) -> Option<Arrival> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4_096];
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|it| it == b"\r\n\r\n") {
+            break at + 4;
+        }
+        match stream.read(&mut buf).await {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buf[..read]),
+            _ => return None,
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    let length: usize = length.and_then(|it| it.parse().ok()).unwrap_or_default();
+    while bytes.len() < end + length {
+        match stream.read(&mut buf).await {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buf[..read]),
+            _ => return None,
+        }
+    }
+    let body = String::from_utf8_lossy(&bytes[end..end + length]).into_owned();
+    Some(Arrival { server, head, body })
+}
+
+/// A sealed answer to an arrival.
+pub fn sealed(arrival: &Arrival, status: &str, body: &str) -> String {
+    let id = arrival.header("x-attempt").unwrap_or_default();
+    format!(
+        "HTTP/1.1 {status}\r\nx-attempt: {id}\r\nx-seal: s-1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a sealed stream.
+pub fn stream_head(arrival: &Arrival) -> String {
+    let id = arrival.header("x-attempt").unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt: {id}\r\nx-seal: s-1\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Events of a stream, in one chunk each.
+pub fn events(ids: std::ops::RangeInclusive<u32>) -> String {
+    ids.map(|id| chunk(&format!("id: {id}\ndata: t{id}\n\n"))).collect()
+}
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The end of a chunked body.
+pub const END: &str = "0\r\n\r\n";
