--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -48,7 +48,7 @@
     pub urgent_prefill: u64,
     /// Tokens held in memory at most.
     pub memory: u64,
-    /// Prompt tokens that were sent lately: each counts less the longer ago it was, see [`RECENT`].
+    /// Prompt tokens that were sent lately: each counts less the longer ago it was, a third after a second.
     pub recent: u64,
 }
 
