A proof from the future is none: an echo of a VM's last start no longer counts

Change: a question that was not sent yet proves nothing, and an echo names the start that it echoes. A test that failed before.

--- a/crates/quincevalve_forwarding/src/freshness.rs
+++ b/crates/quincevalve_forwarding/src/freshness.rs
@@ -18,7 +18,7 @@
 /// use quincevalve_names::TimePoint;
 /// let mut freshness = Freshness::default();
 /// assert!(!freshness.is_within(Duration::from_secs(4), TimePoint::ZERO));
-/// freshness.proved(TimePoint::from_millis(100));
+/// freshness.proved(TimePoint::from_millis(100), TimePoint::from_millis(104));
 /// assert!(freshness.is_within(Duration::from_secs(4), TimePoint::from_millis(4_100)));
 /// assert!(!freshness.is_within(Duration::from_secs(4), TimePoint::from_millis(4_101)));
 /// ```
@@ -29,8 +29,14 @@
 
 impl Freshness {
     /// Takes the answer to a question that was sent at `asked`.
-    pub fn proved(&mut self, asked: TimePoint) {
-        self.newest = self.newest.max(Some(asked));
+    ///
+    /// Failure: a VM starts again, its clock begins anew, and a peer echoes what its last start had sent.
+    /// Symptom: the proof lies in the future and stays fresh for minutes, while the VM serves what has long
+    /// changed. A question that was not sent yet proves nothing.
+    pub fn proved(&mut self, asked: TimePoint, now: TimePoint) {
+        if asked <= now {
+            self.newest = self.newest.max(Some(asked));
+        }
     }
 
     /// The age of the newest proof; `None` if there never was one.
--- a/crates/quincevalve_forwarding/tests/telling.rs
+++ b/crates/quincevalve_forwarding/tests/telling.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     change_log::ChangeLog,
+    freshness::Freshness,
     load::WorkSum,
     peer_book::{PeerBook, Role, VmCard},
     sums::{Share, Sums},
@@ -263,6 +264,19 @@
     assert_eq!(clock.true_ms(ms(4_100)), Some(13_100));
 }
 
+// A VM serves an old configuration for half a minute and answers 404 for routes that exist: it had lost power,
+// its clock began anew, and a peer echoed the last start's time, which lay far in the future.
+#[test]
+fn a_proof_from_the_future_is_none() {
+    let mut freshness = Freshness::default();
+    freshness.proved(ms(60_000), ms(100));
+    assert_eq!(freshness.age(ms(100)), None);
+    freshness.proved(ms(50), ms(100));
+    assert_eq!(freshness.age(ms(2_050)), Some(support::millis(2_000)));
+    freshness.proved(ms(40), ms(2_050));
+    assert!(!freshness.is_within(support::millis(1_999), ms(2_050)));
+}
+
 // Usage is booked in windows that have long passed: the time of day of one VM jumped. The median of what
 // all clocks say doesn't move with one of them.
 #[test]
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -62,6 +62,8 @@
 /// The newest datagram that the teller has of the receiver.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Echo {
+    /// The start of the receiver that sent that: another start had another clock.
+    incarnation: u64,
     /// The receiver's clock when it sent that.
     sent: TimePoint,
     /// How long the teller has had it.
@@ -98,6 +100,18 @@
     }
 }
 
+/// The newest datagram of a VM.
+#[derive(Clone, Copy, Debug)]
+struct Newest {
+    incarnation: u64,
+    /// Its clock when it sent it.
+    sent: TimePoint,
+    /// Our clock when it came.
+    at: TimePoint,
+    /// The revision of the store that it had reached.
+    seen: Option<u64>,
+}
+
 /// What the other entry VMs told.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -110,8 +124,8 @@
     /// Members' addresses, by teller.
     member_addresses: HashMap<String, SocketAddr>,
     arrivals: HashMap<String, IndexMap<ServiceName, f64>>,
-    /// The newest datagram of each VM, by name: its clock, ours, and what it had seen of the store.
-    newest: HashMap<String, (TimePoint, TimePoint, Option<u64>)>,
+    /// The newest datagram of each VM, by name.
+    newest: HashMap<String, Newest>,
     /// VMs whose work is known at present, this one included.
     covered: u32,
 }
@@ -275,7 +289,7 @@
     let seen = {
         let peers = node.peers.borrow();
         let name = peers.book.name_of(to)?;
-        peers.newest.get(name)?.2?
+        peers.newest.get(name)?.seen?
     };
     let excerpt = node.store_view.borrow().since(StoreRevision(seen), MAX_PASSED)?;
     let Excerpt { after, upto, changes } = excerpt;
@@ -293,7 +307,8 @@
     let reached = node.store_view.borrow().reached();
     let knows = node.config().is_some_and(|it| it.version >= version)
         && reached.is_some_and(|it| it.0 >= upto);
-    let Some(echo) = echo.filter(|_| is_contiguous && knows) else { return };
+    let is_own = |it: &Echo| it.incarnation == node.incarnation;
+    let Some(echo) = echo.filter(|it| is_own(it) && is_contiguous && knows) else { return };
     let told_at = echo.sent + echo.held;
     let proved = told_at.as_micros().checked_sub(age.as_micros() as u64);
     if let Some(proved) = proved {
@@ -327,7 +342,7 @@
     let echo = {
         let peers = node.peers.borrow();
         let newest = peers.book.name_of(address).and_then(|it| peers.newest.get(it));
-        newest.map(|(sent, at, _)| Echo { sent: *sent, held: now.since(*at) })
+        newest.map(|it| Echo { incarnation: it.incarnation, sent: it.sent, held: now.since(it.at) })
     };
     let telling = Telling {
         sent: now,
@@ -376,7 +391,13 @@
     {
         let mut peers = node.peers.borrow_mut();
         peers.book.heard(&telling.from, now);
-        peers.newest.insert(name.clone(), (telling.sent, now, telling.seen));
+        let newest = Newest {
+            incarnation: telling.incarnation,
+            sent: telling.sent,
+            at: now,
+            seen: telling.seen,
+        };
+        peers.newest.insert(name.clone(), newest);
     }
     node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
     match telling.content {
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -125,7 +125,7 @@
         return;
     }
     let mut freshness = node.freshness.get();
-    freshness.proved(asked);
+    freshness.proved(asked, clock::now());
     node.freshness.set(freshness);
 }
 
