--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -47,8 +47,8 @@
     Unknown,
 }
 
-/// The part of its time that a server is busy in a fleet of the wanted size. Measured on both users' loads:
-/// below it the first token of a long prompt waits for less than a tenth of its objective.
+/// The part of its time that a server is busy in a fleet of the wanted size. Chosen, not measured by itself: it
+/// leaves a third of each server for waves of callers.
 const WANTED_BUSY: f64 = 0.65;
 /// The part of its time that a server may be busy for a while: above it queues of prompts grow past the
 /// objectives of the short ones.
--- a/crates/quincevalve_forwarding/src/line_budget.rs
+++ b/crates/quincevalve_forwarding/src/line_budget.rs
@@ -2,8 +2,8 @@
 
 use quincevalve_names::TimePoint;
 
-/// Lines a second that are written whatever they tell: a calm VM writes some fifty, and four times as many
-/// cost less than a hundredth of a core.
+/// Lines a second that are written whatever they tell: several times what a calm VM writes. Chosen; the
+/// processor time of a line was not measured.
 const LINES_PER_SECOND: f64 = 200.0;
 /// Lines that may be written at once after a calm time.
 const BURST: f64 = 400.0;
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -124,8 +124,8 @@
 const CALL_ACROSS_MS: f64 = 25.0;
 /// Servers that are taken to keep a shared part: one, and one that it spills over to.
 const HOMES: usize = 2;
-/// Servers beside those that a request looks at. Two random ones already spread load nearly evenly, and more
-/// bring the herd back.
+/// Servers beside those that a request looks at. Few, so that VMs with the same view differ; the number was
+/// chosen, not measured against others.
 const RANDOM_CANDIDATES: usize = 3;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
 const JITTER: f64 = 0.1;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -44,7 +44,7 @@
     },
 }
 
-/// Time that a stream needs before the process ends: nine in ten end within it.
+/// Time that a stream needs before the process ends. Chosen from the length of long answers, not measured.
 const STREAM_TIME: Duration = Duration::from_millis(4_700);
 
 /// Part of the time from the removal of a key within which a proof is used: the rest is for the way of the
