Demand is told as a rate: a new holder of the duties no longer takes the past for new work

Change: a Rate core; demand travels as a rate with the shares, so every VM knows it at once; less demand is believed only when four fifths of the VMs are heard.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -69,6 +69,8 @@
 /// Tokens of quota that keep one server busy for a second: its prompts are partly kept in memory, and the
 /// most that may be generated seldom is.
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
+/// The part of the entry VMs that must be heard before less demand is believed.
+const NEARLY_ALL: f64 = 0.8;
 /// Time between two looks at least: what comes in a shorter time says little of the demand.
 const LEAST_LOOK: Duration = Duration::from_millis(900);
 /// Times what the quotas let expect that is prepared for at most at first: not all accounts have a quota.
@@ -101,24 +103,24 @@
 /// The demand for a service, in servers that would be busy all the time.
 #[derive(Clone, Debug, Default)]
 struct Demand {
-    last: Option<(TimePoint, f64)>,
+    last: Option<TimePoint>,
     busy: f64,
     looks: u32,
 }
 
 impl Demand {
-    /// Takes the seconds of work that all entry VMs took on since they started.
-    fn observe(&mut self, total: f64, now: TimePoint) {
-        let Some((at, before)) = self.last else {
-            self.last = Some((now, total));
+    /// Takes the work that entry VMs take on at present, in busy servers. `part` of them were heard.
+    fn observe(&mut self, rate: f64, part: f64, now: TimePoint) {
+        if self.last.is_some_and(|it| now.since(it) < LEAST_LOOK) {
             return;
-        };
-        if now.since(at) < LEAST_LOOK {
+        }
+        self.last = Some(now);
+        // Who isn't heard may have work; less of it is believed only of nearly all.
+        let is_higher = rate > self.busy;
+        if !is_higher && part < NEARLY_ALL {
             return;
         }
-        self.last = Some((now, total));
-        let rate = (total - before).max(0.0) / now.since(at).as_secs_f64();
-        let weight = if rate > self.busy { RISING } else { FALLING };
+        let weight = if is_higher { RISING } else { FALLING };
         self.busy += weight * (rate - self.busy);
         if self.busy > 0.0 {
             self.looks += 1;
@@ -185,16 +187,21 @@
         }
     }
 
-    /// Takes the seconds of work that all entry VMs took on since they started, and returns the servers that
-    /// are expected to be busy all the time. `promised` is what quotas let expect.
+    /// Takes the work that entry VMs take on at present, in busy servers, of which `part` were heard, and
+    /// returns the servers that are expected to be busy all the time. `promised` is what quotas let expect.
+    ///
+    /// Failure: the duty passes on, and its new holder hears the VMs one after the other. Symptom: with running
+    /// totals each one's whole past counts as new demand, ten times too many servers are ordered, and for
+    /// minutes nobody gives them back. Rates add up however late a VM is heard.
     pub fn observe(
         &mut self,
-        total: f64,
+        rate: f64,
+        part: f64,
         promised: f64,
         present: &IndexMap<DataCentreName, Present>,
         now: TimePoint,
     ) -> f64 {
-        self.demand.observe(total, now);
+        self.demand.observe(rate, part, now);
         let mut expected = self.expected.unwrap_or_else(|| expected_at_first(promised, present));
         if !self.is_new(now) {
             expected = *self.expected.get_or_insert(expected);
--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer_book;
 pub mod placement;
 pub mod quota;
+pub mod rate;
 pub mod retry_window;
 pub mod servers;
 pub mod sums;
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::{ForwardingConfig, Quota, QuotaUnit},
+    rate::Rate,
     sums::Spending,
 };
 
@@ -28,9 +29,9 @@
 /// From a request that another VM lets in to its being heard here, in seconds: three tellings of a large
 /// system, and the time over which spending is taken.
 const UNHEARD_TIME: f64 = 0.45;
-/// Time over which a VM's own spending is taken before it is told, in seconds: two tellings, so that a lost
-/// one changes little, and short against the windows over which quotas are counted.
-const SPENDING_TIME: f64 = 0.25;
+/// Time over which a VM's own spending is taken before it is told: two tellings, so that a lost one changes
+/// little, and short against the windows over which quotas are counted.
+const SPENDING_TIME: Duration = Duration::from_millis(250);
 /// Bursts that an account can owe at most, so that one spell of spending elsewhere doesn't lock it out.
 const MOST_DEBT: f64 = 3.0;
 /// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge
@@ -45,8 +46,8 @@
 struct Bucket {
     level: f64,
     at: TimePoint,
-    /// Units a second that were let in here lately, as of `at`.
-    own: f64,
+    /// Units that were let in here lately.
+    own: Rate,
     /// Units a second that others let in, as they told last.
     others: f64,
     /// The burst of the quota that the level was reckoned by.
@@ -56,7 +57,8 @@
 impl Bucket {
     fn new(quota: &Quota, since: TimePoint) -> Self {
         let burst = quota.burst;
-        Self { level: FIRST_PART * burst, at: since, own: 0.0, others: 0.0, burst }
+        let own = Rate::new(SPENDING_TIME, since);
+        Self { level: FIRST_PART * burst, at: since, own, others: 0.0, burst }
     }
 
     /// Takes over a changed quota: what was spent under the old one is no debt under the new one.
@@ -79,13 +81,12 @@
         // A large request of this VM's own may owe more.
         let least = self.level.min(-quota.burst * MOST_DEBT);
         self.level = (self.level + gain * seconds).min(most).max(least);
-        self.own *= (-seconds / SPENDING_TIME).exp();
         self.at = now;
     }
 
-    fn spend(&mut self, cost: f64) {
+    fn spend(&mut self, cost: f64, now: TimePoint) {
         self.level -= cost;
-        self.own += cost / SPENDING_TIME;
+        self.own.add(cost, now);
     }
 }
 
@@ -140,22 +141,21 @@
                 retry_after: Duration::from_secs_f64(seconds.clamp(0.05, 10.0)),
             });
         }
-        bucket.spend(cost);
+        bucket.spend(cost, now);
         Ok(())
     }
 
     /// Gives back what a request took that was refused later and has not run.
-    pub fn give_back(&mut self, account: &ClientAccountName, cost: f64) {
+    pub fn give_back(&mut self, account: &ClientAccountName, cost: f64, now: TimePoint) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.spend(-cost);
+            bucket.spend(-cost, now);
         }
     }
 
     /// Units a second that this VM lets in, by account, for its peers.
     pub fn spending(&self, now: TimePoint) -> impl Iterator<Item = (ClientAccountName, f64)> {
-        let spending =
-            move |it: &Bucket| it.own * (-now.since(it.at).as_secs_f64() / SPENDING_TIME).exp();
-        let all = self.buckets.iter().map(move |(account, it)| (account.clone(), spending(it)));
+        let own = move |it: &Bucket| it.own.per_second(now);
+        let all = self.buckets.iter().map(move |(account, it)| (account.clone(), own(it)));
         all.filter(|(_, spending)| spending.abs() >= LEAST_TOLD)
     }
 
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use indexmap::IndexMap;
-use quincevalve_names::{ClientAccountName, TimePoint};
+use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
 use serde::{Deserialize, Serialize};
 
 use crate::load::WorkSum;
@@ -17,6 +17,9 @@
 /// Units of quota that are let in a second, by account.
 pub type Spending = IndexMap<ClientAccountName, f64>;
 
+/// Work that is taken on, in servers that it would keep busy, by service.
+pub type Demand = IndexMap<ServiceName, f64>;
+
 /// What one VM, or a collector for its members, tells.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Share {
@@ -26,6 +29,8 @@
     pub works: Works,
     /// What they let in.
     pub spending: Spending,
+    /// The work that they take on, in busy servers, by service.
+    pub demand: Demand,
 }
 
 #[derive(Clone, Debug)]
@@ -69,6 +74,9 @@
             for (account, spending) in &share.spending {
                 *sum.spending.entry(account.clone()).or_default() += spending;
             }
+            for (service, busy) in &share.demand {
+                *sum.demand.entry(service.clone()).or_default() += busy;
+            }
         }
     }
 
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -322,7 +322,8 @@
                 planner
             });
             let present = present(node, name, scaling.prices.keys());
-            let busy = planner.observe(total_work(node, name), promised, &present, now);
+            let part = node.peers.borrow().reachable_part();
+            let busy = planner.observe(demand(node, name), part, promised, &present, now);
             if let Some(measured) = planner.measured() {
                 node.busy.borrow_mut().insert(name.clone(), measured);
             }
@@ -342,10 +343,10 @@
     }
 }
 
-/// Seconds of work that all entry VMs took on for a service since they started.
-fn total_work(node: &Node, service: &ServiceName) -> f64 {
-    let own = node.arrivals.borrow().get(service).copied().unwrap_or_default();
-    own + node.peers.borrow().arrivals(service)
+/// The work that all entry VMs take on for a service at present, in busy servers.
+fn demand(node: &Node, service: &ServiceName) -> f64 {
+    let own = node.demand.borrow().get(service).map_or(0.0, |it| it.per_second(clock::now()));
+    own + node.peers.borrow().others_demand(service)
 }
 
 fn present<'a>(
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -170,7 +170,7 @@
         && refused.refusal.outcome() == quincevalve_names::Outcome::NotRun
         && let Some(account) = &identified.account
     {
-        node.quota.borrow_mut().give_back(account, cost);
+        node.quota.borrow_mut().give_back(account, cost, clock::now());
     }
     answer
 }
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -17,6 +17,7 @@
     load::{Work, WorkSum},
     peer_book::VmCard,
     quota::QuotaBook,
+    rate::Rate,
     retry_window::RetryWindow,
     servers::ServerTable,
     usage::Usage,
@@ -53,8 +54,9 @@
 /// Part of the time from a change to its being in force within which "unknown" may be said for sure.
 const CHANGE_PROOF_PART: f64 = 0.9;
 
-/// Work that was sent since the start, for the plan of the fleet: seconds of a server, by service.
-pub(crate) type Arrivals = HashMap<ServiceName, f64>;
+/// Time over which the work that comes here is taken before it is told: the plan of the fleet looks at it each
+/// second.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
 
 /// The shared state. The process has one thread: borrows never cross an `await`.
 pub(crate) struct Node {
@@ -71,7 +73,8 @@
     pub(crate) wall: RefCell<WallClock<String>>,
     pub(crate) duty: RefCell<Duty>,
     pub(crate) peers: RefCell<Peers>,
-    pub(crate) arrivals: RefCell<Arrivals>,
+    /// Work that is taken on here, in busy servers, by service.
+    pub(crate) demand: RefCell<IndexMap<ServiceName, Rate>>,
     /// Busy servers by service, as this VM or the holder before it measured them.
     pub(crate) busy: RefCell<IndexMap<ServiceName, f64>>,
     pub(crate) backends: Backends,
@@ -102,7 +105,7 @@
             wall: RefCell::default(),
             duty: RefCell::default(),
             peers: RefCell::new(Peers::new(card(&settings))),
-            arrivals: RefCell::default(),
+            demand: RefCell::default(),
             busy: RefCell::default(),
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -198,7 +201,10 @@
         let config = self.config.borrow();
         let engine = config.as_ref().and_then(|it| it.services.get(service)?.engine);
         let slots = engine.map_or(1, |it| it.slots);
-        *self.arrivals.borrow_mut().entry(service.clone()).or_default() += work.busy_seconds(slots);
+        let now = clock::now();
+        let mut demand = self.demand.borrow_mut();
+        let rate = demand.entry(service.clone()).or_insert(Rate::new(DEMAND_TIME, now));
+        rate.add(work.busy_seconds(slots), now);
     }
 
     /// This VM's own work at each server, for its peers.
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -5,11 +5,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use indexmap::IndexMap;
 use quincevalve_forwarding::{
     change_log::Excerpt,
     peer_book::{PeerBook, Role, VmCard},
-    sums::{Share, Sums},
+    sums::{Demand, Share, Sums},
     usage::Counts,
 };
 use quincevalve_names::{ServiceName, TimePoint, hash_text};
@@ -29,7 +28,7 @@
 const PERIOD: Duration = Duration::from_millis(120);
 /// Periods between two questions to a collector that was silent.
 const BETTER_PERIODS: u32 = 16;
-/// Periods between two tellings of usage and demand, which are needed by the second.
+/// Periods between two tellings of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 6;
 /// Changes of the store in one datagram at most; each takes some two hundred bytes.
 const MAX_PASSED: usize = 120;
@@ -72,8 +71,8 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Content {
-    Share { scope: Scope, share: Share, relayed: Option<Relayed> },
-    Usage { counts: Counts, arrivals: IndexMap<ServiceName, f64> },
+    Share { scope: Scope, share: Box<Share>, relayed: Option<Relayed> },
+    Usage { counts: Counts },
 }
 
 /// One datagram.
@@ -123,7 +122,10 @@
     rest: Sums,
     /// Members' addresses, by teller.
     member_addresses: HashMap<String, SocketAddr>,
-    arrivals: HashMap<String, IndexMap<ServiceName, f64>>,
+    /// The work that all other VMs take on, as told last.
+    others_demand: Demand,
+    /// The part of the entry VMs that was heard, this one included.
+    reachable_part: f64,
     /// The newest datagram of each VM, by name.
     newest: HashMap<String, Newest>,
 }
@@ -137,7 +139,8 @@
             collectors: Sums::default(),
             rest: Sums::default(),
             member_addresses: HashMap::new(),
-            arrivals: HashMap::new(),
+            others_demand: Demand::new(),
+            reachable_part: 1.0,
             newest: HashMap::new(),
         }
     }
@@ -156,9 +159,14 @@
         self.members.is_fresh(now)
     }
 
-    /// What other VMs took on in all, by service.
-    pub(crate) fn arrivals(&self, service: &ServiceName) -> f64 {
-        self.arrivals.values().filter_map(|it| it.get(service)).sum()
+    /// The work that other VMs take on for a service, in busy servers.
+    pub(crate) fn others_demand(&self, service: &ServiceName) -> f64 {
+        self.others_demand.get(service).copied().unwrap_or_default()
+    }
+
+    /// The part of the entry VMs that was heard lately, this one included.
+    pub(crate) fn reachable_part(&self) -> f64 {
+        self.reachable_part
     }
 
     /// What all other VMs do, as far as told. A member hears all of it from its collector; a collector adds
@@ -218,6 +226,11 @@
 fn take_over_sums(node: &Node, now: TimePoint) {
     let others = node.peers.borrow().others(now);
     let reachable_part = (f64::from(others.vms + 1) / node.vms() as f64).min(1.0);
+    {
+        let mut peers = node.peers.borrow_mut();
+        peers.others_demand.clone_from(&others.demand);
+        peers.reachable_part = reachable_part;
+    }
     if let Some(config) = node.config() {
         let mut quota = node.quota.borrow_mut();
         quota.set_others(&others.spending, reachable_part, &config, now);
@@ -230,8 +243,11 @@
 
 fn own_share(node: &Node) -> Share {
     let works = node.own_work().into_iter().map(|(name, it)| (hash_text(name.as_str()), it));
-    let spending = node.quota.borrow().spending(clock::now()).collect();
-    Share { vms: 1, works: works.collect(), spending }
+    let now = clock::now();
+    let demand = node.demand.borrow();
+    let demand = demand.iter().map(|(service, it)| (service.clone(), it.per_second(now)));
+    let spending = node.quota.borrow().spending(now).collect();
+    Share { vms: 1, works: works.collect(), spending, demand: demand.collect() }
 }
 
 fn tell_shares(node: &Node, socket: &UdpSocket, now: TimePoint) {
@@ -260,7 +276,7 @@
     drop(peers);
     for (address, scope, share) in sent {
         let relayed = if scope == Scope::Own { None } else { relayed(node, address, now) };
-        send(node, socket, address, Content::Share { scope, share, relayed });
+        send(node, socket, address, Content::Share { scope, share: Box::new(share), relayed });
         node.peers.borrow_mut().book.asked(address, now);
     }
 }
@@ -270,7 +286,7 @@
 fn ask_better_collector(node: &Node, socket: &UdpSocket, now: TimePoint) {
     let better = node.peers.borrow().book.better_collector(now);
     let Some(address) = better else { return };
-    let share = Share::default();
+    let share = Box::<Share>::default();
     send(node, socket, address, Content::Share { scope: Scope::Own, share, relayed: None });
 }
 
@@ -311,7 +327,7 @@
     }
 }
 
-/// Tells usage and demand to the holder of the duties; in a small system to everyone, so that a successor
+/// Tells usage to the holder of the duties; in a small system to everyone, so that a successor
 /// knows them at once.
 fn tell_usage(node: &Node, socket: &UdpSocket) {
     let addresses = {
@@ -326,9 +342,7 @@
     };
     for address in addresses {
         let counts = node.usage.borrow().own().clone();
-        let arrivals = node.arrivals.borrow();
-        let arrivals = arrivals.iter().map(|(name, it)| (name.clone(), *it)).collect();
-        send(node, socket, address, Content::Usage { counts, arrivals });
+        send(node, socket, address, Content::Usage { counts });
     }
 }
 
@@ -414,7 +428,7 @@
                     Scope::Members => &mut peers.collectors,
                     Scope::Rest => &mut peers.rest,
                 };
-                sums.take(&teller, share, now);
+                sums.take(&teller, *share, now);
             }
             if scope == Scope::Rest
                 && let Some(true_ms) = telling.true_ms
@@ -422,10 +436,9 @@
                 node.wall.borrow_mut().trust(true_ms, now);
             }
         }
-        Content::Usage { counts, arrivals } => {
+        Content::Usage { counts } => {
             let sent_ms = telling.true_ms.unwrap_or(telling.wall_ms);
             node.usage.borrow_mut().heard(&name, telling.incarnation, &counts, sent_ms);
-            node.peers.borrow_mut().arrivals.insert(teller, arrivals);
         }
     }
 }
