A quota's burst is given out in each window in which it is counted

Change: half of the burst is spread over the window as more rate, half stays a burst; what others begin to spend counts from before it was heard. A refusal's line says level, rate and part. Settings name the window.

--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -24,6 +24,10 @@
 pub struct OverQuota {
     /// The time until the account's bucket is above zero, at its rate.
     pub retry_after: Duration,
+    /// The units in the bucket.
+    pub level: f64,
+    /// Units a second that others let in, as they told last.
+    pub others: f64,
 }
 
 /// From a request that another VM lets in to its being heard here, in seconds: three tellings of a large
@@ -36,11 +40,38 @@
 const MOST_DEBT: f64 = 3.0;
 /// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge
 /// all VMs open and close together, one telling time late, and let in twice the quota by turns.
-const RAMP: f64 = 0.15;
+const RAMP: f64 = 0.5;
 /// Part of the burst with which a VM begins. Failure: many VMs restart, and each has the whole burst to give
-/// out. Symptom: an account that asks many times its quota gets a burst more at each restart. Twice the ramp
-/// lets an account that keeps to its quota in at once, and the rate fills the rest.
-const FIRST_PART: f64 = 2.0 * RAMP;
+/// out. Symptom: an account that asks many times its quota gets a burst more at each restart. The ramp's
+/// top lets an account that keeps to its quota in at once, and the rate fills the rest.
+const FIRST_PART: f64 = RAMP;
+
+/// Part of the burst that is given out as a higher rate, spread over the window in which quotas are counted.
+///
+/// Failure: an account asks half more than its rate all the time. Symptom: a third of its requests is refused,
+/// though no window holds more than its rate and its burst: a plain bucket gives the burst out once and never
+/// again. Both parts together stay below the burst, so no window holds more than rate and burst allow.
+const SPREAD_PART: f64 = 0.5;
+/// Part of the burst that may still come at once. What is left to the whole covers what is not heard in time.
+const KEPT_PART: f64 = 0.5;
+
+/// The rate and the burst of a bucket that lets in at most what a quota allows in any window.
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    per_second: f64,
+    burst: f64,
+}
+
+impl Allowance {
+    /// A `window` of zero stands for a plain bucket.
+    fn new(quota: &Quota, window: Duration) -> Self {
+        if window.is_zero() {
+            return Self { per_second: quota.per_second, burst: quota.burst };
+        }
+        let spread = SPREAD_PART * quota.burst / window.as_secs_f64();
+        Self { per_second: quota.per_second + spread, burst: KEPT_PART * quota.burst }
+    }
+}
 
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -55,14 +86,14 @@
 }
 
 impl Bucket {
-    fn new(quota: &Quota, since: TimePoint) -> Self {
+    fn new(quota: &Allowance, since: TimePoint) -> Self {
         let burst = quota.burst;
         let own = Rate::new(SPENDING_TIME, since);
         Self { level: FIRST_PART * burst, at: since, own, others: 0.0, burst }
     }
 
     /// Takes over a changed quota: what was spent under the old one is no debt under the new one.
-    fn adapt(&mut self, quota: &Quota) {
+    fn adapt(&mut self, quota: &Allowance) {
         if quota.burst.total_cmp(&self.burst).is_ne() {
             self.burst = quota.burst;
             self.level = self.level.clamp(0.0, quota.burst.max(0.0));
@@ -74,7 +105,7 @@
     /// Failure: a collector restarts, and for a second nobody hears what its members spend. Symptom: an account
     /// gets up to a second of its whole rate more from each VM. What others were spending goes on counting
     /// until they tell otherwise or are given up, and then only a part of the rate is used.
-    fn reckon(&mut self, quota: &Quota, reachable_part: f64, now: TimePoint) {
+    fn reckon(&mut self, quota: &Allowance, reachable_part: f64, now: TimePoint) {
         let seconds = now.since(self.at).as_secs_f64();
         let gain = quota.per_second * reachable_part - self.others;
         let most = quota.burst * reachable_part;
@@ -84,6 +115,16 @@
         self.at = now;
     }
 
+    /// Takes what others spend at present.
+    ///
+    /// Failure: an account begins to ask many times its quota of many VMs. Symptom: all of them let it in until
+    /// they hear of each other, and again whenever the bucket fills. What others spend more than they told
+    /// before they have spent for a while already, unheard.
+    fn told(&mut self, others: f64, most: f64) {
+        self.level = (self.level - (others - self.others) * UNHEARD_TIME).min(most);
+        self.others = others;
+    }
+
     fn spend(&mut self, cost: f64, now: TimePoint) {
         self.level -= cost;
         self.own.add(cost, now);
@@ -99,15 +140,17 @@
 /// on both sides of a partition.
 #[derive(Clone, Debug)]
 pub struct QuotaBook {
+    /// The span over which quotas are counted; zero where only the rate counts.
+    window: Duration,
     since: TimePoint,
     reachable_part: f64,
     buckets: HashMap<ClientAccountName, Bucket>,
 }
 
 impl QuotaBook {
-    /// A book of a VM that starts at `now`.
-    pub fn new(now: TimePoint) -> Self {
-        Self { since: now, reachable_part: 1.0, buckets: HashMap::new() }
+    /// A book of a VM that starts at `now`. In any `window` an account gets at most its rate and its burst.
+    pub fn new(window: Duration, now: TimePoint) -> Self {
+        Self { window, since: now, reachable_part: 1.0, buckets: HashMap::new() }
     }
 
     /// Takes `cost` units of an account's quota.
@@ -124,22 +167,19 @@
         now: TimePoint,
     ) -> Result<(), OverQuota> {
         let reachable_part = self.reachable_part;
+        let quota = &Allowance::new(quota, self.window);
         let since = self.since;
         let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
         bucket.adapt(quota);
         // Failure: VMs that are cut off each let in the whole burst. Symptom: an account that asks many times its
         // quota gets most of it there. The burst is shared out like the rate.
         bucket.reckon(quota, reachable_part, now);
-        // Failure: an account asks many times its quota of many VMs. Symptom: all of them let it in until they
-        // hear of each other, and again whenever the bucket fills. What others are spending right now, unheard
-        // yet, counts as spent.
-        let level = bucket.level - bucket.others * UNHEARD_TIME;
+        let level = bucket.level;
         if level <= draw * RAMP * quota.burst * reachable_part {
             let rate = quota.per_second * reachable_part;
             let seconds = (RAMP * quota.burst - level) / rate.max(1.0);
-            return Err(OverQuota {
-                retry_after: Duration::from_secs_f64(seconds.clamp(0.05, 10.0)),
-            });
+            let retry_after = Duration::from_secs_f64(seconds.clamp(0.05, 10.0));
+            return Err(OverQuota { retry_after, level, others: bucket.others });
         }
         bucket.spend(cost, now);
         Ok(())
@@ -170,6 +210,7 @@
     ) {
         for (account, it) in &config.accounts {
             let Some(quota) = it.quota else { continue };
+            let quota = Allowance::new(&quota, self.window);
             let others = spending.get(account).copied().unwrap_or_default().max(0.0);
             if others > 0.0 && !self.buckets.contains_key(account) {
                 self.buckets.insert(account.clone(), Bucket::new(&quota, self.since));
@@ -177,7 +218,7 @@
             let Some(bucket) = self.buckets.get_mut(account) else { continue };
             bucket.adapt(&quota);
             bucket.reckon(&quota, self.reachable_part, now);
-            bucket.others = others;
+            bucket.told(others, quota.burst * self.reachable_part);
         }
         self.reachable_part = reachable_part;
     }
--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -17,6 +17,9 @@
 /// The draw that lets in whatever may be let in.
 const DRAW: f64 = 0.0;
 
+/// No span over which quotas are counted: the bucket is a plain one.
+const PLAIN: Duration = Duration::ZERO;
+
 fn desk() -> ClientAccountName {
     "desk".into()
 }
@@ -29,11 +32,11 @@
 
 #[test]
 fn what_was_refused_later_is_given_back() {
-    let mut book = QuotaBook::new(ms(0));
+    let mut book = QuotaBook::new(PLAIN, ms(0));
     let limit = quota(0.001, 100.0);
-    assert!(book.take(&desk(), &limit, 31.0, DRAW, ms(0)).is_ok());
-    assert!(book.take(&desk(), &limit, 31.0, DRAW, ms(1)).is_err());
-    book.give_back(&desk(), 31.0, ms(1));
+    assert!(book.take(&desk(), &limit, 51.0, DRAW, ms(0)).is_ok());
+    assert!(book.take(&desk(), &limit, 51.0, DRAW, ms(1)).is_err());
+    book.give_back(&desk(), 51.0, ms(1));
     assert!(book.take(&desk(), &limit, 10.0, DRAW, ms(2)).is_ok());
 }
 
@@ -43,18 +46,46 @@
 fn a_vm_that_starts_has_only_a_part_of_the_burst() {
     let limit = quota(100.0, 100.0);
     let let_in = |start: u64, now: u64| {
-        let mut book = QuotaBook::new(ms(start));
+        let mut book = QuotaBook::new(PLAIN, ms(start));
         (0..1_000).filter(|_| book.take(&desk(), &limit, 1.0, DRAW, ms(now)).is_ok()).count()
     };
-    assert!((20..=40).contains(&let_in(0, 0)), "{}", let_in(0, 0));
+    assert!((45..=51).contains(&let_in(0, 0)), "{}", let_in(0, 0));
     assert!((95..=101).contains(&let_in(0, 2_000)), "{}", let_in(0, 2_000));
 }
 
+/// Units that one VM lets in each 10 ms, of an account that asks `asked` times its rate for so long.
+fn let_in_each_step(window: Duration, asked: f64, seconds: usize) -> Vec<f64> {
+    let limit = quota(1_000.0, 2_000.0);
+    let mut book = QuotaBook::new(window, ms(0));
+    let take = |step: usize| {
+        let taken = book.take(&desk(), &limit, asked * 10.0, DRAW, ms(step as u64 * 10));
+        if taken.is_ok() { asked * 10.0 } else { 0.0 }
+    };
+    (0..seconds * 100).map(take).collect()
+}
+
+// A third of an account's requests is refused all day, though no window of eight seconds holds more than its
+// rate and its burst allow: the burst was given out once. Now it is spread over the window.
+#[test]
+fn the_burst_is_given_out_in_each_window() {
+    let window = Duration::from_secs(8);
+    let spread: f64 = let_in_each_step(window, 1.1, 60).iter().sum();
+    assert!(spread >= 0.999 * 1_100.0 * 60.0, "{spread}");
+    for asked in [1.2, 2.0, 6.0] {
+        let let_in = let_in_each_step(window, asked, 60);
+        let most = let_in.windows(800).map(|it| it.iter().sum::<f64>()).fold(0.0, f64::max);
+        assert!(most <= 1_000.0 * 8.0 + 2_000.0, "{asked}: {most}");
+        let plain: f64 = let_in_each_step(PLAIN, asked, 60).iter().sum();
+        let spread: f64 = let_in.iter().sum();
+        assert!(spread >= 1.08 * plain, "{asked}: {spread} {plain}");
+    }
+}
+
 // A VM is out of touch with half of the others, and lets an account in as if it were alone. It uses the part of
 // the burst and of the rate that stands for those it hears.
 #[test]
 fn a_cut_off_vm_uses_its_part() {
-    let mut book = QuotaBook::new(ms(0));
+    let mut book = QuotaBook::new(PLAIN, ms(0));
     let limit = quota(100.0, 100.0);
     book.set_others(&Spending::new(), 0.5, &config(1, Vec::new()), ms(0));
     let mut taken = 0;
@@ -66,7 +97,7 @@
 
 #[test]
 fn who_is_over_its_quota_is_told_when_there_is_room() {
-    let mut book = QuotaBook::new(ms(0));
+    let mut book = QuotaBook::new(PLAIN, ms(0));
     let limit = quota(100.0, 10.0);
     book.take(&desk(), &limit, 53.0, DRAW, ms(0)).unwrap();
     let over = book.take(&desk(), &limit, 1.0, DRAW, ms(0)).unwrap_err();
@@ -79,7 +110,7 @@
 // leaves the bucket here.
 #[test]
 fn what_others_spend_counts_here() {
-    let mut book = QuotaBook::new(ms(0));
+    let mut book = QuotaBook::new(PLAIN, ms(0));
     let limit = quota(1_000.0, 1_000.0);
     let config = config(1, Vec::new());
     assert!(book.take(&desk(), &limit, 1.0, DRAW, ms(2_000)).is_ok());
@@ -107,7 +138,7 @@
         support::limits(),
     );
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(3);
-    let mut books = vec![QuotaBook::new(ms(0)); VMS];
+    let mut books = vec![QuotaBook::new(PLAIN, ms(0)); VMS];
     let mut told_at: Vec<Vec<f64>> = Vec::new();
     let mut total = 0.0;
     for step in 0..seconds as usize * 100 {
@@ -147,7 +178,7 @@
 // as debt under the new.
 #[test]
 fn a_lowered_quota_starts_without_debt() {
-    let mut book = QuotaBook::new(ms(0));
+    let mut book = QuotaBook::new(PLAIN, ms(0));
     book.take(&desk(), &quota(1_000.0, 1_000.0), 5_000.0, DRAW, ms(0)).unwrap();
     assert!(book.take(&desk(), &quota(100.0, 100.0), 10.0, DRAW, ms(100)).is_ok());
 }
@@ -157,7 +188,7 @@
     let limit = quota(1_000.0, 1_000.0);
     let config = config(1, Vec::new());
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(3);
-    let mut books = [QuotaBook::new(ms(0)), QuotaBook::new(ms(0))];
+    let mut books = [QuotaBook::new(PLAIN, ms(0)), QuotaBook::new(PLAIN, ms(0))];
     let mut sums = [Sums::default(), Sums::default()];
     let mut total = 0.0;
     if !hear_each_other {
--- a/crates/quincevalve_forwarding/tests/quota_restarts.rs
+++ b/crates/quincevalve_forwarding/tests/quota_restarts.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{Account, ForwardingConfig, Quota},
@@ -24,6 +26,8 @@
 const AWAY: u64 = 25;
 /// Steps after which a collector that is away is replaced.
 const SILENT: u64 = 40;
+/// The span over which the quota is counted.
+const WINDOW: Duration = Duration::from_secs(8);
 /// Tokens of a request.
 const TOKENS: f64 = 3_000.0;
 
@@ -58,7 +62,7 @@
 impl Vm {
     fn new(starts: u64, now: TimePoint) -> Self {
         Self {
-            book: QuotaBook::new(now),
+            book: QuotaBook::new(WINDOW, now),
             members: Sums::default(),
             collectors: Sums::default(),
             rest: Sums::default(),
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -201,9 +201,14 @@
     let cost = quincevalve_forwarding::quota::cost(&quota, req.token_counts());
     let draw = node.rng.borrow_mut().random::<f64>();
     let taken = node.quota.borrow_mut().take(account, &quota, cost, draw, clock::now());
-    taken.map(|()| cost).map_err(|over| Refused {
-        refusal: Refusal::OverQuota,
-        retry_after: Some(over.retry_after),
+    taken.map(|()| cost).map_err(|over| {
+        let part = node.peers.borrow().reachable_part();
+        log::info!(
+            id = req.id, account = account.as_str(), cost, level = over.level, others = over.others,
+            per_second = quota.per_second, burst = quota.burst, part, version = req.config.version;
+            "over-quota"
+        );
+        Refused { refusal: Refusal::OverQuota, retry_after: Some(over.retry_after) }
     })
 }
 
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -99,7 +99,7 @@
             config: RefCell::default(),
             freshness: Cell::default(),
             servers: RefCell::default(),
-            quota: RefCell::new(QuotaBook::new(clock::now())),
+            quota: RefCell::new(QuotaBook::new(settings.quota_window, clock::now())),
             retries: RefCell::default(),
             usage: RefCell::default(),
             wall: RefCell::default(),
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -31,6 +31,8 @@
     pub bounds: Bounds,
     /// The retry budget of all entry VMs.
     pub retries: RetryLimits,
+    /// The span over which quotas are counted; zero where only their rate counts.
+    pub quota_window: Duration,
     /// What one holder does for all.
     pub duties: Duties,
 }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -207,6 +207,7 @@
             grace: Duration::from_secs(8),
         },
         retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        quota_window: Duration::from_secs(8),
         duties: Duties {
             usage: false,
             scaling: false,
