A reclaimable server whose entry is removed is taken for one that goes, and its streams are moved

Change: a removal outside an outage of the store sets when the server goes; a new entry takes it back.

--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -63,6 +63,10 @@
 /// without new work, and a little.
 const USUAL_LEAVE: Duration = Duration::from_millis(2_600);
 
+/// Time from the removal of a reclaimable server's entry to its end. Some servers say nothing before they are
+/// taken back; one second passes at least from the notice to the end, part of it on the entry's way here.
+const SILENT_LEAVE: Duration = Duration::from_millis(900);
+
 /// How long an entry that lapsed in an outage of the store may be missing after the store's return.
 ///
 /// Servers that live put their entries back within two seconds; one that is still missing then is gone.
@@ -104,6 +108,9 @@
             entry: entry.clone(),
         });
         server.entry = entry;
+        if server.listing != Listing::Listed && server.leaving.is_none() {
+            server.goes_at = None;
+        }
         server.listing = Listing::Listed;
         if draining {
             server.leaving.get_or_insert(Leaving::Announced);
@@ -115,14 +122,29 @@
     }
 
     /// Notes that an entry was removed.
+    ///
+    /// Failure: a reclaimed server's entry is removed without an announcement. Symptom: a second later all its
+    /// streams are cut, though there was time to move them. Unless the entry may have lapsed in an outage of
+    /// the store, the server is taken for one that goes.
     pub fn removed(&mut self, name: &BackendServerName, now: TimePoint) {
-        if let Some(server) = self.servers.get_mut(name)
-            && server.listing == Listing::Listed
-        {
-            server.listing = Listing::Removed(now);
+        let may_have_lapsed = self.store_away.is_some() || self.is_just_back(now);
+        let Some(server) = self.servers.get_mut(name) else { return };
+        if server.listing != Listing::Listed {
+            return;
+        }
+        server.listing = Listing::Removed(now);
+        if !may_have_lapsed {
+            let left = if server.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
+            let goes_at = now + left;
+            server.goes_at = Some(server.goes_at.map_or(goes_at, |it| it.min(goes_at)));
         }
     }
 
+    /// Whether the store is back for so short a time that entries which lapsed may still be missing.
+    fn is_just_back(&self, now: TimePoint) -> bool {
+        self.store_back.is_some_and(|back| now.since(back) < RETURN_TIME)
+    }
+
     /// Takes a whole list: what isn't in it was removed.
     pub fn replace_all(&mut self, entries: Vec<(BackendServerName, ServerEntry)>, now: TimePoint) {
         let names: Vec<_> = self.servers.keys().cloned().collect();
@@ -194,9 +216,10 @@
         }
         match server.listing {
             Listing::Listed => true,
-            Listing::Removed(at) => self
-                .store_back
-                .is_some_and(|back| now.since(back) < RETURN_TIME && at.since(back) < RETURN_TIME),
+            Listing::Removed(at) => {
+                self.is_just_back(now)
+                    && self.store_back.is_some_and(|back| at.since(back) < RETURN_TIME)
+            }
         }
     }
 
--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use proptest::prelude::*;
-use quincevalve_forwarding::servers::{Leaving, ServerTable};
+use quincevalve_forwarding::servers::{Leaving, ServerEntry, ServerTable};
 use quincevalve_names::TimePoint;
 use support::{draining, entry, ms, server};
 
@@ -85,6 +85,38 @@
     assert!(!usable(&table, ms(2_100)));
 }
 
+// Streams of a reclaimed server are cut a second after its entry went: it had announced nothing. The removal says
+// that it goes, and its streams are moved in that second.
+#[test]
+fn a_reclaimable_server_that_is_removed_goes_within_a_second() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), reclaimable("a"), ms(0));
+    assert_eq!(table.goes_at(&server(0)), None);
+    table.removed(&server(0), ms(100));
+    let goes_at = table.goes_at(&server(0)).unwrap();
+    assert!(goes_at > ms(100) && goes_at <= ms(1_100), "{goes_at:?}");
+    table.listed(&server(0), reclaimable("a"), ms(400));
+    assert_eq!(table.goes_at(&server(0)), None);
+}
+
+// All streams are moved at once though every server lives: the store was away, and all entries lapsed.
+#[test]
+fn an_entry_that_may_have_lapsed_moves_nothing() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), reclaimable("a"), ms(0));
+    table.store_lost(ms(1_000));
+    table.removed(&server(0), ms(5_000));
+    assert_eq!(table.goes_at(&server(0)), None);
+    table.listed(&server(0), reclaimable("a"), ms(5_500));
+    table.store_found(ms(6_000));
+    table.removed(&server(0), ms(6_100));
+    assert_eq!(table.goes_at(&server(0)), None);
+}
+
+fn reclaimable(centre: &str) -> ServerEntry {
+    ServerEntry { reclaimable: true, ..entry(centre) }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Listed,
