Usage reports don't wait for VMs that are gone

Cause: when the holder of the duties was taken away for good, its successor waited eight seconds for what it would tell; all VMs were killed before that, and the report of a window was lost. Change: awaited are VMs that are listed or were heard lately. A test that fails without it.

--- a/crates/quincevalve_forwarding/src/peer_book.rs
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -18,6 +18,8 @@
 const READERS: usize = 2;
 /// A collector that has not answered for this long has gone or is out of reach; it answers ten times in it.
 const SILENT: Duration = Duration::from_millis(800);
+/// A VM that tells several times a second and was not heard for this long is silent.
+const LATELY: Duration = Duration::from_secs(2);
 /// A peer that is neither listed nor heard for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
@@ -161,9 +163,14 @@
         self.peers.get(name).map(|it| &it.card)
     }
 
-    /// The other VMs' names.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
-        self.peers.keys().map(String::as_str)
+    /// The other VMs that may still have something to tell.
+    ///
+    /// Failure: a VM is gone for good, and what it would tell is waited for. Symptom: reports come seconds late,
+    /// or are lost when the one who waits goes too. Who is neither listed nor heard lately has nothing to tell.
+    pub fn awaited(&self, now: TimePoint) -> impl Iterator<Item = &str> {
+        let is_heard = move |it: &Peer| it.heard.is_some_and(|at| now.since(at) <= LATELY);
+        let awaited = self.peers.iter().filter(move |(_, it)| it.listed || is_heard(it));
+        awaited.map(|(name, _)| name.as_str())
     }
 
     /// The name of the VM at an address.
--- a/crates/quincevalve_forwarding/tests/telling.rs
+++ b/crates/quincevalve_forwarding/tests/telling.rs
@@ -135,6 +135,17 @@
     assert_eq!(book.vms(), 2);
 }
 
+// Usage reports come too late: the VM that held the duties was taken away, and its successor waited for what it
+// would tell. A VM whose entry is gone is awaited only while it is heard.
+#[test]
+fn a_vm_that_is_gone_is_not_awaited() {
+    let mut book = book(0, 3);
+    book.heard(&card(1), ms(0));
+    book.unlisted("vm-1");
+    assert_eq!(book.awaited(ms(1_900)).collect::<Vec<_>>(), ["vm-1", "vm-2"]);
+    assert_eq!(book.awaited(ms(2_100)).collect::<Vec<_>>(), ["vm-2"]);
+}
+
 #[test]
 fn two_of_a_small_system_read_the_store() {
     let readers = (0..8).filter(|me| book(*me, 8).reads_for_others(false, ms(0))).count();
