--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -343,18 +343,24 @@
     ///
     /// Failure: servers are reclaimed or crash for good, and the order that brought them stands. Symptom:
     /// nobody replaces them. An order whose servers are lacking after their time to start is sent again.
+    ///
+    /// Failure: the duty passes on in a lull, and its new holder knows of no order. Symptom: it orders what the
+    /// lull asks, and the next wave of callers meets half of the servers. What is there stands for the last order.
     fn is_due(&mut self, order: &Order, started: Duration, now: TimePoint) -> bool {
-        let lacks = self.there(&order.data_centre, order.kind) < order.count;
+        let there = self.there(&order.data_centre, order.kind);
+        let lacks = there < order.count;
         let key = (order.data_centre.clone(), order.kind);
-        let Some(last) = self.sent.get(&key).copied() else { return true };
-        match last.outcome {
-            OrderOutcome::NoneAvailable => return now.since(last.at) >= REFUSED_PAUSE,
-            OrderOutcome::Unknown => return now.since(last.at) >= UNKNOWN_PAUSE,
-            OrderOutcome::Taken => {}
+        let last = self.sent.get(&key).copied();
+        match last.map(|it| (it.outcome, now.since(it.at))) {
+            Some((OrderOutcome::NoneAvailable, age)) => return age >= REFUSED_PAUSE,
+            Some((OrderOutcome::Unknown, age)) => return age >= UNKNOWN_PAUSE,
+            Some((OrderOutcome::Taken, age)) if lacks && age >= started => return true,
+            Some((OrderOutcome::Taken, _)) | None => {}
         }
-        if order.count >= last.count {
+        let ordered = last.map_or(there, |it| it.count);
+        if order.count >= ordered {
             self.fewer_since.swap_remove(&key);
-            return order.count > last.count || (lacks && now.since(last.at) >= started);
+            return order.count > ordered;
         }
         let since = *self.fewer_since.entry(key).or_insert(now);
         let patience = match order.kind {
--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -53,13 +53,22 @@
         }
     }
 
-    /// Whether all of these peers sent a telling at `since_ms` of true time or later.
+    /// Whether all of these peers sent a telling at `since_ms` of true time or later, but for those that were
+    /// silent since `begin_ms`, the window's begin.
     ///
     /// Failure: a telling waits at a busy VM. Symptom: it is heard after a window's end and taken for whole,
     /// though it was sent before. The time of sending counts.
-    pub fn all_told<'a>(&self, peers: impl Iterator<Item = &'a str>, since_ms: i64) -> bool {
+    ///
+    /// Failure: a VM is gone for good, and its entry still stands. Symptom: reports wait for it, and are lost when
+    /// the holder goes too. Who was silent for a whole window has nothing to tell of it, or can't in time.
+    pub fn all_told<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a str>,
+        begin_ms: i64,
+        since_ms: i64,
+    ) -> bool {
         let mut peers = peers;
-        peers.all(|it| self.told.get(it).is_some_and(|told| *told >= since_ms))
+        peers.all(|it| self.told.get(it).is_some_and(|told| *told >= since_ms || *told < begin_ms))
     }
 
     /// The sum of a window over all sources.
--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -6,6 +6,7 @@
 
 use proptest::prelude::*;
 use quincevalve_forwarding::{
+    line_budget::LineBudget,
     quota::{QuotaBook, cost},
     retry_window::{RetryLimits, RetryWindow},
     sums::{Share, Spending, Sums},
@@ -247,6 +248,18 @@
     assert!(window.spend(&LIMITS, 1, ms(10_001)));
 }
 
+// A VM writes more lines than it serves requests: callers that are refused come back at once. Lines of refusals
+// are bounded by themselves, and what is left out is counted.
+#[test]
+fn lines_of_refusals_are_bounded() {
+    let mut budget = LineBudget::for_refusals();
+    let written = (0..50_000_u64).filter(|step| budget.take(ms(step / 10))).count();
+    assert!((1_900..=2_200).contains(&written), "{written} lines in five seconds");
+    budget.leave_out(50_000 - written as u64);
+    assert_eq!(budget.take_left_out(), 50_000 - written as u64);
+    assert_eq!(budget.take_left_out(), 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(12),
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -275,9 +275,10 @@
         return None;
     }
     let since_end_ms = now_ms - (next.cast_signed() + 1) * length;
-    let told_since = (next.cast_signed() + 1) * length + TOLD_AFTER_MS;
+    let begin = next.cast_signed() * length;
+    let told_since = begin + length + TOLD_AFTER_MS;
     let peers = node.peers.borrow();
-    let complete = node.usage.borrow().all_told(peers.book.awaited(now), told_since);
+    let complete = node.usage.borrow().all_told(peers.book.awaited(now), begin, told_since);
     (complete || since_end_ms >= REPORT_ANYWAY_MS).then_some(next)
 }
 
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -127,6 +127,9 @@
 }
 
 fn log_refusal(node: &Node, id: &str, arrived: Instant, refused: Refused) {
+    if !node.may_tell_refusal() {
+        return;
+    }
     let took_ms = arrived.elapsed().as_millis() as u64;
     let cause = refused.refusal.name();
     let outcome = refused.refusal.outcome();
@@ -202,12 +205,15 @@
     let draw = node.rng.borrow_mut().random::<f64>();
     let taken = node.quota.borrow_mut().take(account, &quota, cost, draw, clock::now());
     taken.map(|()| cost).map_err(|over| {
-        let part = node.peers.borrow().reachable_part();
-        log::info!(
-            id = req.id, account = account.as_str(), cost, level = over.level, others = over.others,
-            per_second = quota.per_second, burst = quota.burst, part, version = req.config.version;
-            "over-quota"
-        );
+        if node.may_tell_refusal() {
+            let part = node.peers.borrow().reachable_part();
+            log::info!(
+                id = req.id, account = account.as_str(), cost, level = over.level,
+                others = over.others, per_second = quota.per_second, burst = quota.burst, part,
+                version = req.config.version;
+                "over-quota"
+            );
+        }
         Refused { refusal: Refusal::OverQuota, retry_after: Some(over.retry_after) }
     })
 }
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -82,6 +82,7 @@
     pub(crate) in_flight: Cell<usize>,
     pub(crate) mover: Mover,
     pub(crate) lines: RefCell<LineBudget>,
+    pub(crate) refusal_lines: RefCell<LineBudget>,
     pub(crate) metrics: Metrics,
     pub(crate) store_view: RefCell<StoreView>,
     /// The newest version of the configuration that others have.
@@ -112,6 +113,7 @@
             in_flight: Cell::new(0),
             mover,
             lines: RefCell::default(),
+            refusal_lines: RefCell::new(LineBudget::for_refusals()),
             metrics: Metrics::default(),
             store_view: RefCell::default(),
             told_version: Cell::new(0),
@@ -175,6 +177,15 @@
         peers.book.reads_for_others(peers.has_members(now), now)
     }
 
+    /// Whether one more line of a refusal may be written; one that may not is counted.
+    pub(crate) fn may_tell_refusal(&self) -> bool {
+        let may = self.refusal_lines.borrow_mut().take(clock::now());
+        if !may {
+            self.lines.borrow_mut().leave_out(1);
+        }
+        may
+    }
+
     /// The entry VMs that are known, this one included.
     pub(crate) fn vms(&self) -> usize {
         self.peers.borrow().book.vms()
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -21,22 +21,26 @@
 const LONE_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after a failure: short, for a VM without a new proof refuses keys soon.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// The longest pause after several failures in a row. Refused calls cost as much as others, and a VM whose peers
+/// still read is told what they read.
+const LONGEST_FAILED_PAUSE: Duration = Duration::from_millis(700);
 /// A VM that is told nothing newer than this part of the time in which a change must be in force reads the
 /// store itself; the reading takes its part of the rest.
 const TOLD_PART: f64 = 0.6;
 /// Pause between two looks whether what is told is new enough.
 const LOOK: Duration = Duration::from_millis(100);
-/// Lifetime of this VM's own entry; long against renewals, so that a slow store doesn't remove it.
-const ENTRY_LIFETIME: Duration = Duration::from_secs(30);
+/// Lifetime of this VM's own entry; three renewals, so that a slow store or a short outage doesn't remove it. Until
+/// it ends the others count with a VM that is gone: its part of the quotas lies idle.
+const ENTRY_LIFETIME: Duration = Duration::from_secs(12);
 /// Time between two renewals of it.
-const ENTRY_RENEWAL: Duration = Duration::from_secs(10);
+const ENTRY_RENEWAL: Duration = Duration::from_secs(4);
 
 /// Keeps up with the store for as long as the process lives.
 pub(crate) async fn follow_store<S>(node: Rc<Node>, store: S)
 where
     S: PlatformStore,
 {
-    let mut is_lost = false;
+    let mut failures = 0_u32;
     let mut is_told = false;
     loop {
         fetch_config(&node, &store).await;
@@ -56,7 +60,7 @@
         let pause = match read(&node, &store).await {
             Ok(()) => {
                 prove(&node, asked);
-                if std::mem::take(&mut is_lost) {
+                if std::mem::take(&mut failures) > 0 {
                     log::info!("store-regained");
                     node.servers.borrow_mut().store_found(clock::now());
                 }
@@ -68,11 +72,13 @@
                 Duration::ZERO
             }
             Err(error) => {
-                if !std::mem::replace(&mut is_lost, true) {
+                if failures == 0 {
                     log::warn!(error:% = error; "store-lost");
                     node.servers.borrow_mut().store_lost(clock::now());
                 }
-                FAILED_PAUSE
+                let pause = FAILED_PAUSE * (1 << failures.min(2));
+                failures += 1;
+                pause.min(LONGEST_FAILED_PAUSE)
             }
         };
         sleep(pause).await;
