Callers that are refused and come back count as demand in part

Change: a refused request counts 0.4 of its work. A test plays callers of whom half are refused once.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// The part of a refused request's work that counts as demand. Its caller comes back once in most cases, and is
+/// counted again then; who doesn't come back asked for it, too.
+const REFUSED_PART: f64 = 0.4;
+
+/// The demand that a request is counted for, of work that would keep a server busy for `busy_seconds`.
+///
+/// Failure: servers are lacking, and those who are refused come back. Symptom: they are counted twice, twice the
+/// servers that are needed are ordered, on demand and dear, and stay until the measured demand has faded.
+pub fn demand(busy_seconds: f64, was_placed: bool) -> f64 {
+    if was_placed { busy_seconds } else { busy_seconds * REFUSED_PART }
+}
+
 /// Work that several requests ask together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkSum {
--- a/crates/quincevalve_forwarding/tests/fleet_size.rs
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -6,6 +6,8 @@
 use quincevalve_forwarding::{
     config::Scaling,
     fleet_size::{FleetPlanner, Order, OrderOutcome, Present, ServerKind},
+    load::demand,
+    rate::Rate,
     sums::{Share, Sums},
 };
 use quincevalve_names::{DataCentreName, ServiceName, TimePoint};
@@ -261,6 +263,28 @@
     assert_eq!(count(&orders, ServerKind::OnDemand), 0);
 }
 
+// Twice the servers that are needed are ordered on demand: half of the callers were refused for a while, came back
+// once each, and counted as new ones.
+#[test]
+fn callers_that_come_back_are_not_new_demand() {
+    let present = fleet([1; 4], [0; 4]);
+    let mut planner = FleetPlanner::new(ms(0));
+    planner.inherit(4.0);
+    let mut rate = Rate::new(support::millis(1_000), ms(0));
+    let mut busy = 0.0;
+    // A request each 10 ms that keeps a server busy for 40 ms; every other one is refused, comes back and is served.
+    for step in 0..2_000_u64 {
+        let now = ms(step * 10);
+        rate.add(demand(0.04, true), now);
+        if step.is_multiple_of(2) {
+            rate.add(demand(0.04, false), now);
+        }
+        busy = planner.observe(rate.per_second(now), 1.0, 0.0, &present, now);
+    }
+    assert!((4.0..=5.0).contains(&busy), "{busy}");
+    assert!(demand(0.04, false) > 0.01, "what is refused is asked for all the same");
+}
+
 fn is_repeated(outcome: OrderOutcome, after_ms: u64, expected: bool) {
     let before = fleet([1; 4], [0; 4]);
     let (mut planner, now) = planner(5.0, &before);
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -95,11 +95,12 @@
     let mut refusals = 0;
     let mut runs = 0;
     node.retries.borrow_mut().entry(req.service.clone()).or_default().request(clock::now());
-    if let Some(prompt) = &req.prompt {
-        node.note_arrival(&req.service, prompt.usual_work());
-    }
     loop {
-        let place = match find_place(node, &req, &had).await {
+        let found = find_place(node, &req, &had).await;
+        if let Some(prompt) = req.prompt.filter(|_| had.is_empty()) {
+            node.note_demand(&req.service, prompt.usual_work(), found.is_ok());
+        }
+        let place = match found {
             Ok(place) => place,
             Err(refused) if runs == 0 => return Err(refused),
             // What has run once without an answer can't be refused as if it had not.
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -14,7 +14,7 @@
     duty::Duty,
     freshness::Freshness,
     line_budget::LineBudget,
-    load::{Work, WorkSum},
+    load::{self, Work, WorkSum},
     peer_book::VmCard,
     quota::QuotaBook,
     rate::Rate,
@@ -207,15 +207,15 @@
         self.usage.borrow_mut().began((now_ms / length) as u64, account);
     }
 
-    /// Notes work that is sent to a server of `service`.
-    pub(crate) fn note_arrival(&self, service: &ServiceName, work: Work) {
+    /// Notes work that was asked of `service`, and whether a server had room for it.
+    pub(crate) fn note_demand(&self, service: &ServiceName, work: Work, was_placed: bool) {
         let config = self.config.borrow();
         let engine = config.as_ref().and_then(|it| it.services.get(service)?.engine);
         let slots = engine.map_or(1, |it| it.slots);
         let now = clock::now();
         let mut demand = self.demand.borrow_mut();
         let rate = demand.entry(service.clone()).or_insert(Rate::new(DEMAND_TIME, now));
-        rate.add(work.busy_seconds(slots), now);
+        rate.add(load::demand(work.busy_seconds(slots), was_placed), now);
     }
 
     /// This VM's own work at each server, for its peers.
