Counts of windows that are not reported yet outlive all VMs in the store

Change: the holder writes the counts by source each second, at most 20 KB a second; its successor takes them before it reports. A test of the core.

--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_names::ClientAccountName;
+use serde::{Deserialize, Serialize};
 
 /// The number of a window: windows of one length follow each other since 1970.
 pub type Window = u64;
@@ -14,6 +15,13 @@
 /// Windows kept after they have ended: enough to report late and to survive a change of holder.
 const KEPT: u64 = 4;
 
+/// The counts of all sources, as one holder of the duties keeps them for the next.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The VM and its start that counted, and what it counted.
+    sources: Vec<(String, u64, Counts)>,
+}
+
 /// This entry VM's own counts and, by incarnation, those that its peers told last.
 ///
 /// Failure: an entry VM is killed with counts that it has not reported. Symptom: the window's report is
@@ -43,14 +51,7 @@
     pub fn heard(&mut self, peer: &str, incarnation: u64, counts: &Counts, sent_ms: i64) {
         let told = self.told.entry(peer.to_owned()).or_insert(sent_ms);
         *told = sent_ms.max(*told);
-        let known = self.peers.entry((peer.to_owned(), incarnation)).or_default();
-        for (window, accounts) in counts {
-            let known = known.entry(*window).or_default();
-            for (account, count) in accounts {
-                let total = known.entry(account.clone()).or_default();
-                *total = (*total).max(*count);
-            }
-        }
+        merge(self.peers.entry((peer.to_owned(), incarnation)).or_default(), counts);
     }
 
     /// The part of a window's counts that may still be told, where each of these peers and this VM has an equal
@@ -79,6 +80,29 @@
         missing / sources
     }
 
+    /// What is known of windows from `since` on, for a successor. `me` is this VM and its start.
+    ///
+    /// Failure: all VMs are killed at the same moment, with windows that have ended and are not reported. Symptom:
+    /// their reports say that nothing began. What one holder knew outlives all VMs in the store.
+    pub fn keep(&self, me: (&str, u64), since: Window) -> Kept {
+        let newer = |counts: &Counts| -> Counts {
+            counts.range(since..).map(|(window, it)| (*window, it.clone())).collect()
+        };
+        let own = std::iter::once((me.0.to_owned(), me.1, newer(&self.own)));
+        let peers = self.peers.iter();
+        let peers = peers.map(|((name, start), it)| (name.clone(), *start, newer(it)));
+        Kept { sources: own.chain(peers).filter(|(.., counts)| !counts.is_empty()).collect() }
+    }
+
+    /// Takes what a holder before kept. Each source's totals only grow, so what is known of it already stays.
+    pub fn recall(&mut self, kept: Kept, me: (&str, u64)) {
+        for (name, start, counts) in kept.sources {
+            if (name.as_str(), start) != me {
+                merge(self.peers.entry((name, start)).or_default(), &counts);
+            }
+        }
+    }
+
     /// The sum of a window over all sources.
     pub fn total(&self, window: Window) -> IndexMap<ClientAccountName, u64> {
         let mut sum = IndexMap::new();
@@ -96,3 +120,14 @@
         self.peers.retain(|_, counts| !counts.is_empty());
     }
 }
+
+/// Takes running totals of a source; lower ones than known change nothing.
+fn merge(known: &mut Counts, counts: &Counts) {
+    for (window, accounts) in counts {
+        let known = known.entry(*window).or_default();
+        for (account, count) in accounts {
+            let total = known.entry(account.clone()).or_default();
+            *total = (*total).max(*count);
+        }
+    }
+}
--- a/crates/quincevalve_forwarding/tests/telling.rs
+++ b/crates/quincevalve_forwarding/tests/telling.rs
@@ -11,7 +11,7 @@
     load::WorkSum,
     peer_book::{PeerBook, Role, VmCard},
     sums::{Share, Sums},
-    usage::{Counts, Usage},
+    usage::{Counts, Kept, Usage},
     wall_clock::WallClock,
 };
 use quincevalve_names::{ClientAccountName, TimePoint};
@@ -246,6 +246,29 @@
     assert!(usage.total(8).is_empty());
 }
 
+// Reports say that nothing began: all VMs were killed at the same moment, with windows that had ended. The next holder
+// has what the last one kept; nothing counts twice, also where a VM lived through it.
+#[test]
+fn what_a_holder_kept_outlives_all_vms() {
+    let told = |count| IndexMap::from([("desk".into(), count)]);
+    let mut holder = Usage::default();
+    holder.began(7, &desk());
+    holder.began(8, &desk());
+    holder.heard("vm-1", 1, &[(7, told(5)), (8, told(2))].into(), 0);
+    let kept = holder.keep(("vm-0", 1), 7);
+    let mut next = Usage::default();
+    next.recall(kept.clone(), ("vm-2", 1));
+    assert_eq!((next.total(7)[&desk()], next.total(8)[&desk()]), (6, 3));
+    next.heard("vm-1", 1, &[(8, told(4))].into(), 1);
+    next.heard("vm-1", 2, &[(8, told(1))].into(), 2);
+    next.recall(kept, ("vm-2", 1));
+    assert_eq!(next.total(8)[&desk()], 6);
+    let mut same = holder.clone();
+    same.recall(holder.keep(("vm-0", 1), 7), ("vm-0", 1));
+    assert_eq!(same.total(7)[&desk()], 6);
+    assert_eq!(holder.keep(("vm-0", 1), 9), Kept::default());
+}
+
 // A report lacks a tenth of what began: a telling that was sent before the window's end waited at a busy VM
 // and was heard after it. The time at which it was sent counts.
 #[test]
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -6,8 +6,9 @@
 use quincevalve_forwarding::{
     duty::Term,
     fleet_size::{FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_busy},
+    usage::Kept,
 };
-use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName};
+use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName, TimePoint};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::sleep};
@@ -26,6 +27,12 @@
 const TERM_KEY: &str = "duty/term";
 /// The key with the newest usage report, written before the report is sent.
 const REPORT_KEY: &str = "duty/usage";
+/// The key with the counts of windows that are not reported yet.
+const COUNTS_KEY: &str = "duty/counts";
+/// Time between two writings of it: what began in the last second before all VMs are killed is lost.
+const KEEP_PERIOD: Duration = Duration::from_secs(1);
+/// Bytes a second that the writing may take; a large system writes less often.
+const KEEP_BYTES_PER_SECOND: f64 = 20_000.0;
 /// Renewals in the life of a lease.
 const RENEWALS: u32 = 4;
 /// Pause between two looks of a VM that doesn't hold the duties.
@@ -187,10 +194,15 @@
         return std::future::pending().await;
     }
     let mut known: Option<(StoreRevision, Option<Report>)> = None;
+    let mut counts = KeptCounts::default();
     loop {
         if known.is_some() {
             sleep(LOOK).await;
         }
+        if counts.revision.is_none() && !counts.recall(node, store).await {
+            sleep(LOOK).await;
+            continue;
+        }
         let Some((revision, last)) = &known else {
             match last_report(store).await {
                 Ok(found) => {
@@ -209,6 +221,7 @@
             }
             continue;
         };
+        counts.keep(node, store, last.as_ref().map_or(0, |it| it.window + 1)).await;
         let Some(window) = due_window(node, last.as_ref()) else { continue };
         if acting(node).is_none() {
             continue;
@@ -231,6 +244,73 @@
     }
 }
 
+/// The counts in the store, for a successor.
+#[derive(Default)]
+struct KeptCounts {
+    /// The revision of what stands there; `None` where that isn't known.
+    revision: Option<StoreRevision>,
+    /// Not before this time.
+    next: TimePoint,
+}
+
+impl KeptCounts {
+    /// Takes what the last holder kept; `false` if the store could not tell.
+    async fn recall<S>(&mut self, node: &Node, store: &S) -> bool
+    where
+        S: PlatformStore,
+    {
+        let item = match store.get(COUNTS_KEY).await {
+            Ok(item) => item,
+            Err(error) => {
+                log::debug!(error:% = error; "counts-unknown");
+                return false;
+            }
+        };
+        self.revision = Some(item.as_ref().map_or(StoreRevision::ABSENT, |it| it.revision));
+        let Some(item) = item else { return true };
+        match bincode::deserialize::<Kept>(&item.value) {
+            Ok(kept) => node.usage.borrow_mut().recall(kept, me(node)),
+            // The next writing replaces it.
+            Err(error) => log::warn!(error:% = error; "counts-unreadable"),
+        }
+        true
+    }
+
+    /// Writes what is known of windows from `since` on, if it is time.
+    async fn keep<S>(&mut self, node: &Node, store: &S, since: u64)
+    where
+        S: PlatformStore,
+    {
+        let now = clock::now();
+        let Some(revision) = self.revision.filter(|_| now >= self.next) else { return };
+        if acting(node).is_none() {
+            return;
+        }
+        let kept = node.usage.borrow().keep(me(node), since);
+        let value = match bincode::serialize(&kept) {
+            Ok(value) => value,
+            Err(error) => return log::error!(error:% = error; "counts-not-encoded"),
+        };
+        let pause = Duration::from_secs_f64(value.len() as f64 / KEEP_BYTES_PER_SECOND);
+        self.next = now + pause.max(KEEP_PERIOD);
+        let expected = vec![(COUNTS_KEY.to_owned(), revision)];
+        let puts = vec![(COUNTS_KEY.to_owned(), value, None)];
+        self.revision = match store.commit(&Commit { expected, puts }).await {
+            Ok(revision) => Some(revision),
+            Err(error) => {
+                // Whether it was written is unknown: read it back.
+                log::debug!(error:% = error; "counts-not-kept");
+                None
+            }
+        };
+    }
+}
+
+/// This VM and its start.
+fn me(node: &Node) -> (&str, u64) {
+    (node.settings.name.as_str(), node.incarnation)
+}
+
 /// Takes over the demand that the last holder measured, unless some was measured here.
 fn inherit(node: &Node, report: &Report) {
     let mut busy = node.busy.borrow_mut();
