A lost answer counts for the servers that a stream may run on

The first server's answer was lost, the second's stream broke off, and only the servers of the stream were counted when it was resumed. Change: the relay knows how many servers may have run the request before. A test that failed before.

--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -273,7 +273,7 @@
         return Err(Failed::MayHaveRun);
     }
     if status.is_success() && req.repeat().is_stream() {
-        return Ok(relay::stream(node, req, body, place, answer, guard, sent));
+        return Ok(relay::stream(node, req, body, place, answer, guard, sent, runs));
     }
     let (head, incoming) = answer.response.into_parts();
     let whole = Limited::new(incoming, MAX_WHOLE_ANSWER).collect();
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -54,7 +54,8 @@
 /// the copies of a whole engine take 200 ms. Streams that end before are not moved.
 const MOVE_BEFORE: Duration = Duration::from_millis(1_100);
 
-/// Begins to pass a stream on.
+/// Begins to pass a stream on. `runs_before` servers may have run it already.
+#[expect(clippy::too_many_arguments, reason = "the state of one attempt, used at one place")]
 pub(crate) fn stream(
     node: &Rc<Node>,
     req: &Rc<Identified>,
@@ -63,6 +64,7 @@
     answer: ServerAnswer,
     guard: WorkGuard,
     sent: Instant,
+    runs_before: u32,
 ) -> Response<AnswerBody> {
     let (tx, rx) = mpsc::channel(WAITING_EVENTS);
     let (head, incoming) = answer.response.into_parts();
@@ -84,6 +86,7 @@
         last_event: None,
         began: false,
         first_after: None,
+        runs_before,
         _in_flight: InFlight::new(node),
     };
     tokio::task::spawn_local(relay.run(source));
@@ -101,6 +104,8 @@
     began: bool,
     /// From the request's arrival to the first event.
     first_after: Option<Duration>,
+    /// Servers that may have run the request before the first of this stream.
+    runs_before: u32,
     _in_flight: InFlight,
 }
 
@@ -308,7 +313,7 @@
             return None;
         }
         self.partial.clear();
-        while (servers.len() as u32) < self.req.route.max_servers {
+        while servers.len() as u32 + self.runs_before < self.req.route.max_servers {
             if Instant::now() >= self.req.deadline {
                 return None;
             }
--- a/crates/quincevalve_node/tests/whole_path.rs
+++ b/crates/quincevalve_node/tests/whole_path.rs
@@ -282,6 +282,23 @@
     });
 }
 
+// A chat runs on three servers though its route allows two: the first server's answer was lost, the second one's
+// stream broke off before any event, and only the servers of the stream were counted.
+#[test]
+fn a_lost_answer_counts_for_the_servers_of_a_stream() {
+    run(async {
+        let script = |number, it: &Arrival| match number {
+            0 => Reply::SendAndClose(String::new()),
+            1 => Reply::SendAndClose(stream_head(it)),
+            _ => Reply::Send(stream_head(it) + &events(1..=2) + END),
+        };
+        let mut world = World::start(3, script).await;
+        let answer = world.ask("/resumable/7", "id-1", "").await;
+        assert!(!answer.ends_with(END), "{answer}");
+        assert_eq!(world.arrived().len(), 2);
+    });
+}
+
 // A dossier is cut two seconds after its engine was reclaimed. On the notice the run is stopped, and goes on
 // from its copied memory at another engine; the caller gets each event once.
 #[test]
