--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -37,7 +37,7 @@
 fn a_holder_that_stood_still_may_not_act() {
     let duty = taken(&Term::default(), 0);
     assert_eq!(duty.may_act(ms(1_000)), Some(FencingNumber(1)));
-    assert_eq!(duty.may_act(ms(2_401)), None);
+    assert_eq!(duty.may_act(ms(2_400)), None);
     assert!(duty.is_held(ms(2_999)));
     assert!(!duty.is_held(ms(3_000)));
 }
--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -240,6 +240,20 @@
     assert!(!window.spend(&none, 1, ms(0)));
 }
 
+// Requests that fail are given up though there is budget: only the slack was used, and each VM's part of it is small.
+// Requests earn repeats, too, for as long as the window lasts.
+#[test]
+fn requests_earn_repeats() {
+    let mut window = RetryWindow::default();
+    let none = RetryLimits { slack: 0.0, ..LIMITS };
+    for _ in 0..20 {
+        window.request(ms(0));
+    }
+    // 0.7 of a fifth of twenty.
+    assert_eq!((0..20).filter(|_| window.spend(&none, 1, ms(1_000))).count(), 2);
+    assert!(!window.spend(&none, 1, ms(10_001)));
+}
+
 #[test]
 fn repeats_of_long_ago_do_not_count() {
     let mut window = RetryWindow::default();
