Datagrams between VMs carry only what others need, bounded by bytes

Cause: each change of the holder's own keys (counts each second, kilobytes) was passed on to all VMs; up to 120 changes went into one datagram. Change: only entries of VMs and of the holder are passed on; an excerpt is bounded by bytes.

--- a/crates/quincevalve_forwarding/src/change_log.rs
+++ b/crates/quincevalve_forwarding/src/change_log.rs
@@ -58,20 +58,31 @@
         }
     }
 
-    /// What a reader that has reached `seen` lacks, at most `most` changes; `None` where the log doesn't go
-    /// back that far.
-    pub fn since(&self, seen: u64, most: usize) -> Option<Excerpt<C>> {
+    /// What a reader that has reached `seen` lacks, as far as it weighs at most `budget`; `None` where the log
+    /// doesn't go back that far.
+    ///
+    /// The changes of the first revision are given whatever they weigh, so that a reader always gets on.
+    pub fn since<W>(&self, seen: u64, budget: usize, weigh: W) -> Option<Excerpt<C>>
+    where
+        W: Fn(&C) -> usize,
+    {
         if seen < self.after {
             return None;
         }
-        let mut changes: Vec<_> =
-            self.changes.iter().filter(|(at, _)| *at > seen).take(most + 1).cloned().collect();
+        let lacking = self.changes.iter().filter(|(at, _)| *at > seen);
+        let mut changes: Vec<(u64, C)> = Vec::new();
+        let mut weight = 0;
         let mut upto = self.upto;
-        if changes.len() > most {
-            // Changes of one revision come together or not at all.
-            let cut = changes[most].0;
-            changes.retain(|(at, _)| *at < cut);
-            upto = cut.saturating_sub(1);
+        for (at, change) in lacking {
+            weight += weigh(change);
+            let is_first_revision = changes.first().is_none_or(|(first, _)| first == at);
+            if weight > budget && !is_first_revision {
+                // Changes of one revision come together or not at all.
+                changes.retain(|(it, _)| it < at);
+                upto = at.saturating_sub(1);
+                break;
+            }
+            changes.push((*at, change.clone()));
         }
         Some(Excerpt { after: seen, upto: upto.max(seen), changes })
     }
--- a/crates/quincevalve_forwarding/tests/telling.rs
+++ b/crates/quincevalve_forwarding/tests/telling.rs
@@ -207,7 +207,7 @@
 
 #[test]
 fn an_excerpt_holds_what_is_lacking() {
-    let excerpt = log().since(11, 100).unwrap();
+    let excerpt = log().since(11, 100, |_| 1).unwrap();
     assert_eq!(excerpt.changes, [(13, "b"), (13, "c"), (17, "d")]);
     assert_eq!((excerpt.after, excerpt.upto), (11, 20));
 }
@@ -216,14 +216,32 @@
 // An excerpt ends before the revision that doesn't fit.
 #[test]
 fn an_excerpt_never_ends_inside_a_revision() {
-    let excerpt = log().since(10, 2).unwrap();
+    let excerpt = log().since(10, 2, |_| 1).unwrap();
     assert_eq!(excerpt.changes, [(11, "a")]);
     assert_eq!(excerpt.upto, 12);
 }
 
+// After a reclaim wave, all VMs of a large system read the store by themselves: each telling carried so many
+// large changes that it was cut on its way, nobody could read it, and the next one carried the same ones and
+// more. What goes into one datagram is bounded by its bytes, and the reader gets on with each of them.
+#[test]
+fn an_excerpt_fits_and_the_next_one_goes_on() {
+    let weigh = |it: &&str| if *it == "a" { 700 } else { 300 };
+    let mut seen = 10;
+    let mut taken = Vec::new();
+    while seen < 20 {
+        let excerpt = log().since(seen, 600, weigh).unwrap();
+        assert!(excerpt.changes.len() <= 2, "{excerpt:?}");
+        assert!(excerpt.upto > seen, "the reader gets on even if a single change is too large");
+        seen = excerpt.upto;
+        taken.extend(excerpt.changes.into_iter().map(|(_, it)| it));
+    }
+    assert_eq!(taken, ["a", "b", "c", "d"]);
+}
+
 #[test]
 fn a_log_does_not_reach_back_before_its_start() {
-    assert_eq!(log().since(9, 100), None);
+    assert_eq!(log().since(9, 100, |_| 1), None);
 }
 
 #[test]
@@ -231,7 +249,7 @@
     let mut log = log();
     log.extend([(12, "old")], 15);
     assert_eq!(log.upto(), 20);
-    assert_eq!(log.since(10, 100).unwrap().changes.len(), 4);
+    assert_eq!(log.since(10, 100, |_| 1).unwrap().changes.len(), 4);
 }
 
 #[test]
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -30,8 +30,9 @@
 const BETTER_PERIODS: u32 = 32;
 /// Periods between two tellings of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 12;
-/// Changes of the store in one datagram at most; each takes some two hundred bytes.
-const MAX_PASSED: usize = 120;
+/// Bytes of changes of the store in one datagram at most: a hundred servers that leave together. With the
+/// shares of a hundred servers beside them a datagram stays below half of the largest.
+const PASSED_BYTES: usize = 20 << 10;
 /// The largest datagram that is taken, in bytes.
 const MAX_DATAGRAM: usize = 60 << 10;
 
@@ -302,7 +303,7 @@
         let name = peers.book.name_of(to)?;
         peers.newest.get(name)?.seen?
     };
-    let excerpt = node.store_view.borrow().since(StoreRevision(seen), MAX_PASSED)?;
+    let excerpt = node.store_view.borrow().since(StoreRevision(seen), PASSED_BYTES)?;
     let Excerpt { after, upto, changes } = excerpt;
     Some(Relayed { age, version, after, upto, changes })
 }
--- a/crates/quincevalve_node/src/store_view.rs
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -38,6 +38,41 @@
     Config(u64),
 }
 
+/// Bytes of a change in a datagram beside its names and values.
+const CHANGE_BYTES: usize = 64;
+
+impl Passed {
+    /// The bytes that it takes in a datagram, about.
+    fn bytes(&self) -> usize {
+        let own = match self {
+            Self::Server(name, entry) => {
+                let names = entry.service.as_str().len() + entry.data_centre.as_str().len();
+                name.as_str().len() + names + size_of::<ServerEntry>()
+            }
+            Self::ServerRemoved(name) => name.as_str().len(),
+            Self::Own { key, value } => key.len() + value.len(),
+            Self::OwnRemoved(key) => key.len(),
+            Self::Config(_) => 0,
+        };
+        CHANGE_BYTES + own
+    }
+
+    /// Whether other VMs need it.
+    ///
+    /// Failure: the holder of the duties keeps counts in the store each second, thousands of bytes each time, and
+    /// they were passed on to all VMs. Symptom: datagrams of 60 KB and more were cut, nobody heard of a
+    /// server that leaves, and all VMs read the store by themselves. Who takes the duties over reads these keys
+    /// itself; others need the entries of VMs and of the holder.
+    fn concerns_others(&self) -> bool {
+        match self {
+            Self::Own { key, .. } | Self::OwnRemoved(key) => {
+                key == HOLDER_KEY || key.starts_with(PEER_KEYS)
+            }
+            Self::Server(..) | Self::ServerRemoved(_) | Self::Config(_) => true,
+        }
+    }
+}
+
 /// The revision that this VM has reached, and what led there.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -53,8 +88,8 @@
     }
 
     /// What a VM lacks that has reached `seen`.
-    pub(crate) fn since(&self, seen: StoreRevision, most: usize) -> Option<Excerpt<Passed>> {
-        self.log.since(seen.0, most).filter(|_| self.complete)
+    pub(crate) fn since(&self, seen: StoreRevision, bytes: usize) -> Option<Excerpt<Passed>> {
+        self.log.since(seen.0, bytes, Passed::bytes).filter(|_| self.complete)
     }
 
     /// Begins anew: what was reached is no longer kept by the store.
@@ -124,7 +159,7 @@
     let mut kept = Vec::new();
     for (at, change) in passed.into_iter().filter(|(at, _)| *at > reached) {
         // Servers renew their entries all the time; only what changes is worth passing on.
-        if apply(node, &change) {
+        if apply(node, &change) && change.concerns_others() {
             kept.push((at, change));
         }
     }
@@ -192,3 +227,6 @@
 fn holder_name(value: &[u8]) -> String {
     String::from_utf8_lossy(value).into_owned()
 }
+
+#[cfg(test)]
+mod tests;
