--- a/crates/quincevalve_node/tests/logs_listed.rs
+++ b/crates/quincevalve_node/tests/logs_listed.rs
@@ -1,6 +1,6 @@
 //! Each log line of the process is listed in docs/LOGS.md.
 
-use std::{fs, path::Path};
+use std::{fs, path::{Path, PathBuf}};
 
 /// The event names in a source text: the literal after the `;` of each logging macro.
 fn events(source: &str) -> Vec<String> {
@@ -22,13 +22,20 @@
     events
 }
 
+/// All source files below a folder.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("the sources");
+    let paths = entries.map(|it| it.expect("an entry").path());
+    paths.flat_map(|it| if it.is_dir() { sources(&it) } else { vec![it] }).collect()
+}
+
 #[test]
 fn every_event_is_listed() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = fs::read_to_string(root.join("../../docs/LOGS.md")).expect("the page");
     let mut found = 0;
-    for file in fs::read_dir(root.join("src")).expect("the sources") {
-        let source = fs::read_to_string(file.expect("an entry").path()).expect("a source");
+    for file in sources(&root.join("src")) {
+        let source = fs::read_to_string(file).expect("a source");
         for event in events(&source) {
             found += 1;
             assert!(page.contains(&format!("`{event}`")), "docs/LOGS.md lacks `{event}`");
