A server may start again under its name; another writer's entry names no server

Cause: everything that is kept of a server belonged to its name. A server that starts again under it inherited that it leaves, its work, its record, its idle connections and its place among the homes of shared prompts; and one entry that can't be read failed the whole first reading of the store. Change: the start (Unix ms) belongs to an entry; all that is kept is kept by name and start, and a late word of an earlier start changes nothing. An entry with a missing field, another type or an unknown state names no server; if it stands under a known name, that server rests until it speaks again.

--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use quincevalve_names::{
-    BackendServerName, DataCentreName, ServiceName, TimePoint, hash_text, rendezvous_score,
+    BackendServerName, DataCentreName, ServiceName, TimePoint, rendezvous_score,
 };
 use rand::{Rng, RngExt};
 
 use crate::{
     config::Engine,
     load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
-    servers::{Server, ServerTable},
+    servers::{Server, ServerStart, ServerTable, start_hash},
 };
 
 /// What a request asks of a model engine.
@@ -67,6 +67,8 @@
 pub struct Placement {
     /// The server.
     pub server: BackendServerName,
+    /// Its start for which it was picked.
+    pub start: ServerStart,
     /// The work that it takes on.
     pub work: Work,
     /// Its place in the order of servers that keep the prompt's shared part, 0 first; `None` if it isn't in it.
@@ -193,8 +195,9 @@
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let seen = server.load.total(now);
             let told_age = server.load.told_age(now);
-            let server = name.clone();
-            best = Some((cost, Placement { server, work, home, predicted, seen, told_age }));
+            let (start, server) = (server.entry.start, name.clone());
+            let place = Placement { server, start, work, home, predicted, seen, told_age };
+            best = Some((cost, place));
         }
     }
     match (best, nearest) {
@@ -233,8 +236,8 @@
         return Vec::new();
     };
     let mut first: [Option<(u64, usize)>; HOMES] = [None; HOMES];
-    for (at, (name, _)) in usable.iter().enumerate() {
-        let mut candidate = Some((score(part, name), at));
+    for (at, (name, server)) in usable.iter().enumerate() {
+        let mut candidate = Some((score(part, name, server.entry.start), at));
         for place in &mut first {
             if candidate > *place {
                 std::mem::swap(place, &mut candidate);
@@ -244,8 +247,9 @@
     first.into_iter().flatten().map(|(_, at)| at).collect()
 }
 
-fn score(part: u64, server: &BackendServerName) -> u64 {
-    rendezvous_score(part, hash_text(server.as_str()))
+/// A server that starts again keeps none of its prompts: it takes another place in the order.
+fn score(part: u64, server: &BackendServerName, start: ServerStart) -> u64 {
+    rendezvous_score(part, start_hash(server, start))
 }
 
 /// Tokens that a server would read although another keeps them, as they weigh. The second in order is where a
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -3,14 +3,24 @@
 use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
-use quincevalve_names::{BackendServerName, DataCentreName, ServiceName, TimePoint};
+use quincevalve_names::{
+    BackendServerName, DataCentreName, ServiceName, TimePoint, hash_text, mix,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::load::ServerLoad;
 
+/// When a server's process started, in Unix milliseconds by its own clock: tells starts under one name apart.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ServerStart(pub u64);
+
 /// What a server says of itself in the platform's list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
+    /// Which start of the server says it.
+    pub start: ServerStart,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -40,6 +50,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listing {
     Listed,
+    /// What stands under its name can't be read.
+    Unreadable,
     /// The entry was removed at that time.
     Removed(TimePoint),
 }
@@ -75,7 +87,8 @@
 /// How long a server without an entry is remembered, so that running requests keep their load entry.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// All servers, by name. A name is one incarnation of a server: it is never used again.
+/// All servers, by name. A server that starts again may keep its name; it then has none of the work, the memory
+/// and the record of its earlier start.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     servers: IndexMap<BackendServerName, Server>,
@@ -94,9 +107,25 @@
 /// How long a data centre that is out of reach is left alone before a request tries it again.
 const CENTRE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Stands for one start of a server, the same on all entry VMs.
+pub fn start_hash(name: &BackendServerName, start: ServerStart) -> u64 {
+    mix(hash_text(name.as_str()), start.0)
+}
+
 impl ServerTable {
-    /// Takes an entry of the list; `true` if the server wasn't listed before.
+    /// Takes an entry of the list; `true` if the server, or this start of it, wasn't listed before.
+    ///
+    /// Failure: a server crashes and starts again under its name. Symptom: it gets nothing until it is forgotten,
+    /// for its earlier start had announced that it leaves, or it gets too little, for what that start was running
+    /// still counts. A new start begins with an empty record, and what an earlier one says late changes nothing.
     pub fn listed(&mut self, name: &BackendServerName, entry: ServerEntry, now: TimePoint) -> bool {
+        match self.servers.get(name).map(|it| it.entry.start) {
+            Some(known) if entry.start < known => return false,
+            Some(known) if entry.start > known => {
+                self.servers.swap_remove(name);
+            }
+            _ => {}
+        }
         let was_listed = self.servers.get(name).is_some_and(|it| it.listing == Listing::Listed);
         let draining = entry.draining;
         let server = self.servers.entry(name.clone()).or_insert_with(|| Server {
@@ -129,7 +158,7 @@
     pub fn removed(&mut self, name: &BackendServerName, now: TimePoint) {
         let may_have_lapsed = self.store_away.is_some() || self.is_just_back(now);
         let Some(server) = self.servers.get_mut(name) else { return };
-        if server.listing != Listing::Listed {
+        if matches!(server.listing, Listing::Removed(_)) {
             return;
         }
         server.listing = Listing::Removed(now);
@@ -140,16 +169,32 @@
         }
     }
 
+    /// Notes that what stands under a server's name can't be read: another writer's, or spoiled. The server gets
+    /// nothing new until it says again what it is; what it runs goes on.
+    pub fn unreadable(&mut self, name: &BackendServerName) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.listing = Listing::Unreadable;
+        }
+    }
+
     /// Whether the store is back for so short a time that entries which lapsed may still be missing.
     fn is_just_back(&self, now: TimePoint) -> bool {
         self.store_back.is_some_and(|back| now.since(back) < RETURN_TIME)
     }
 
-    /// Takes a whole list: what isn't in it was removed.
-    pub fn replace_all(&mut self, entries: Vec<(BackendServerName, ServerEntry)>, now: TimePoint) {
+    /// Takes a whole list: what isn't in it was removed. Entries under the `unreadable` names stand there, but say
+    /// nothing.
+    pub fn replace_all(
+        &mut self,
+        entries: Vec<(BackendServerName, ServerEntry)>,
+        unreadable: &[BackendServerName],
+        now: TimePoint,
+    ) {
         let names: Vec<_> = self.servers.keys().cloned().collect();
         for name in names {
-            if !entries.iter().any(|(listed, _)| *listed == name) {
+            if unreadable.contains(&name) {
+                self.unreadable(&name);
+            } else if !entries.iter().any(|(listed, _)| *listed == name) {
                 self.removed(&name, now);
             }
         }
@@ -157,7 +202,7 @@
             self.listed(&name, entry, now);
         }
         self.servers.retain(|_, it| match it.listing {
-            Listing::Listed => true,
+            Listing::Listed | Listing::Unreadable => true,
             Listing::Removed(at) => now.since(at) < FORGET_AFTER,
         });
     }
@@ -166,8 +211,8 @@
     ///
     /// Leaving is never taken back: entries lag behind answers, and an old `ready` would bring back a
     /// server that is about to go.
-    pub fn leaves(&mut self, name: &BackendServerName, why: Leaving) {
-        if let Some(server) = self.servers.get_mut(name) {
+    pub fn leaves(&mut self, name: &BackendServerName, start: ServerStart, why: Leaving) {
+        if let Some(server) = self.get_mut(name, start) {
             server.leaving.get_or_insert(why);
         }
     }
@@ -177,8 +222,8 @@
     /// Failure: a data centre is cut off, and each of its servers has to be tried to be known for out of
     /// reach. Symptom: a caller for each of them waits for a connection in vain. After two different servers
     /// the whole data centre is left alone for a while.
-    pub fn unreachable(&mut self, name: &BackendServerName, now: TimePoint) {
-        let Some(server) = self.servers.get_mut(name) else { return };
+    pub fn unreachable(&mut self, name: &BackendServerName, start: ServerStart, now: TimePoint) {
+        let Some(server) = self.get_mut(name, start) else { return };
         server.load.unreachable(now);
         let centre = server.entry.data_centre.clone();
         let lately = self.unreached.entry(centre.clone()).or_default();
@@ -216,6 +261,7 @@
         }
         match server.listing {
             Listing::Listed => true,
+            Listing::Unreadable => false,
             Listing::Removed(at) => {
                 self.is_just_back(now)
                     && self.store_back.is_some_and(|back| at.since(back) < RETURN_TIME)
@@ -223,9 +269,9 @@
         }
     }
 
-    /// When a server that leaves will be gone, as far as known.
-    pub fn goes_at(&self, name: &BackendServerName) -> Option<TimePoint> {
-        self.servers.get(name)?.goes_at
+    /// When that start of a server will be gone, if it leaves, as far as known.
+    pub fn goes_at(&self, name: &BackendServerName, start: ServerStart) -> Option<TimePoint> {
+        self.servers.get(name).filter(|it| it.entry.start == start)?.goes_at
     }
 
     /// A server by name.
@@ -233,9 +279,12 @@
         self.servers.get(name)
     }
 
-    /// A server by name, to change its load.
-    pub fn get_mut(&mut self, name: &BackendServerName) -> Option<&mut Server> {
-        self.servers.get_mut(name)
+    /// A server by name, to change its load, if it hasn't started again since `start`.
+    ///
+    /// Failure: a request that an earlier start ran ends after the new one was listed. Symptom: its work is taken
+    /// off the new start, which looks idle and is sent too much.
+    pub fn get_mut(&mut self, name: &BackendServerName, start: ServerStart) -> Option<&mut Server> {
+        self.servers.get_mut(name).filter(|it| it.entry.start == start)
     }
 
     /// All servers that are remembered.
--- a/crates/quincevalve_node/src/backends.rs
+++ b/crates/quincevalve_node/src/backends.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use quincevalve_forwarding::{placement::Placement, servers::ServerStart};
 use quincevalve_names::BackendServerName;
 use quincevalve_ports::reset_when_dropped;
 use snafu::{ResultExt, Snafu};
@@ -67,12 +68,12 @@
     until: Instant,
 }
 
-/// Idle connections by server. A server's name is one incarnation of it, so a connection never outlives
-/// the server that it was made to.
+/// Idle connections by server and its start. A server that starts again behind a cut leaves connections that look
+/// alive; they are never used for the new start.
 #[derive(Debug)]
 pub(crate) struct Backends {
     local: IpAddr,
-    idle: RefCell<HashMap<BackendServerName, Vec<Idle>>>,
+    idle: RefCell<HashMap<(BackendServerName, ServerStart), Vec<Idle>>>,
 }
 
 impl Backends {
@@ -80,34 +81,29 @@
         Self { local, idle: RefCell::default() }
     }
 
-    /// A connection to a server: the idle one that was used last, or a new one.
+    /// A connection to the server that was picked: the idle one that was used last, or a new one.
     pub(crate) async fn connection(
         &self,
-        server: &BackendServerName,
+        place: &Placement,
         address: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(server) {
+        match self.take_idle(place) {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
     }
 
     /// Keeps a connection for the next request, for as long as the server's answer says.
-    pub(crate) fn keep(
-        &self,
-        server: &BackendServerName,
-        mut connection: Connection,
-        answer: &KeepAlive,
-    ) {
+    pub(crate) fn keep(&self, place: &Placement, mut connection: Connection, answer: &KeepAlive) {
         let KeepAlive::For(time) = answer else { return };
         connection.reused = true;
         let idle = Idle { connection, until: Instant::now() + *time };
-        self.idle.borrow_mut().entry(server.clone()).or_default().push(idle);
+        self.idle.borrow_mut().entry(key(place)).or_default().push(idle);
     }
 
     /// Drops all idle connections to a server.
-    pub(crate) fn forget(&self, server: &BackendServerName) {
-        self.idle.borrow_mut().remove(server);
+    pub(crate) fn forget(&self, place: &Placement) {
+        self.idle.borrow_mut().remove(&key(place));
     }
 
     /// Drops connections whose time has passed.
@@ -119,9 +115,9 @@
         });
     }
 
-    fn take_idle(&self, server: &BackendServerName) -> Option<Connection> {
+    fn take_idle(&self, place: &Placement) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(server)?;
+        let connections = idle.get_mut(&key(place))?;
         let now = Instant::now();
         while let Some(it) = connections.pop() {
             if it.until > now && it.connection.sender.is_ready() {
@@ -149,6 +145,10 @@
     }
 }
 
+fn key(place: &Placement) -> (BackendServerName, ServerStart) {
+    (place.server.clone(), place.start)
+}
+
 async fn open(local: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(local, 0))?;
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -9,6 +9,7 @@
     config::Repeat,
     load::Work,
     placement::{Ask, NoPlace, Placement},
+    servers::ServerStart,
 };
 use quincevalve_names::BackendServerName;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -56,6 +57,7 @@
 pub(crate) struct WorkGuard {
     node: Rc<Node>,
     server: BackendServerName,
+    start: ServerStart,
     work: Work,
     reading: bool,
 }
@@ -63,13 +65,14 @@
 impl WorkGuard {
     pub(crate) fn new(node: &Rc<Node>, place: &Placement) -> Self {
         about(node, place, |it, now| it.load.begin(place.work, now));
-        Self { node: node.clone(), server: place.server.clone(), work: place.work, reading: true }
+        let (server, start, work) = (place.server.clone(), place.start, place.work);
+        Self { node: node.clone(), server, start, work, reading: true }
     }
 
     /// Notes that the prompt has been read.
     pub(crate) fn prefilled(&mut self) {
         if std::mem::take(&mut self.reading)
-            && let Some(server) = self.node.servers.borrow_mut().get_mut(&self.server)
+            && let Some(server) = self.node.servers.borrow_mut().get_mut(&self.server, self.start)
         {
             server.load.prefilled(self.work);
         }
@@ -79,7 +82,7 @@
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         self.prefilled();
-        if let Some(server) = self.node.servers.borrow_mut().get_mut(&self.server) {
+        if let Some(server) = self.node.servers.borrow_mut().get_mut(&self.server, self.start) {
             server.load.end(self.work);
         }
     }
@@ -293,7 +296,7 @@
     if runs == 0 {
         node.note_began(req.account.as_ref());
     }
-    node.backends.keep(&place.server, answer.connection, &answer.keep_alive);
+    node.backends.keep(place, answer.connection, &answer.keep_alive);
     Ok(passed_on(status, &head.headers, AnswerBody::whole(whole)))
 }
 
--- a/crates/quincevalve_node/src/exchange.rs
+++ b/crates/quincevalve_node/src/exchange.rs
@@ -55,12 +55,12 @@
 ) -> Result<ServerAnswer, Failed> {
     let address = node.servers.borrow().get(&place.server).map(|it| it.entry.address);
     let address = address.ok_or(Failed::NotRun)?;
-    let connection = node.backends.connection(&place.server, address);
+    let connection = node.backends.connection(place, address);
     let mut connection = match timeout_at(req.deadline, connection).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "connect-failed");
-            node.servers.borrow_mut().unreachable(&place.server, clock::now());
+            node.servers.borrow_mut().unreachable(&place.server, place.start, clock::now());
             return Err(Failed::NotRun);
         }
         Err(_) => return Err(Failed::NotRun),
@@ -94,7 +94,7 @@
             }
             node.metrics.sending(service, "lost");
             // Other connections of the same age are likely to be gone too.
-            node.backends.forget(&place.server);
+            node.backends.forget(place);
             about(node, place, |it, now| it.load.unreachable(now));
             return Err(Failed::MayHaveRun);
         }
@@ -129,8 +129,8 @@
             "server-refused"
         );
         if status == StatusCode::MISDIRECTED_REQUEST {
-            node.servers.borrow_mut().leaves(&place.server, Leaving::Replaced);
-            node.backends.forget(&place.server);
+            node.servers.borrow_mut().leaves(&place.server, place.start, Leaving::Replaced);
+            node.backends.forget(place);
         } else {
             about(node, place, |it, now| it.load.full(FULL_PAUSE, now));
         }
@@ -174,12 +174,13 @@
 
 fn is_usable(node: &Node, place: &Placement) -> bool {
     let servers = node.servers.borrow();
-    servers.get(&place.server).is_some_and(|it| servers.is_usable(it, clock::now()))
+    let picked = servers.get(&place.server).filter(|it| it.entry.start == place.start);
+    picked.is_some_and(|it| servers.is_usable(it, clock::now()))
 }
 
 /// Changes what is known of the server that was picked.
 pub(crate) fn about(node: &Node, place: &Placement, change: impl FnOnce(&mut Server, TimePoint)) {
-    if let Some(server) = node.servers.borrow_mut().get_mut(&place.server) {
+    if let Some(server) = node.servers.borrow_mut().get_mut(&place.server, place.start) {
         change(server, clock::now());
     }
 }
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -19,11 +19,11 @@
     quota::QuotaBook,
     rate::Rate,
     retry_window::RetryWindow,
-    servers::ServerTable,
+    servers::{ServerTable, start_hash},
     usage::Usage,
     wall_clock::WallClock,
 };
-use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName};
+use quincevalve_names::{ClientAccountName, ServiceName};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::{sync::Notify, time::Instant};
@@ -219,12 +219,12 @@
     }
 
     /// This VM's own work at each server, for its peers.
-    pub(crate) fn own_work(&self) -> IndexMap<BackendServerName, WorkSum> {
+    pub(crate) fn own_work(&self) -> HashMap<u64, WorkSum> {
         let now = clock::now();
         let servers = self.servers.borrow();
         servers
             .all()
-            .map(|(name, it)| (name.clone(), it.load.own(now)))
+            .map(|(name, it)| (start_hash(name, it.entry.start), it.load.own(now)))
             .filter(|(_, work)| work.requests > 0 || work.recent > 0)
             .collect()
     }
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -8,10 +8,11 @@
 use quincevalve_forwarding::{
     change_log::Excerpt,
     peer_book::{PeerBook, Role, VmCard},
+    servers::start_hash,
     sums::{Demand, Share, Sums},
     usage::Counts,
 };
-use quincevalve_names::{ServiceName, TimePoint, hash_text};
+use quincevalve_names::{ServiceName, TimePoint};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -237,18 +238,23 @@
         quota.set_others(&others.spending, reachable_part, &config, now);
     }
     for (name, server) in node.servers.borrow_mut().all_mut() {
-        let work = others.works.get(&hash_text(name.as_str())).copied().unwrap_or_default();
+        let work =
+            others.works.get(&start_hash(name, server.entry.start)).copied().unwrap_or_default();
         server.load.set_others(work, now);
     }
 }
 
 fn own_share(node: &Node) -> Share {
-    let works = node.own_work().into_iter().map(|(name, it)| (hash_text(name.as_str()), it));
     let now = clock::now();
     let demand = node.demand.borrow();
     let demand = demand.iter().map(|(service, it)| (service.clone(), it.per_second(now)));
     let spending = node.quota.borrow().spending(now).collect();
-    Share { vms: 1, works: works.collect(), spending, demand: demand.collect() }
+    Share {
+        vms: 1,
+        works: node.own_work().into_iter().collect(),
+        spending,
+        demand: demand.collect(),
+    }
 }
 
 fn tell_shares(node: &Node, socket: &UdpSocket, now: TimePoint) {
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -31,6 +31,8 @@
     pub config: Option<ForwardingConfig>,
     /// All backend servers.
     pub servers: Vec<(BackendServerName, ServerEntry)>,
+    /// Backend servers' names under which something stands that can't be read, and why.
+    pub unreadable: Vec<(BackendServerName, String)>,
     /// The system's own keys.
     pub own: Vec<OwnItem>,
     /// Changes after this revision are not in it.
@@ -57,6 +59,8 @@
     Server(BackendServerName, ServerEntry),
     /// A backend server's entry was removed.
     ServerRemoved(BackendServerName),
+    /// What stands under a backend server's name can't be read; the reason is logged.
+    ServerUnreadable(BackendServerName, String),
     /// The system's own item.
     Own(OwnItem),
     /// The system's own item was removed.
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -117,11 +117,7 @@
             match end {
                 End::Whole => {
                     self.ended("whole", &servers);
-                    self.node.backends.keep(
-                        &source.place.server,
-                        source.connection,
-                        &source.keep_alive,
-                    );
+                    self.node.backends.keep(&source.place, source.connection, &source.keep_alive);
                     return;
                 }
                 End::CallerLeft => return self.ended("caller-left", &servers),
@@ -219,7 +215,7 @@
 
     /// When the stream has to be moved, if its server goes.
     fn move_at(&self, place: &Placement) -> Option<Instant> {
-        let goes_at = self.node.servers.borrow().goes_at(&place.server)?;
+        let goes_at = self.node.servers.borrow().goes_at(&place.server, place.start)?;
         let left = goes_at.since(clock::now());
         Some(Instant::now() + left.saturating_sub(MOVE_BEFORE))
     }
@@ -278,11 +274,7 @@
         match end {
             End::Whole => {
                 self.ended("whole", servers);
-                self.node.backends.keep(
-                    &source.place.server,
-                    source.connection,
-                    &source.keep_alive,
-                );
+                self.node.backends.keep(&source.place, source.connection, &source.keep_alive);
             }
             End::TimedOut => {
                 self.ended("timed-out", servers);
--- a/crates/quincevalve_node/src/store_view.rs
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -25,6 +25,8 @@
 pub(crate) enum Passed {
     Server(BackendServerName, ServerEntry),
     ServerRemoved(BackendServerName),
+    /// What stands under its name can't be read.
+    ServerUnreadable(BackendServerName),
     Own {
         key: String,
         value: Vec<u8>,
@@ -49,7 +51,7 @@
                 let names = entry.service.as_str().len() + entry.data_centre.as_str().len();
                 name.as_str().len() + names + size_of::<ServerEntry>()
             }
-            Self::ServerRemoved(name) => name.as_str().len(),
+            Self::ServerRemoved(name) | Self::ServerUnreadable(name) => name.as_str().len(),
             Self::Own { key, value } => key.len() + value.len(),
             Self::OwnRemoved(key) => key.len(),
             Self::Config(_) => 0,
@@ -68,7 +70,10 @@
             Self::Own { key, .. } | Self::OwnRemoved(key) => {
                 key == HOLDER_KEY || key.starts_with(PEER_KEYS)
             }
-            Self::Server(..) | Self::ServerRemoved(_) | Self::Config(_) => true,
+            Self::Server(..)
+            | Self::ServerRemoved(_)
+            | Self::ServerUnreadable(_)
+            | Self::Config(_) => true,
         }
     }
 }
@@ -108,7 +113,11 @@
         return;
     }
     log::info!(revision = snapshot.at.0, servers = snapshot.servers.len(); "store-read");
-    node.servers.borrow_mut().replace_all(snapshot.servers, now);
+    for (name, what) in &snapshot.unreadable {
+        log::error!(name = name.as_str(), what; "store-item-unreadable");
+    }
+    let unreadable: Vec<_> = snapshot.unreadable.into_iter().map(|(name, _)| name).collect();
+    node.servers.borrow_mut().replace_all(snapshot.servers, &unreadable, now);
     let mut peers = node.peers.borrow_mut();
     peers.book.replace_all(snapshot.own.iter().filter_map(|it| card(&it.key, &it.value)).collect());
     let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
@@ -128,6 +137,10 @@
                 node.apply_config(*config);
             }
             Change::Unreadable(what) => log::error!(what; "store-item-unreadable"),
+            Change::ServerUnreadable(name, what) => {
+                log::error!(name = name.as_str(), what; "store-item-unreadable");
+                passed.push((at.0, Passed::ServerUnreadable(name)));
+            }
             Change::Server(name, entry) => passed.push((at.0, Passed::Server(name, entry))),
             Change::ServerRemoved(name) => passed.push((at.0, Passed::ServerRemoved(name))),
             Change::Own(OwnItem { key, value, .. }) => {
@@ -176,9 +189,10 @@
         Passed::Server(name, entry) => {
             let mut servers = node.servers.borrow_mut();
             let known = servers.get(name).map(|it| it.entry.clone());
-            if known.as_ref().is_none_or(|it| it.draining != entry.draining) {
+            let told = |it: &ServerEntry| (it.start, it.draining);
+            if known.as_ref().map(told) != Some(told(entry)) {
                 log::info!(
-                    server = name.as_str(), draining = entry.draining,
+                    server = name.as_str(), start = entry.start.0, draining = entry.draining,
                     reclaimable = entry.reclaimable;
                     "server-listed"
                 );
@@ -190,6 +204,7 @@
             log::info!(server = name.as_str(); "server-removed");
             node.servers.borrow_mut().removed(name, now);
         }
+        Passed::ServerUnreadable(name) => node.servers.borrow_mut().unreadable(name),
         Passed::Own { key, value } if key == HOLDER_KEY => {
             node.peers.borrow_mut().holder_seen(Some(holder_name(value)));
         }
--- a/crates/quincevalve_node/src/store_view/tests.rs
+++ b/crates/quincevalve_node/src/store_view/tests.rs
@@ -21,6 +21,7 @@
 #[test]
 fn a_change_weighs_at_least_what_it_takes_in_a_datagram() {
     let entry = ServerEntry {
+        start: quincevalve_forwarding::servers::ServerStart(1),
         service: "model".into(),
         address: "10.1.0.1:80".parse().unwrap(),
         data_centre: "north".into(),
--- a/crates/quincevalve_node/tests/logs_listed.rs
+++ b/crates/quincevalve_node/tests/logs_listed.rs
@@ -1,6 +1,9 @@
 //! Each log line of the process is listed in docs/LOGS.md.
 
-use std::{fs, path::{Path, PathBuf}};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 /// The event names in a source text: the literal after the `;` of each logging macro.
 fn events(source: &str) -> Vec<String> {
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -75,6 +75,7 @@
     async fn snapshot(&self) -> Result<Snapshot, StoreError> {
         self.answer().await;
         Ok(Snapshot {
+            unreadable: Vec::new(),
             config: self.0.config.borrow().clone(),
             servers: self.0.servers.borrow().clone(),
             own: Vec::new(),
@@ -259,6 +260,7 @@
 
 pub fn entry(address: SocketAddr) -> ServerEntry {
     ServerEntry {
+        start: quincevalve_forwarding::servers::ServerStart(1),
         service: "engines".into(),
         address,
         data_centre: "a".into(),
