--- a/crates/quincevalve_forwarding/src/config.rs
+++ b/crates/quincevalve_forwarding/src/config.rs
@@ -4,12 +4,13 @@
 
 use indexmap::IndexMap;
 use quincevalve_names::{ClientAccountName, DataCentreName, ServiceName, mix};
+use serde::{Deserialize, Serialize};
 
 /// Keeps the choice of a target independent of other uses of a request's hash.
 const SPLIT_SALT: u64 = 0x51;
 
 /// What a repetition of a request does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may run any number of times.
     Idempotent,
@@ -34,7 +35,7 @@
 }
 
 /// A service that takes a share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceName,
@@ -43,7 +44,7 @@
 }
 
 /// A rule that says which requests go where and how.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The operators' name for it.
     pub name: Arc<str>,
@@ -82,7 +83,7 @@
 }
 
 /// What an account may ask for in all, over all entry VMs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
     /// Units a second.
     pub per_second: f64,
@@ -93,7 +94,7 @@
 }
 
 /// What a request counts against a quota.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuotaUnit {
     /// One.
     Requests,
@@ -105,7 +106,7 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Account {
     /// Its keys.
     pub keys: Vec<Arc<str>>,
@@ -116,7 +117,7 @@
 }
 
 /// What the operators tell of a service's model engines.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that run at once on one server.
     pub slots: u32,
@@ -127,7 +128,7 @@
 }
 
 /// Within which bounds the number of a service's servers may be ordered.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Scaling {
     /// Servers of both kinds in a data centre at least.
     pub min: u32,
@@ -142,7 +143,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one server takes from all callers.
     pub max_connections: Option<u32>,
@@ -153,7 +154,7 @@
 }
 
 /// What a caller may send, and how slowly.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Bytes of a request's head.
     pub head_bytes: usize,
@@ -166,7 +167,7 @@
 }
 
 /// One version of the configuration, whole.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ForwardingConfig {
     /// The operators' version; grows with each change.
     pub version: u64,
--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -5,7 +5,10 @@
 use indexmap::IndexMap;
 use quincevalve_names::{DataCentreName, TimePoint};
 
-use crate::config::{ForwardingConfig, QuotaUnit, Scaling};
+use crate::{
+    config::{ForwardingConfig, QuotaUnit, Scaling},
+    demand::MeasuredDemand,
+};
 
 /// Servers in a data centre at present.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,25 +63,21 @@
 const SHORT_BUSY: f64 = 1.0;
 /// Data centres whose reclaimable servers may be gone at the same time without a server on demand.
 const LOST_CENTRES: usize = 1;
-/// Weight of a new second in the running mean of the demand when it is above the mean.
-const RISING: f64 = 0.5;
-/// The same when it is below: callers come in waves of some ten seconds.
-const FALLING: f64 = 0.08;
+/// The part of all on-demand servers that one data centre has.
+///
+/// Failure: all reclaimable servers are gone, those on demand stand where they are cheapest, and that data centre is
+/// cut off. Symptom: nearly no server is left, for as long as others take to start. With a half, a cut leaves as
+/// many as a wave's next step does, for a few hundredths of the price.
+const MOST_IN_ONE_CENTRE: f64 = 0.5;
 /// Accounts together use about this part of their quotas.
 const QUOTA_USED: f64 = 0.5;
 /// Tokens of quota that keep one server busy for a second: its prompts are partly kept in memory, and the
 /// most that may be generated seldom is.
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
-/// The part of the entry VMs that must be heard before less demand is believed.
-const NEARLY_ALL: f64 = 0.8;
-/// Time between two looks at least: what comes in a shorter time says little of the demand.
-const LEAST_LOOK: Duration = Duration::from_millis(900);
 /// Times what the quotas let expect that is prepared for at most at first: not all accounts have a quota.
 const MOST_PROMISED: f64 = 1.5;
 /// Time that a new planner needs to see all servers: they renew their entries within it.
 const ACQUAINTANCE: Duration = Duration::from_millis(2_800);
-/// Looks at the demand before it is believed; until then the quotas say what to expect.
-const LOOKS_BEFORE_BELIEF: u32 = 6;
 /// Time for which fewer reclaimable servers must be enough before fewer are ordered: longer than the times
 /// in which none can be had, so that the fleet doesn't shrink just before a data centre's servers go.
 const SHRINK_RECLAIMABLE_AFTER: Duration = Duration::from_secs(30);
@@ -100,39 +99,6 @@
     outcome: OrderOutcome,
 }
 
-/// The demand for a service, in servers that would be busy all the time.
-#[derive(Clone, Debug, Default)]
-struct Demand {
-    last: Option<TimePoint>,
-    busy: f64,
-    looks: u32,
-}
-
-impl Demand {
-    /// Takes the work that entry VMs take on at present, in busy servers. `part` of them were heard.
-    fn observe(&mut self, rate: f64, part: f64, now: TimePoint) {
-        if self.last.is_some_and(|it| now.since(it) < LEAST_LOOK) {
-            return;
-        }
-        self.last = Some(now);
-        // Who isn't heard may have work; less of it is believed only of nearly all.
-        let is_higher = rate > self.busy;
-        if !is_higher && part < NEARLY_ALL {
-            return;
-        }
-        let weight = if is_higher { RISING } else { FALLING };
-        self.busy += weight * (rate - self.busy);
-        if self.busy > 0.0 {
-            self.looks += 1;
-        }
-    }
-
-    /// Servers that would be busy all the time; at least `expected` until enough was seen.
-    fn busy(&self, expected: f64) -> f64 {
-        if self.looks < LOOKS_BEFORE_BELIEF { self.busy.max(expected) } else { self.busy }
-    }
-}
-
 /// The demand that accounts' quotas let expect, in busy servers.
 pub fn expected_busy(config: &ForwardingConfig) -> f64 {
     let quotas = config.accounts.values().filter_map(|it| it.quota);
@@ -165,7 +131,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetPlanner {
     since: TimePoint,
-    demand: Demand,
+    demand: MeasuredDemand,
     /// What was expected before any demand was measured, once all servers were seen.
     expected: Option<f64>,
     sent: IndexMap<(DataCentreName, ServerKind), Sent>,
@@ -179,7 +145,7 @@
     pub fn new(now: TimePoint) -> Self {
         Self {
             since: now,
-            demand: Demand::default(),
+            demand: MeasuredDemand::default(),
             expected: None,
             sent: IndexMap::new(),
             fewer_since: IndexMap::new(),
@@ -211,13 +177,16 @@
 
     /// Busy servers as measured; `None` before enough was seen.
     pub fn measured(&self) -> Option<f64> {
-        (self.demand.looks >= LOOKS_BEFORE_BELIEF).then_some(self.demand.busy)
+        self.demand.measured()
     }
 
-    /// Takes the demand that another planner measured last.
-    pub fn inherit(&mut self, busy: f64) {
-        self.demand.busy = busy;
-        self.demand.looks = LOOKS_BEFORE_BELIEF;
+    /// Goes on from the demand that was measured here before, or by another planner.
+    ///
+    /// Failure: the holder's lease ends in an outage of the store, or it dies. Symptom: its successor knows no demand,
+    /// takes the whole fleet for the right size, and orders on demand whatever of it is gone, several times what is
+    /// needed, until it has measured for itself. All VMs hear what all take on, and measure it all the time.
+    pub fn go_on_from(&mut self, demand: MeasuredDemand) {
+        self.demand = demand;
     }
 
     /// The orders that should be sent now for `busy` servers: reclaimable ones first, and with their answers
@@ -282,8 +251,9 @@
             sent.map_or(0, |it| it.count)
         };
         let now_ordered: u32 = self.seen.keys().map(ordered).sum();
-        let is_idle = self.demand.looks == 0;
+        let is_idle = self.demand.is_none();
         let mut wanted = if is_idle { least } else { now_ordered.clamp(least, most) };
+        let all_wanted = wanted;
         let mut cheapest: Vec<_> = self.seen.keys().collect();
         cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
         // What is ordered stays where it is as far as it is wanted; more goes where it is cheapest.
@@ -293,12 +263,15 @@
             wanted -= kept;
             counts.insert(centre, kept);
         }
-        for (centre, count) in &mut counts {
-            let reclaimable = self.there(centre, ServerKind::Reclaimable);
-            let room = scaling.max.saturating_sub(reclaimable + *count);
-            let more = wanted.min(room);
-            wanted -= more;
-            *count += more;
+        // First as many as a data centre may have, then, where all have that, as many as there is room for.
+        for most in [most_in_one_centre(all_wanted), u32::MAX] {
+            for (centre, count) in &mut counts {
+                let reclaimable = self.there(centre, ServerKind::Reclaimable);
+                let room = scaling.max.saturating_sub(reclaimable + *count);
+                let more = wanted.min(room).min(most.saturating_sub(*count));
+                wanted -= more;
+                *count += more;
+            }
         }
         let order = |(centre, count): (&DataCentreName, u32)| Order {
             data_centre: centre.clone(),
@@ -392,6 +365,11 @@
     now.max(after)
 }
 
+/// On-demand servers that a data centre has at most while there is room in others.
+fn most_in_one_centre(all: u32) -> u32 {
+    (f64::from(all) * MOST_IN_ONE_CENTRE).ceil() as u32
+}
+
 fn price(scaling: &Scaling, centre: &DataCentreName) -> f64 {
     scaling.prices.get(centre).copied().unwrap_or(1.0)
 }
--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod change_log;
 pub mod config;
+pub mod demand;
 pub mod duty;
 pub mod fleet_size;
 pub mod freshness;
 pub mod line_budget;
 pub mod load;
+pub mod parts;
 pub mod peer_book;
 pub mod placement;
 pub mod quota;
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -55,6 +55,24 @@
 /// Part of the burst that may still come at once. What is left to the whole covers what is not heard in time.
 const KEPT_PART: f64 = 0.5;
 
+/// How quotas are counted, over all entry VMs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaLimits {
+    /// The span over which they are counted; zero where only the rate counts.
+    pub window: Duration,
+    /// Part of what a window allows that may come beyond it.
+    pub overage: f64,
+    /// Units that may come beyond both in a window.
+    pub slack: f64,
+}
+
+/// Part of the tolerance, overage and slack together, that is given out.
+///
+/// Failure: VMs hear of each other's spending late, and none knows an account's bucket exactly. Symptom: accounts that
+/// keep to their quota are refused in each wave of their callers: on heavy days seven in ten of all refusals were such.
+/// The operators tolerate an error; a half of it goes to the callers' side, the rest covers what is not heard in time.
+const TOLERANCE_USED: f64 = 0.5;
+
 /// The rate and the burst of a bucket that lets in at most what a quota allows in any window.
 #[derive(Clone, Copy, Debug)]
 struct Allowance {
@@ -63,13 +81,15 @@
 }
 
 impl Allowance {
-    /// A `window` of zero stands for a plain bucket.
-    fn new(quota: &Quota, window: Duration) -> Self {
-        if window.is_zero() {
+    fn new(quota: &Quota, limits: &QuotaLimits) -> Self {
+        let window = limits.window.as_secs_f64();
+        if limits.window.is_zero() {
             return Self { per_second: quota.per_second, burst: quota.burst };
         }
-        let spread = SPREAD_PART * quota.burst / window.as_secs_f64();
-        Self { per_second: quota.per_second + spread, burst: KEPT_PART * quota.burst }
+        let spread = SPREAD_PART * quota.burst / window;
+        let in_a_window = quota.per_second * window + quota.burst;
+        let tolerated = TOLERANCE_USED * (limits.overage * in_a_window + limits.slack);
+        Self { per_second: quota.per_second + spread, burst: KEPT_PART * quota.burst + tolerated }
     }
 }
 
@@ -140,17 +160,17 @@
 /// on both sides of a partition.
 #[derive(Clone, Debug)]
 pub struct QuotaBook {
-    /// The span over which quotas are counted; zero where only the rate counts.
-    window: Duration,
+    limits: QuotaLimits,
     since: TimePoint,
     reachable_part: f64,
     buckets: HashMap<ClientAccountName, Bucket>,
 }
 
 impl QuotaBook {
-    /// A book of a VM that starts at `now`. In any `window` an account gets at most its rate and its burst.
-    pub fn new(window: Duration, now: TimePoint) -> Self {
-        Self { window, since: now, reachable_part: 1.0, buckets: HashMap::new() }
+    /// A book of a VM that starts at `now`. In any window an account gets at most its rate, its burst and a part of
+    /// what is tolerated beyond them.
+    pub fn new(limits: QuotaLimits, now: TimePoint) -> Self {
+        Self { limits, since: now, reachable_part: 1.0, buckets: HashMap::new() }
     }
 
     /// Takes `cost` units of an account's quota.
@@ -167,7 +187,7 @@
         now: TimePoint,
     ) -> Result<(), OverQuota> {
         let reachable_part = self.reachable_part;
-        let quota = &Allowance::new(quota, self.window);
+        let quota = &Allowance::new(quota, &self.limits);
         let since = self.since;
         let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
         bucket.adapt(quota);
@@ -210,7 +230,7 @@
     ) {
         for (account, it) in &config.accounts {
             let Some(quota) = it.quota else { continue };
-            let quota = Allowance::new(&quota, self.window);
+            let quota = Allowance::new(&quota, &self.limits);
             let others = spending.get(account).copied().unwrap_or_default().max(0.0);
             if others > 0.0 && !self.buckets.contains_key(account) {
                 self.buckets.insert(account.clone(), Bucket::new(&quota, self.since));
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
+    demand::MeasuredDemand,
     duty::Term,
     fleet_size::{FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_busy},
     usage::Kept,
@@ -226,7 +227,7 @@
         if acting(node).is_none() {
             continue;
         }
-        let busy = node.busy.borrow().clone();
+        let busy = measured(node);
         let report = Report { window, counts: node.usage.borrow().total(window), busy };
         match write_report(store, *revision, &report).await {
             Ok(revision) => {
@@ -311,11 +312,20 @@
     (node.settings.name.as_str(), node.incarnation)
 }
 
-/// Takes over the demand that the last holder measured, unless some was measured here.
+/// The demand that was measured here, in busy servers.
+fn measured(node: &Node) -> IndexMap<ServiceName, f64> {
+    let demands = node.measured.borrow();
+    demands.iter().filter_map(|(name, it)| Some((name.clone(), it.measured()?))).collect()
+}
+
+/// Takes over the demand that the last holder measured, unless enough was measured here.
 fn inherit(node: &Node, report: &Report) {
-    let mut busy = node.busy.borrow_mut();
-    for (service, it) in &report.busy {
-        busy.entry(service.clone()).or_insert(*it);
+    let mut measured = node.measured.borrow_mut();
+    for (service, busy) in &report.busy {
+        let known = measured.entry(service.clone()).or_default();
+        if known.measured().is_none() {
+            *known = MeasuredDemand::told(*busy);
+        }
     }
 }
 
@@ -398,20 +408,13 @@
         for (name, service) in &config.services {
             let Some(scaling) = &service.scaling else { continue };
             let now = clock::now();
-            let inherited = node.busy.borrow().get(name).copied();
-            let planner = planners.entry(name.clone()).or_insert_with(|| {
-                let mut planner = FleetPlanner::new(now);
-                if let Some(busy) = inherited {
-                    planner.inherit(busy);
-                }
-                planner
-            });
+            let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
+            if let Some(measured) = node.measured.borrow().get(name) {
+                planner.go_on_from(measured.clone());
+            }
             let present = present(node, name, scaling.prices.keys());
             let part = node.peers.borrow().reachable_part();
-            let busy = planner.observe(demand(node, name), part, promised, &present, now);
-            if let Some(measured) = planner.measured() {
-                node.busy.borrow_mut().insert(name.clone(), measured);
-            }
+            let busy = planner.observe(node.demand_of(name), part, promised, &present, now);
             for _ in 0..KINDS {
                 for order in planner.due(scaling, busy, &present, clock::now()) {
                     let sent = send_order(node, cloud, name, &order, busy).await;
@@ -428,12 +431,6 @@
     }
 }
 
-/// The work that all entry VMs take on for a service at present, in busy servers.
-fn demand(node: &Node, service: &ServiceName) -> f64 {
-    let own = node.demand.borrow().get(service).map_or(0.0, |it| it.per_second(clock::now()));
-    own + node.peers.borrow().others_demand(service)
-}
-
 fn present<'a>(
     node: &Node,
     service: &ServiceName,
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -38,6 +38,8 @@
 const LEAST_BUFFER: usize = 8 << 10;
 /// Waits for a configuration that is new enough before a caller is told to come back.
 const STALE_RETRY: Duration = Duration::from_millis(700);
+/// A VM that hears less than this part of the others is cut off, rather than they.
+const ALONE_PART: f64 = 0.5;
 /// A caller that is refused by a VM that stops reaches another one at once.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// How long the body of a request without a route is read, so that the refusal isn't lost in a reset.
@@ -102,7 +104,8 @@
             refused.refusal.answer(refused.retry_after)
         }
     };
-    if node.phase.get() != Phase::Serving {
+    // Its caller's next request goes to another VM; the platform sends no new ones here.
+    if node.phase.get() != Phase::Serving || node.is_losing_touch() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
@@ -150,7 +153,7 @@
     // which can overtake it.
     let body = read_body(req, body_limit, until).await;
     let identified = identified.map_err(|refusal| match refusal {
-        Refusal::StaleConfig => Refused { refusal, retry_after: Some(STALE_RETRY) },
+        Refusal::StaleConfig => Refused { refusal, retry_after: Some(stale_retry(node)) },
         _ => refusal.into(),
     })?;
     let body = body?;
@@ -178,6 +181,13 @@
     answer
 }
 
+/// When a caller that is refused for want of a proof should come back. A VM that hears few others is cut off by
+/// itself, and others serve; else the store is away from all.
+fn stale_retry(node: &Node) -> Duration {
+    let is_alone = node.peers.borrow().reachable_part() < ALONE_PART;
+    if is_alone { STOPPING_RETRY } else { STALE_RETRY }
+}
+
 async fn read_body(req: Request<Incoming>, limit: usize, until: Instant) -> Result<Bytes, Refused> {
     let body = req.into_body();
     if body.size_hint().lower() > limit as u64 {
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -7,6 +7,7 @@
 mod backends;
 mod body;
 mod clock;
+mod config_copy;
 mod dispatch;
 mod duties;
 mod exchange;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -11,8 +11,9 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{ForwardingConfig, Route},
+    demand::MeasuredDemand,
     duty::Duty,
-    freshness::Freshness,
+    freshness::{Freshness, Touch},
     line_budget::LineBudget,
     load::{self, Work, WorkSum},
     peer_book::VmCard,
@@ -29,8 +30,8 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    backends::Backends, clock, metrics::Metrics, mover::Mover, peers::Peers, ports::HeaderNames,
-    settings::NodeSettings, store_view::StoreView,
+    backends::Backends, clock, config_copy::ConfigCopy, metrics::Metrics, mover::Mover,
+    peers::Peers, ports::HeaderNames, settings::NodeSettings, store_view::StoreView,
 };
 
 /// Where the process stands between its start and its end.
@@ -48,9 +49,6 @@
 /// Time that a stream needs before the process ends. Chosen from the length of long answers, not measured.
 const STREAM_TIME: Duration = Duration::from_millis(4_700);
 
-/// Part of the time from the removal of a key within which a proof is used: the rest is for the way of the
-/// request from its caller to here.
-const KEY_PROOF_PART: f64 = 0.85;
 /// Part of the time from a change to its being in force within which "unknown" may be said for sure.
 const CHANGE_PROOF_PART: f64 = 0.9;
 
@@ -75,8 +73,8 @@
     pub(crate) peers: RefCell<Peers>,
     /// Work that is taken on here, in busy servers, by service.
     pub(crate) demand: RefCell<IndexMap<ServiceName, Rate>>,
-    /// Busy servers by service, as this VM or the holder before it measured them.
-    pub(crate) busy: RefCell<IndexMap<ServiceName, f64>>,
+    /// The work that callers ask of services whose servers are ordered, as measured here.
+    pub(crate) measured: RefCell<IndexMap<ServiceName, MeasuredDemand>>,
     pub(crate) backends: Backends,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
@@ -87,6 +85,8 @@
     pub(crate) store_view: RefCell<StoreView>,
     /// The newest version of the configuration that others have.
     pub(crate) told_version: Cell<u64>,
+    /// What comes of a newer configuration from other VMs.
+    pub(crate) config_copy: RefCell<ConfigCopy>,
     /// Wakes those who wait for changes of servers or VMs.
     pub(crate) changed: Notify,
 }
@@ -100,14 +100,14 @@
             config: RefCell::default(),
             freshness: Cell::default(),
             servers: RefCell::default(),
-            quota: RefCell::new(QuotaBook::new(settings.quota_window, clock::now())),
+            quota: RefCell::new(QuotaBook::new(settings.quotas, clock::now())),
             retries: RefCell::default(),
             usage: RefCell::default(),
             wall: RefCell::default(),
             duty: RefCell::default(),
             peers: RefCell::new(Peers::new(card(&settings))),
             demand: RefCell::default(),
-            busy: RefCell::default(),
+            measured: RefCell::default(),
             backends: Backends::new(settings.ip),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
@@ -117,6 +117,7 @@
             metrics: Metrics::default(),
             store_view: RefCell::default(),
             told_version: Cell::new(0),
+            config_copy: RefCell::default(),
             changed: Notify::new(),
             settings,
             headers,
@@ -139,11 +140,18 @@
         *current = Some(Rc::new(config));
     }
 
+    /// How far this VM is in touch with removals of keys.
+    fn touch(&self) -> Touch {
+        let bounds = self.settings.bounds;
+        if !bounds.keys_fail_closed {
+            return Touch::Kept;
+        }
+        self.freshness.get().touch(bounds.key_removed, clock::now())
+    }
+
     /// Whether a key that is known here can't have been removed too long ago.
     pub(crate) fn keys_are_proved(&self) -> bool {
-        let bounds = self.settings.bounds;
-        let limit = bounds.key_removed.mul_f64(KEY_PROOF_PART);
-        !bounds.keys_fail_closed || self.freshness.get().is_within(limit, clock::now())
+        self.touch() != Touch::Lost
     }
 
     /// Whether what is unknown here can't have been added too long ago.
@@ -152,11 +160,16 @@
         self.freshness.get().is_within(limit, clock::now())
     }
 
+    /// Whether callers should go to other VMs, since keys are refused here or will be soon.
+    pub(crate) fn is_losing_touch(&self) -> bool {
+        self.touch() != Touch::Kept
+    }
+
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
             && self.config.borrow().is_some()
-            && self.keys_are_proved()
+            && !self.is_losing_touch()
     }
 
     /// Whether a request that comes now can end before the process does.
@@ -218,6 +231,12 @@
         rate.add(load::demand(work.busy_seconds(slots), was_placed), now);
     }
 
+    /// The work that all entry VMs take on for a service at present, in busy servers.
+    pub(crate) fn demand_of(&self, service: &ServiceName) -> f64 {
+        let own = self.demand.borrow().get(service).map_or(0.0, |it| it.per_second(clock::now()));
+        own + self.peers.borrow().others_demand(service)
+    }
+
     /// This VM's own work at each server, for its peers.
     pub(crate) fn own_work(&self) -> HashMap<u64, WorkSum> {
         let now = clock::now();
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -7,6 +7,7 @@
 
 use quincevalve_forwarding::{
     change_log::Excerpt,
+    parts::Part,
     peer_book::{PeerBook, Role, VmCard},
     servers::start_hash,
     sums::{Demand, Share, Sums},
@@ -17,7 +18,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    clock,
+    clock, config_copy,
     node::Node,
     ports::StoreRevision,
     store_sync::prove,
@@ -73,8 +74,20 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Content {
-    Share { scope: Scope, share: Box<Share>, relayed: Option<Relayed> },
-    Usage { counts: Counts },
+    Share {
+        scope: Scope,
+        share: Box<Share>,
+        relayed: Option<Relayed>,
+    },
+    Usage {
+        counts: Counts,
+    },
+    /// The teller lacks a configuration above this version.
+    ConfigWanted {
+        above: u64,
+    },
+    /// A part of the teller's configuration.
+    ConfigPart(Part),
 }
 
 /// One datagram.
@@ -237,6 +250,7 @@
         let mut quota = node.quota.borrow_mut();
         quota.set_others(&others.spending, reachable_part, &config, now);
     }
+    measure_demand(node, now);
     for (name, server) in node.servers.borrow_mut().all_mut() {
         let work =
             others.works.get(&start_hash(name, server.entry.start)).copied().unwrap_or_default();
@@ -244,6 +258,16 @@
     }
 }
 
+/// Measures the work that all VMs take on, whoever holds the duties: the next holder plans by it at once.
+fn measure_demand(node: &Node, now: TimePoint) {
+    let Some(config) = node.config() else { return };
+    let part = node.peers.borrow().reachable_part();
+    let mut measured = node.measured.borrow_mut();
+    for (name, _) in config.services.iter().filter(|(_, it)| it.scaling.is_some()) {
+        measured.entry(name.clone()).or_default().observe(node.demand_of(name), part, now);
+    }
+}
+
 fn own_share(node: &Node) -> Share {
     let now = clock::now();
     let demand = node.demand.borrow();
@@ -394,13 +418,13 @@
             }
         };
         match bincode::deserialize::<Telling>(&buf[..length]) {
-            Ok(telling) => hear(&node, telling),
+            Ok(telling) => hear(&node, &socket, telling),
             Err(error) => log::warn!(from:% = from, error:% = error; "telling-unreadable"),
         }
     }
 }
 
-fn hear(node: &Node, telling: Telling) {
+fn hear(node: &Node, socket: &UdpSocket, telling: Telling) {
     let now = clock::now();
     let teller = telling.teller();
     let name = telling.from.name.clone();
@@ -420,6 +444,10 @@
         Content::Share { scope, share, relayed } => {
             if let Some(relayed) = relayed {
                 take_relayed(node, relayed, telling.echo);
+                if config_copy::is_wanted(node, now) {
+                    let above = node.config().map_or(0, |it| it.version);
+                    send(node, socket, telling.from.address, Content::ConfigWanted { above });
+                }
             }
             // Two collectors would tell the same twice.
             if scope == Scope::Rest && !node.peers.borrow().is_collector(&name, now) {
@@ -443,6 +471,12 @@
                 node.wall.borrow_mut().trust(true_ms, now);
             }
         }
+        Content::ConfigWanted { above } => {
+            for part in config_copy::parts_above(node, above) {
+                send(node, socket, telling.from.address, Content::ConfigPart(part));
+            }
+        }
+        Content::ConfigPart(part) => config_copy::take_part(node, part, telling.from.address),
         Content::Usage { counts } => {
             let sent_ms = telling.true_ms.unwrap_or(telling.wall_ms);
             node.usage.borrow_mut().heard(&name, telling.incarnation, &counts, sent_ms);
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use quincevalve_forwarding::retry_window::RetryLimits;
+use quincevalve_forwarding::{quota::QuotaLimits, retry_window::RetryLimits};
 use quincevalve_names::{DataCentreName, EntryVmName};
 
 /// The settings of one entry VM's process.
@@ -31,8 +31,8 @@
     pub bounds: Bounds,
     /// The retry budget of all entry VMs.
     pub retries: RetryLimits,
-    /// The span over which quotas are counted; zero where only their rate counts.
-    pub quota_window: Duration,
+    /// How quotas are counted over all entry VMs.
+    pub quotas: QuotaLimits,
     /// What one holder does for all.
     pub duties: Duties,
 }
