--- /dev/null
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -0,0 +1,140 @@
+//! Orders for backend servers.
+
+use std::{cell::Cell, time::Duration};
+
+use indexmap::IndexMap;
+use quincevalve_forwarding::fleet_size::{
+    FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_busy,
+};
+use quincevalve_names::{DataCentreName, ServiceName};
+use tokio::time::{Instant, sleep};
+
+use super::acting;
+use crate::{
+    clock,
+    node::Node,
+    ports::{CloudApi, CloudError, ServerOrder},
+};
+
+/// Time between two plans of the fleet.
+const PLAN_PERIOD: Duration = Duration::from_secs(1);
+/// Kinds of servers, which are ordered one after the other.
+const KINDS: usize = 2;
+/// The longest time for which a new holder waits with orders for what the last one measured: three calls of a slow store,
+/// little against the five seconds that a server takes to start.
+const INHERIT_TIME: Duration = Duration::from_millis(800);
+/// Pause between two looks whether it is known.
+const INHERIT_LOOK: Duration = Duration::from_millis(20);
+/// Pause after a change, so that changes that come together are planned for together.
+const CHANGES_TOGETHER: Duration = Duration::from_millis(50);
+
+pub(super) async fn order_servers<C>(node: &Node, cloud: &C, recalled: &Cell<bool>)
+where
+    C: CloudApi,
+{
+    if !node.settings.duties.scaling {
+        return std::future::pending().await;
+    }
+    let mut planners: IndexMap<ServiceName, FleetPlanner> = IndexMap::new();
+    await_recall(node, recalled).await;
+    loop {
+        let Some(config) = node.config() else {
+            sleep(PLAN_PERIOD).await;
+            continue;
+        };
+        let promised = expected_busy(&config);
+        for (name, service) in &config.services {
+            let Some(scaling) = &service.scaling else { continue };
+            let now = clock::now();
+            // An order names a number in all: by an incomplete list it would give servers back.
+            if node.servers.borrow().may_lack_entries(now) {
+                continue;
+            }
+            let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
+            if let Some(measured) = node.measured.borrow().get(name) {
+                planner.go_on_from(measured.clone());
+            }
+            let present = present(node, name, scaling.prices.keys());
+            let part = node.peers.borrow().reachable_part();
+            let busy = planner.observe(node.demand_of(name), part, promised, &present, now);
+            for _ in 0..KINDS {
+                for order in planner.due(scaling, busy, &present, clock::now()) {
+                    let sent = send_order(node, cloud, name, &order, busy).await;
+                    let Some(outcome) = sent else { break };
+                    planner.sent(&order, outcome, clock::now());
+                }
+            }
+        }
+        // A notice of a reclaim is answered at once: a server takes seconds to start.
+        tokio::select! {
+            () = sleep(PLAN_PERIOD) => {}
+            () = node.changed.notified() => sleep(CHANGES_TOGETHER).await,
+        }
+    }
+}
+
+/// Waits until it is known what the last holder measured, for a while.
+///
+/// Failure: all VMs are killed, and the first that takes the duties over orders before it has read what was measured.
+/// Symptom: it plans by what quotas promise, three times the servers that are needed, and in a wave keeps them.
+async fn await_recall(node: &Node, recalled: &Cell<bool>) {
+    if !node.settings.duties.usage {
+        return;
+    }
+    let until = Instant::now() + INHERIT_TIME;
+    while !recalled.get() && Instant::now() < until {
+        sleep(INHERIT_LOOK).await;
+    }
+}
+
+fn present<'a>(
+    node: &Node,
+    service: &ServiceName,
+    centres: impl Iterator<Item = &'a DataCentreName>,
+) -> IndexMap<DataCentreName, Present> {
+    let mut present: IndexMap<_, _> = centres.map(|it| (it.clone(), Present::default())).collect();
+    for (_, server) in node.servers.borrow().usable(service, clock::now()) {
+        let centre = present.entry(server.entry.data_centre.clone()).or_default();
+        if server.entry.reclaimable {
+            centre.reclaimable += 1;
+        } else {
+            centre.on_demand += 1;
+        }
+    }
+    present
+}
+
+/// Sends an order; `None` where this VM may no longer act.
+async fn send_order<C>(
+    node: &Node,
+    cloud: &C,
+    service: &ServiceName,
+    order: &Order,
+    busy: f64,
+) -> Option<OrderOutcome>
+where
+    C: CloudApi,
+{
+    let holder = acting(node)?;
+    let wanted = ServerOrder {
+        service: service.clone(),
+        data_centre: order.data_centre.clone(),
+        count: order.count,
+        reclaimable: order.kind == ServerKind::Reclaimable,
+    };
+    let result = cloud.order(&holder, &wanted).await;
+    let outcome = match &result {
+        Ok(()) => OrderOutcome::Taken,
+        Err(CloudError::NoneAvailable) => OrderOutcome::NoneAvailable,
+        Err(CloudError::Call { .. }) => OrderOutcome::Unknown,
+    };
+    log::info!(
+        service = service.as_str(), centre = order.data_centre.as_str(), kind:? = order.kind,
+        count = order.count, busy, number = holder.number.0, outcome:? = outcome;
+        "servers-ordered"
+    );
+    if let Err(error @ CloudError::Call { .. }) = result {
+        log::warn!(error:% = error; "order-unanswered");
+    }
+    Some(outcome)
+}
