--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -107,6 +107,21 @@
     }
 }
 
+// An account rests until its bucket is full, and then asks six times its rate. Half of what is tolerated is left for what
+// isn't heard in time.
+#[test]
+fn half_of_the_tolerance_is_kept() {
+    let limits = QuotaLimits { window: Duration::from_secs(8), overage: 0.1, slack: 1_000.0 };
+    let limit = quota(1_000.0, 2_000.0);
+    let mut book = QuotaBook::new(limits, ms(0));
+    let taken = (0..800_u64)
+        .filter(|step| book.take(&desk(), &limit, 60.0, DRAW, ms(60_000 + step * 10)).is_ok());
+    let let_in = 60.0 * taken.count() as f64;
+    let most = 10_000.0 + 0.5 * (0.1 * 10_000.0 + 1_000.0);
+    assert!(let_in <= most + 60.0, "{let_in}");
+    assert!(let_in >= most - 200.0, "{let_in}");
+}
+
 // A VM is out of touch with half of the others, and lets an account in as if it were alone. It uses the part of
 // the burst and of the rate that stands for those it hears.
 #[test]
