--- a/crates/quincevalve_node/src/config_copy.rs
+++ b/crates/quincevalve_node/src/config_copy.rs
@@ -70,3 +70,6 @@
         Err(error) => log::error!(peer:% = from, error:% = error; "config-copy-unreadable"),
     }
 }
+
+#[cfg(test)]
+mod tests;
