Log lines say what a removal is taken for and whether a chosen server is listed

Cause: a request that reaches a server after it left can't be explained from the logs: nothing says whether its entry was known to be missing, nor what that was taken for.

Change: server-removed has taken_for (also for servers that a whole reading lacks), placed and stream-resumed have unlisted_ms. No decision changes.

--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -79,6 +79,8 @@
     pub seen: WorkSum,
     /// How long ago others told their part of it.
     pub told_age: Duration,
+    /// For how long the server's entry has been missing; `None` while it is listed.
+    pub unlisted_for: Option<Duration>,
 }
 
 /// Why there is no server for a request.
@@ -195,8 +197,10 @@
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let seen = server.load.total(now);
             let told_age = server.load.told_age(now);
+            let unlisted_for = server.unlisted_for(now);
             let (start, server) = (server.entry.start, name.clone());
-            let place = Placement { server, start, work, home, predicted, seen, told_age };
+            let place =
+                Placement { server, start, work, home, predicted, seen, told_age, unlisted_for };
             best = Some((cost, place));
         }
     }
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -46,6 +46,15 @@
     Replaced,
 }
 
+/// What the removal of a server's entry is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The server leaves.
+    Leaving,
+    /// Its entry may have lapsed in an outage of the store while it lives.
+    MayHaveLapsed,
+}
+
 /// Where a server stands in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listing {
@@ -71,6 +80,16 @@
     pub since: TimePoint,
 }
 
+impl Server {
+    /// For how long its entry has been missing; `None` while there is one.
+    pub fn unlisted_for(&self, now: TimePoint) -> Option<Duration> {
+        match self.listing {
+            Listing::Removed(at) => Some(now.since(at)),
+            Listing::Listed | Listing::Unreadable => None,
+        }
+    }
+}
+
 /// Time from the announcement to the end of a server that doesn't say it: as long as it has to be served
 /// without new work, and a little.
 const USUAL_LEAVE: Duration = Duration::from_millis(2_600);
@@ -155,23 +174,25 @@
         !was_listed
     }
 
-    /// Notes that an entry was removed.
+    /// Notes that an entry was removed, and says what that is taken for; `None` where it is known or the server isn't.
     ///
     /// Failure: a reclaimed server's entry is removed without an announcement. Symptom: a second later all its
     /// streams are cut, though there was time to move them. Unless the entry may have lapsed in an outage of
     /// the store, the server is taken for one that goes.
-    pub fn removed(&mut self, name: &BackendServerName, now: TimePoint) {
+    pub fn removed(&mut self, name: &BackendServerName, now: TimePoint) -> Option<Removal> {
         let may_have_lapsed = self.store_away.is_some() || self.is_just_back(now);
-        let Some(server) = self.servers.get_mut(name) else { return };
+        let server = self.servers.get_mut(name)?;
         if matches!(server.listing, Listing::Removed(_)) {
-            return;
+            return None;
         }
         server.listing = Listing::Removed(now);
-        if !may_have_lapsed {
-            let left = if server.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
-            let goes_at = now + left;
-            server.goes_at = Some(server.goes_at.map_or(goes_at, |it| it.min(goes_at)));
+        if may_have_lapsed {
+            return Some(Removal::MayHaveLapsed);
         }
+        let left = if server.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
+        let goes_at = now + left;
+        server.goes_at = Some(server.goes_at.map_or(goes_at, |it| it.min(goes_at)));
+        Some(Removal::Leaving)
     }
 
     /// Notes that what stands under a server's name can't be read: another writer's, or spoiled. The server gets
@@ -187,20 +208,21 @@
         self.store_back.is_some_and(|back| now.since(back) < RETURN_TIME)
     }
 
-    /// Takes a whole list: what isn't in it was removed. Entries under the `unreadable` names stand there, but say
-    /// nothing.
+    /// Takes a whole list: what isn't in it was removed, and is returned. Entries under the `unreadable` names stand
+    /// there, but say nothing.
     pub fn replace_all(
         &mut self,
         entries: Vec<(BackendServerName, ServerEntry)>,
         unreadable: &[BackendServerName],
         now: TimePoint,
-    ) {
+    ) -> Vec<(BackendServerName, Removal)> {
         let names: Vec<_> = self.servers.keys().cloned().collect();
+        let mut missing = Vec::new();
         for name in names {
             if unreadable.contains(&name) {
                 self.unreadable(&name);
             } else if !entries.iter().any(|(listed, _)| *listed == name) {
-                self.removed(&name, now);
+                missing.extend(self.removed(&name, now).map(|it| (name, it)));
             }
         }
         for (name, entry) in entries {
@@ -210,6 +232,7 @@
             Listing::Listed | Listing::Unreadable => true,
             Listing::Removed(at) => now.since(at) < FORGET_AFTER,
         });
+        missing
     }
 
     /// Takes evidence from a request that a server leaves.
--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -275,7 +275,7 @@
             match event {
                 Event::Listed => { table.listed(&server(0), entry("a"), now); }
                 Event::Draining => { table.listed(&server(0), draining("a"), now); left = true; }
-                Event::Removed => table.removed(&server(0), now),
+                Event::Removed => { table.removed(&server(0), now); }
                 Event::Lost => table.store_lost(now),
                 Event::Found => table.store_found(now),
             }
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -117,7 +117,7 @@
             server = place.server.as_str(), urgency = req.urgency, home = place.home.map_or(-1, usize::cast_signed) as i64,
             predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
             prefill = place.seen.prefill, recent = place.seen.recent,
-            told_age_ms = place.told_age.as_millis() as u64;
+            told_age_ms = place.told_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place);
             "placed"
         );
         let failed = match exchange(node, &req, &body, &place, &[]).await {
@@ -151,6 +151,11 @@
     }
 }
 
+/// Milliseconds since the entry of the server went missing; -1 where it is listed.
+pub(crate) fn unlisted_ms(place: &Placement) -> i64 {
+    place.unlisted_for.map_or(-1, |it| it.as_millis() as i64)
+}
+
 fn give_up(runs: u32) -> Refused {
     if runs > 0 {
         return Refusal::ServerFailed.into();
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -334,7 +334,11 @@
         let last = last.map(|it| (self.node.headers.last_event.clone(), it.clone()));
         let moved = extra.is_some();
         let extra: Vec<(HeaderName, HeaderValue)> = last.chain(extra).collect();
-        note!(self.node, self.req, server = place.server.as_str(), moved = moved; "stream-resumed");
+        note!(
+            self.node, self.req,
+            server = place.server.as_str(), moved = moved, unlisted_ms = dispatch::unlisted_ms(&place);
+            "stream-resumed"
+        );
         let answer = exchange(&self.node, &self.req, &self.body, &place, &extra).await.ok()?;
         if !answer.sealed || !answer.response.status().is_success() {
             return None;
--- a/crates/quincevalve_node/src/store_view.rs
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -3,7 +3,7 @@
 use quincevalve_forwarding::{
     change_log::{ChangeLog, Excerpt},
     peer_book::VmCard,
-    servers::ServerEntry,
+    servers::{Removal, ServerEntry},
 };
 use quincevalve_names::BackendServerName;
 use serde::{Deserialize, Serialize};
@@ -117,7 +117,10 @@
         log::error!(name = name.as_str(), what; "store-item-unreadable");
     }
     let unreadable: Vec<_> = snapshot.unreadable.into_iter().map(|(name, _)| name).collect();
-    node.servers.borrow_mut().replace_all(snapshot.servers, &unreadable, now);
+    let missing = node.servers.borrow_mut().replace_all(snapshot.servers, &unreadable, now);
+    for (name, taken_for) in missing {
+        tell_removed(&name, Some(taken_for));
+    }
     let mut peers = node.peers.borrow_mut();
     peers.book.replace_all(snapshot.own.iter().filter_map(|it| card(&it.key, &it.value)).collect());
     let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
@@ -201,8 +204,7 @@
             return is_new;
         }
         Passed::ServerRemoved(name) => {
-            log::info!(server = name.as_str(); "server-removed");
-            node.servers.borrow_mut().removed(name, now);
+            tell_removed(name, node.servers.borrow_mut().removed(name, now));
         }
         Passed::ServerUnreadable(name) => node.servers.borrow_mut().unreadable(name),
         Passed::Own { key, value } if key == HOLDER_KEY => {
@@ -228,6 +230,16 @@
     true
 }
 
+/// Says what a removal is taken for, so that requests which reach the server afterwards can be explained.
+fn tell_removed(name: &BackendServerName, taken_for: Option<Removal>) {
+    let taken_for = match taken_for {
+        Some(Removal::Leaving) => "leaving",
+        Some(Removal::MayHaveLapsed) => "lapse",
+        None => "known",
+    };
+    log::info!(server = name.as_str(), taken_for; "server-removed");
+}
+
 fn card(key: &str, value: &[u8]) -> Option<VmCard> {
     key.strip_prefix(PEER_KEYS)?;
     match serde_json::from_slice(value) {
