--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -165,6 +165,19 @@
     assert!(!table.may_lack_entries(ms(20_600)), "nothing lapses in a call that failed");
 }
 
+// Callers wait for a server that was gone long before the store fell silent, and a request reaches one that had just
+// left: at the store's return all removed servers counted for two seconds as lapsed. Only an entry that went missing
+// since the store last answered can have lapsed in its outage.
+#[test]
+fn a_server_that_was_gone_before_an_outage_stays_gone() {
+    let mut table = table(4);
+    table.removed(&server(0), ms(500));
+    table.store_lost(ms(1_000));
+    table.store_found(ms(10_000));
+    assert!(!usable(&table, ms(10_100)));
+    assert!(!table.may_take(table.get(&server(0)).unwrap(), ms(10_100)));
+}
+
 fn started_again(centre: &str, start: u64) -> ServerEntry {
     ServerEntry { start: ServerStart(start), ..entry(centre) }
 }
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -84,6 +84,11 @@
         self.ready.local_addr()
     }
 
+    /// Where other entry VMs tell what they know.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        self.peers.local_addr()
+    }
+
     /// Where metrics are served.
     pub fn metrics_address(&self) -> io::Result<SocketAddr> {
         self.metrics.local_addr()
