Only what went missing while the store answered nobody may have lapsed

Cause: a VM took its own failed reads for an outage of the store, and at its next answer every removal that it knew of for an entry that had lapsed, so it used those servers for 2.3 s. Peers that read the store all the while had told it that they were removed; some had been gone for a minute.

Change: a core, store_contact, joins the spans in which the store is known to have answered this VM or one that it hears; each telling carries the teller's. A removal may be a lapse only if it was seen since the gap began. Servers that left one by one are forgotten after a minute; before, only when the whole store was read.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod rate;
 pub mod retry_window;
 pub mod servers;
+pub mod store_contact;
 pub mod sums;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::load::ServerLoad;
+use crate::{load::ServerLoad, store_contact::LAPSE_AFTER};
 
 /// When a server's process started, in Unix milliseconds by its own clock: tells starts under one name apart.
 #[derive(
@@ -88,6 +88,13 @@
             Listing::Listed | Listing::Unreadable => None,
         }
     }
+
+    /// Expects the end of a server whose entry is gone without an announcement.
+    fn leaves_silently(&mut self, now: TimePoint) {
+        let left = if self.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
+        let goes_at = now + left;
+        self.goes_at = Some(self.goes_at.map_or(goes_at, |it| it.min(goes_at)));
+    }
 }
 
 /// Time from the announcement to the end of a server that doesn't say it: as long as it has to be served
@@ -103,23 +110,32 @@
 /// Servers that live put their entries back within two seconds; one that is still missing then is gone.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
-/// The shortest outage in which entries lapse: they live for three heartbeats of a second or more.
-const LAPSE_AFTER: Duration = Duration::from_secs(3);
-
 /// How long a server without an entry is remembered, so that running requests keep their load entry.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// A time in which the store answered nobody.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    from: TimePoint,
+    to: TimePoint,
+}
+
+impl Outage {
+    /// Whether entries that lapsed in it may still be missing.
+    fn is_recent(&self, now: TimePoint) -> bool {
+        self.to.since(self.from) >= LAPSE_AFTER && now.since(self.to) < RETURN_TIME
+    }
+}
+
 /// All servers, by name. A server that starts again may keep its name; it then has none of the work, the memory
 /// and the record of its earlier start.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     servers: IndexMap<BackendServerName, Server>,
-    /// When the store was reached again after it had been away.
-    store_back: Option<TimePoint>,
-    /// Since when the store can't be reached.
+    /// Since when the store answers nobody.
     store_away: Option<TimePoint>,
-    /// For how long it could not be reached the last time.
-    was_away: Duration,
+    /// The last time that it was away.
+    outage: Option<Outage>,
     /// Servers that could not be reached lately, by data centre.
     unreached: IndexMap<DataCentreName, Vec<(TimePoint, BackendServerName)>>,
 }
@@ -180,19 +196,28 @@
     /// streams are cut, though there was time to move them. Unless the entry may have lapsed in an outage of
     /// the store, the server is taken for one that goes.
     pub fn removed(&mut self, name: &BackendServerName, now: TimePoint) -> Option<Removal> {
-        let may_have_lapsed = self.store_away.is_some() || self.is_just_back(now);
+        let may_have_lapsed = self.may_lapse(now, now);
         let server = self.servers.get_mut(name)?;
         if matches!(server.listing, Listing::Removed(_)) {
             return None;
         }
         server.listing = Listing::Removed(now);
-        if may_have_lapsed {
-            return Some(Removal::MayHaveLapsed);
-        }
-        let left = if server.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
-        let goes_at = now + left;
-        server.goes_at = Some(server.goes_at.map_or(goes_at, |it| it.min(goes_at)));
-        Some(Removal::Leaving)
+        let removal = if may_have_lapsed {
+            Removal::MayHaveLapsed
+        } else {
+            server.leaves_silently(now);
+            Removal::Leaving
+        };
+        self.forget_gone(now);
+        Some(removal)
+    }
+
+    /// Forgets servers whose entries were removed long ago.
+    fn forget_gone(&mut self, now: TimePoint) {
+        self.servers.retain(|_, it| match it.listing {
+            Listing::Listed | Listing::Unreadable => true,
+            Listing::Removed(at) => now.since(at) < FORGET_AFTER,
+        });
     }
 
     /// Notes that what stands under a server's name can't be read: another writer's, or spoiled. The server gets
@@ -203,9 +228,18 @@
         }
     }
 
-    /// Whether the store is back for so short a time that entries which lapsed may still be missing.
-    fn is_just_back(&self, now: TimePoint) -> bool {
-        self.store_back.is_some_and(|back| now.since(back) < RETURN_TIME)
+    /// Whether an entry that went missing at `removed` may have lapsed in an outage of the store, so that it may still be
+    /// put back.
+    ///
+    /// Failure: all that is removed counts as lapsed once the store is back. Symptom: requests reach servers that left
+    /// before the outage, or whose removal was read while the store answered. Only what went missing since the
+    /// store answered last, and until living servers had time to return, may have lapsed.
+    fn may_lapse(&self, removed: TimePoint, now: TimePoint) -> bool {
+        if let Some(from) = self.store_away {
+            return removed >= from && now.since(from) >= LAPSE_AFTER;
+        }
+        let outage = self.outage.filter(|it| it.is_recent(now));
+        outage.is_some_and(|it| removed >= it.from)
     }
 
     /// Takes a whole list: what isn't in it was removed, and is returned. Entries under the `unreadable` names stand
@@ -228,10 +262,7 @@
         for (name, entry) in entries {
             self.listed(&name, entry, now);
         }
-        self.servers.retain(|_, it| match it.listing {
-            Listing::Listed | Listing::Unreadable => true,
-            Listing::Removed(at) => now.since(at) < FORGET_AFTER,
-        });
+        self.forget_gone(now);
         missing
     }
 
@@ -265,17 +296,28 @@
         }
     }
 
-    /// Notes that the store stopped answering.
-    pub fn store_lost(&mut self, now: TimePoint) {
-        self.store_away.get_or_insert(now);
-        self.store_back = None;
+    /// Notes that the store has answered nobody since that moment. Where it was back for less time than entries need to
+    /// return, it is the same outage.
+    pub fn store_lost(&mut self, since: TimePoint) {
+        let before = self.outage.take().filter(|it| it.is_recent(since));
+        self.store_away.get_or_insert(before.map_or(since, |it| it.from));
     }
 
     /// Notes that the store answers again.
     pub fn store_found(&mut self, now: TimePoint) {
-        if let Some(since) = self.store_away.take() {
-            self.was_away = now.since(since);
-            self.store_back = Some(now);
+        if let Some(from) = self.store_away.take() {
+            self.outage = Some(Outage { from, to: now });
+        }
+    }
+
+    /// Notes that the store had answered others while it answered nobody who was heard: what was removed has not
+    /// lapsed, and its servers leave.
+    pub fn store_never_away(&mut self, now: TimePoint) {
+        self.store_away = None;
+        self.outage = None;
+        let removed = |it: &&mut Server| matches!(it.listing, Listing::Removed(_));
+        for server in self.servers.values_mut().filter(removed) {
+            server.leaves_silently(now);
         }
     }
 
@@ -291,10 +333,7 @@
         match server.listing {
             Listing::Listed => true,
             Listing::Unreadable => false,
-            Listing::Removed(at) => {
-                self.is_just_back(now)
-                    && self.store_back.is_some_and(|back| at.since(back) < RETURN_TIME)
-            }
+            Listing::Removed(at) => self.store_away.is_none() && self.may_lapse(at, now),
         }
     }
 
@@ -303,7 +342,7 @@
     pub fn may_lack_entries(&self, now: TimePoint) -> bool {
         match self.store_away {
             Some(since) => now.since(since) >= LAPSE_AFTER,
-            None => self.is_just_back(now) && self.was_away >= LAPSE_AFTER,
+            None => self.outage.is_some_and(|it| it.is_recent(now)),
         }
     }
 
@@ -311,7 +350,7 @@
     fn may_have_lapsed(&self, server: &Server, now: TimePoint) -> bool {
         let Listing::Removed(at) = server.listing else { return false };
         let is_late = now.since(at) >= RETURN_TIME;
-        server.leaving.is_none() && !is_late && self.may_lack_entries(now)
+        server.leaving.is_none() && !is_late && self.may_lapse(at, now)
     }
 
     /// Whether a server may get a request: it is usable, or no other of its service is and its entry may only have
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -21,6 +21,7 @@
     rate::Rate,
     retry_window::RetryWindow,
     servers::{ServerTable, start_hash},
+    store_contact::StoreContact,
     usage::Usage,
     wall_clock::WallClock,
 };
@@ -83,6 +84,8 @@
     pub(crate) refusal_lines: RefCell<LineBudget>,
     pub(crate) metrics: Metrics,
     pub(crate) store_view: RefCell<StoreView>,
+    /// When the store answered this VM or one that it hears.
+    pub(crate) store_contact: Cell<StoreContact>,
     /// The newest version of the configuration that others have.
     pub(crate) told_version: Cell<u64>,
     /// What comes of a newer configuration from other VMs.
@@ -116,6 +119,7 @@
             refusal_lines: RefCell::new(LineBudget::for_refusals()),
             metrics: Metrics::default(),
             store_view: RefCell::default(),
+            store_contact: Cell::default(),
             told_version: Cell::new(0),
             config_copy: RefCell::default(),
             changed: Notify::new(),
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -10,6 +10,7 @@
     parts::Part,
     peer_book::{PeerBook, Role, VmCard},
     servers::start_hash,
+    store_contact::Contact,
     sums::{Demand, Share, Sums},
     usage::Counts,
 };
@@ -21,7 +22,7 @@
     clock, config_copy,
     node::Node,
     ports::StoreRevision,
-    store_sync::prove,
+    store_sync::{heard_of_store, prove},
     store_view::{Passed, take_excerpt},
 };
 
@@ -72,6 +73,15 @@
     held: Duration,
 }
 
+/// When the store answered the teller or one that it hears.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ToldContact {
+    /// How long ago the newest answer was asked for.
+    age: Duration,
+    /// For how long before it the store had answered without a gap.
+    steady: Duration,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 enum Content {
     Share {
@@ -104,6 +114,7 @@
     echo: Option<Echo>,
     /// The revision of the store that the teller has reached.
     seen: Option<u64>,
+    store: Option<ToldContact>,
     content: Content,
 }
 
@@ -338,6 +349,28 @@
     Some(Relayed { age, version, after, upto, changes })
 }
 
+/// The latest moment at which a datagram with this echo can't have been sent yet, by this VM's clock: when this VM sent
+/// what it echoes, and as long after that as the teller had it. `None` if an earlier start of this VM sent that.
+fn sent_after(node: &Node, echo: Option<Echo>) -> Option<TimePoint> {
+    let echo = echo.filter(|it| it.incarnation == node.incarnation)?;
+    Some(echo.sent + echo.held)
+}
+
+/// Takes it that the store answered another VM; however long the datagram was on its way, that isn't taken for newer
+/// than it is.
+fn take_contact(node: &Node, told: Option<ToldContact>, echo: Option<Echo>) {
+    let (Some(told), Some(sent_after)) = (told, sent_after(node, echo)) else { return };
+    let Some(newest) = earlier(sent_after, told.age) else { return };
+    let since = earlier(newest, told.steady).unwrap_or(TimePoint::ZERO);
+    if newest <= clock::now() {
+        heard_of_store(node, Contact { since, newest });
+    }
+}
+
+fn earlier(at: TimePoint, by: Duration) -> Option<TimePoint> {
+    at.as_micros().checked_sub(by.as_micros() as u64).map(TimePoint)
+}
+
 /// Takes what another VM knows of the store.
 ///
 /// The proof counts from when this VM sent the datagram that the other echoes, less the age of the other's
@@ -349,12 +382,11 @@
     let reached = node.store_view.borrow().reached();
     let knows = node.config().is_some_and(|it| it.version >= version)
         && reached.is_some_and(|it| it.0 >= upto);
-    let is_own = |it: &Echo| it.incarnation == node.incarnation;
-    let Some(echo) = echo.filter(|it| is_own(it) && is_contiguous && knows) else { return };
-    let told_at = echo.sent + echo.held;
-    let proved = told_at.as_micros().checked_sub(age.as_micros() as u64);
-    if let Some(proved) = proved {
-        prove(node, TimePoint(proved));
+    if !is_contiguous || !knows {
+        return;
+    }
+    if let Some(proved) = sent_after(node, echo).and_then(|it| earlier(it, age)) {
+        prove(node, proved);
     }
 }
 
@@ -388,6 +420,11 @@
         sent: now,
         echo,
         seen: node.store_view.borrow().reached().map(|it| it.0),
+        store: node
+            .store_contact
+            .get()
+            .contact()
+            .map(|it| ToldContact { age: now.since(it.newest), steady: it.newest.since(it.since) }),
         from: node.peers.borrow().book.me().clone(),
         incarnation: node.incarnation,
         wall_ms: clock::wall_ms(),
@@ -440,6 +477,7 @@
         peers.newest.insert(name.clone(), newest);
     }
     node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
+    take_contact(node, telling.store, telling.echo);
     match telling.content {
         Content::Share { scope, share, relayed } => {
             if let Some(relayed) = relayed {
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use quincevalve_forwarding::store_contact::{Contact, StoreNews};
 use quincevalve_names::TimePoint;
 use tokio::time::sleep;
 
@@ -43,12 +44,13 @@
     let mut failures = 0_u32;
     let mut is_told = false;
     loop {
+        note_away(&node);
         fetch_config(&node, &store).await;
         if !must_read(&node) {
             if !std::mem::replace(&mut is_told, true) {
                 log::info!("store-told-by-others");
             }
-            note_regained(&node, &mut failures);
+            note_regained(&mut failures);
             sleep(LOOK).await;
             continue;
         }
@@ -58,21 +60,21 @@
             log::info!(age_ms; "store-read-here");
         }
         let asked = clock::now();
-        let pause = match read(&node, &store).await {
+        let pause = match read(&node, &store, asked).await {
             Ok(()) => {
                 prove(&node, asked);
-                note_regained(&node, &mut failures);
+                note_regained(&mut failures);
                 if node.reads_for_others() { READER_PAUSE } else { LONE_PAUSE }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!("store-history-gone");
+                heard_of_store(&node, Contact::at(asked));
                 node.store_view.borrow_mut().forget();
                 Duration::ZERO
             }
             Err(error) => {
                 if failures == 0 {
                     log::warn!(error:% = error; "store-lost");
-                    node.servers.borrow_mut().store_lost(clock::now());
                 }
                 let pause = FAILED_PAUSE * (1 << failures.min(2));
                 failures += 1;
@@ -83,14 +85,38 @@
     }
 }
 
-/// Notes that the store is read again, here or by those who tell this VM.
-///
-/// Failure: a VM whose own reading failed is told by others after an outage. Symptom: it takes the store for away for
-/// good, and entries that lapse for servers that are gone.
-fn note_regained(node: &Node, failures: &mut u32) {
+/// Notes that this VM reads the store again or needn't, since others tell it enough.
+fn note_regained(failures: &mut u32) {
     if std::mem::take(failures) > 0 {
         log::info!("store-regained");
-        node.servers.borrow_mut().store_found(clock::now());
+    }
+}
+
+/// Notes if nobody who is heard had an answer of the store for so long that entries lapse.
+fn note_away(node: &Node) {
+    let Some(since) = node.store_contact.get().away_since(clock::now()) else { return };
+    node.servers.borrow_mut().store_lost(since);
+}
+
+/// Takes a span in which the store answered this VM or one that it hears. What the answer said is taken afterwards:
+/// whether a removal may be a lapse depends on it.
+pub(crate) fn heard_of_store(node: &Node, heard: Contact) {
+    let mut contact = node.store_contact.get();
+    let news = contact.heard(heard);
+    node.store_contact.set(contact);
+    let now = clock::now();
+    let mut servers = node.servers.borrow_mut();
+    match news {
+        StoreNews::Unchanged => {}
+        StoreNews::Returned { since } => {
+            log::info!(away_ms = now.since(since).as_millis() as u64; "store-returned");
+            servers.store_lost(since);
+            servers.store_found(now);
+        }
+        StoreNews::NeverAway => {
+            log::info!("store-never-away");
+            servers.store_never_away(now);
+        }
     }
 }
 
@@ -101,7 +127,7 @@
     !knows_all || node.reads_for_others() || !node.freshness.get().is_within(told_age, clock::now())
 }
 
-async fn read<S>(node: &Node, store: &S) -> Result<(), StoreError>
+async fn read<S>(node: &Node, store: &S, asked: TimePoint) -> Result<(), StoreError>
 where
     S: PlatformStore,
 {
@@ -109,9 +135,14 @@
     match reached {
         Some(after) if node.config().is_some() => {
             let changes = store.changes(after, WAIT).await?;
+            heard_of_store(node, Contact::at(asked));
             take_changes(node, changes);
         }
-        _ => take_snapshot(node, store.snapshot().await?),
+        _ => {
+            let snapshot = store.snapshot().await?;
+            heard_of_store(node, Contact::at(asked));
+            take_snapshot(node, snapshot);
+        }
     }
     Ok(())
 }
