What changed while the whole store was read is passed on

When they came as changes they were no news to the reader and were left out of what it passes on, so others got past them without them: a server that leaves stayed in use there for good.

The node's test values stand once.

--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -25,5 +25,7 @@
 mod store_sync;
 mod store_view;
 mod story;
+#[cfg(test)]
+mod test_node;
 
 pub use crate::start::{Listeners, StartError, run};
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -35,8 +35,10 @@
     pub unreadable: Vec<(BackendServerName, String)>,
     /// The system's own keys.
     pub own: Vec<OwnItem>,
-    /// Changes after this revision are not in it.
+    /// All changes up to this revision are in it.
     pub at: StoreRevision,
+    /// The newest change that is in it: it may be read in parts, one after the other.
+    pub newest: StoreRevision,
 }
 
 /// An item that the system itself wrote.
--- a/crates/quincevalve_node/src/store_view.rs
+++ b/crates/quincevalve_node/src/store_view.rs
@@ -84,6 +84,8 @@
     log: ChangeLog<Passed>,
     /// Whether everything was read once.
     complete: bool,
+    /// The newest change that the last whole reading held; the log goes on from an older one.
+    read_upto: StoreRevision,
 }
 
 impl StoreView {
@@ -127,6 +129,7 @@
     peers.holder_seen(holder.map(|it| holder_name(&it.value)));
     let mut view = node.store_view.borrow_mut();
     view.log.restart(snapshot.at.0);
+    view.read_upto = snapshot.newest;
     view.complete = true;
 }
 
@@ -170,12 +173,18 @@
 /// Failure: this VM waits for the store's answer while another VM passes newer changes on. Symptom: the
 /// answer, older than what is known by then, brings back a server that is gone. Changes up to the revision
 /// that was reached are left out.
+///
+/// Failure: a whole reading takes several pages, and a later page holds changes that came after the first. Symptom: as
+/// changes they are no news here, and aren't passed on; others look up to date and use a server that leaves. What
+/// changed up to the newest item that was read is passed on in any case.
 fn take_passed(node: &Node, passed: Vec<(u64, Passed)>, upto: StoreRevision) {
     let reached = node.store_view.borrow().reached().map_or(0, |it| it.0);
+    let read_upto = node.store_view.borrow().read_upto.0;
     let mut kept = Vec::new();
     for (at, change) in passed.into_iter().filter(|(at, _)| *at > reached) {
         // Servers renew their entries all the time; only what changes is worth passing on.
-        if apply(node, &change) && change.concerns_others() {
+        let is_news = apply(node, &change) || at <= read_upto;
+        if is_news && change.concerns_others() {
             kept.push((at, change));
         }
     }
--- a/crates/quincevalve_node/src/store_view/tests.rs
+++ b/crates/quincevalve_node/src/store_view/tests.rs
@@ -1,4 +1,20 @@
+use quincevalve_forwarding::servers::ServerStart;
+
 use super::*;
+use crate::test_node::{node, run};
+
+fn draining() -> ServerEntry {
+    ServerEntry {
+        start: ServerStart(1),
+        service: "model".into(),
+        address: "10.1.0.1:80".parse().unwrap(),
+        data_centre: "north".into(),
+        slots: 4,
+        draining: true,
+        reclaimable: true,
+        leaves_in: Some(std::time::Duration::from_secs(2)),
+    }
+}
 
 fn own(key: &str, bytes: usize) -> Passed {
     Passed::Own { key: key.to_owned(), value: vec![0; bytes] }
@@ -20,19 +36,35 @@
 
 #[test]
 fn a_change_weighs_at_least_what_it_takes_in_a_datagram() {
-    let entry = ServerEntry {
-        start: quincevalve_forwarding::servers::ServerStart(1),
-        service: "model".into(),
-        address: "10.1.0.1:80".parse().unwrap(),
-        data_centre: "north".into(),
-        slots: 4,
-        draining: true,
-        reclaimable: true,
-        leaves_in: Some(std::time::Duration::from_secs(2)),
-    };
-    let server = Passed::Server("i-0123456789".into(), entry);
+    let server = Passed::Server("i-0123456789".into(), draining());
     for change in [server, own("peers/vm-1", 200), Passed::ServerRemoved("i-1".into())] {
         let encoded = bincode::serialize(&change).unwrap();
         assert!(change.bytes() >= encoded.len(), "{change:?}: {}", encoded.len());
     }
 }
+
+// Requests go on reaching a server that has said it leaves, from VMs that look up to date. The VM that reads for them
+// read the whole store in pages, and the server's word came between two of them: it stood on a later page. As a
+// change it was then no news to the reader, and was not passed on.
+#[test]
+fn what_changed_while_the_store_was_read_is_passed_on() {
+    run(|| {
+        let reader = node("vm-1");
+        let name = BackendServerName::from("i-1");
+        let snapshot = Snapshot {
+            servers: vec![(name.clone(), draining())],
+            at: StoreRevision(100),
+            newest: StoreRevision(103),
+            ..Snapshot::default()
+        };
+        take_snapshot(&reader, snapshot);
+        let change = (StoreRevision(103), Change::Server(name.clone(), draining()));
+        take_changes(&reader, Changes { changes: vec![change], at: StoreRevision(104) });
+        let renewal = (StoreRevision(105), Change::Server(name.clone(), draining()));
+        take_changes(&reader, Changes { changes: vec![renewal], at: StoreRevision(105) });
+        let excerpt = reader.store_view.borrow().since(StoreRevision(100), usize::MAX);
+        let excerpt = excerpt.expect("changes since the whole reading");
+        assert_eq!(excerpt.changes, [(103, Passed::Server(name, draining()))]);
+        assert_eq!(excerpt.upto, 105);
+    });
+}
--- /dev/null
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -0,0 +1,83 @@
+//! A VM's state for the tests of its parts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::HeaderName;
+use quincevalve_forwarding::{quota::QuotaLimits, retry_window::RetryLimits};
+use tokio::task::LocalSet;
+
+use crate::{
+    mover::Mover,
+    node::Node,
+    ports::{EngineApi, HeaderNames, MoveError, MovedRun},
+    settings::{Bounds, Duties, NodeSettings},
+};
+
+#[derive(Clone)]
+struct NoEngines;
+
+impl EngineApi for NoEngines {
+    async fn move_run(&self, _: SocketAddr, _: SocketAddr, _: &str) -> Result<MovedRun, MoveError> {
+        std::future::pending().await
+    }
+}
+
+pub(crate) fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn headers() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        attempt_id: name("x-attempt"),
+        deadline_ms: name("x-deadline-ms"),
+        key: name("x-key"),
+        account: name("x-account"),
+        prompt_parts: name("x-parts"),
+        token_counts: name("x-tokens"),
+        length_hint: name("x-hint"),
+        expected_server: name("x-expected"),
+        answering_server: name("x-answering"),
+        seal: name("x-seal"),
+        not_run: name("x-not-run"),
+        urgency: name("x-urgency"),
+        last_event: name("last-event-id"),
+        moved_from: name("x-moved-from"),
+        internal: Vec::new(),
+    }
+}
+
+/// A VM of that name that knows nothing yet.
+pub(crate) fn node(name: &str) -> Node {
+    let settings = NodeSettings {
+        name: name.into(),
+        data_centre: "a".into(),
+        ip: any().ip(),
+        cpu: 250,
+        front: any(),
+        ready: any(),
+        peer_port: 0,
+        metrics: any(),
+        bounds: Bounds {
+            change_in_force: Duration::from_secs(2),
+            key_removed: Duration::from_secs(5),
+            keys_fail_closed: true,
+            grace: Duration::from_secs(8),
+        },
+        retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        quotas: QuotaLimits::default(),
+        duties: Duties {
+            usage: false,
+            scaling: false,
+            usage_window: Duration::from_secs(5),
+            lease: Duration::from_secs(3),
+        },
+    };
+    Node::new(settings, headers(), Mover::start(NoEngines))
+}
+
+/// Runs a test where the node's tasks can run.
+pub(crate) fn run(test: impl FnOnce()) {
+    let rt = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    LocalSet::new().block_on(&rt, async { test() });
+}
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -135,6 +135,7 @@
             servers: self.shared.servers.borrow().clone(),
             own: self.shared.own.borrow().clone(),
             at: StoreRevision(100),
+            newest: StoreRevision(100),
         })
     }
 
