--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -31,6 +31,8 @@
 const PERIOD: Duration = Duration::from_millis(60);
 /// Periods between two questions to a collector that was silent.
 const BETTER_PERIODS: u32 = 32;
+/// Periods between two tellings of when the store answered: an eighth of the gap that counts as an outage.
+const CONTACT_PERIODS: u32 = 4;
 /// Periods between two tellings of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 12;
 /// Bytes of changes of the store in one datagram at most: a hundred servers that leave together. With the
@@ -88,6 +90,7 @@
         scope: Scope,
         share: Box<Share>,
         relayed: Option<Relayed>,
+        store: Option<ToldContact>,
     },
     Usage {
         counts: Counts,
@@ -114,7 +117,6 @@
     echo: Option<Echo>,
     /// The revision of the store that the teller has reached.
     seen: Option<u64>,
-    store: Option<ToldContact>,
     content: Content,
 }
 
@@ -227,7 +229,7 @@
         }
         node.backends.sweep();
         take_over_sums(&node, now);
-        tell_shares(&node, &socket, now);
+        tell_shares(&node, &socket, turn % CONTACT_PERIODS == 0, now);
         if turn % BETTER_PERIODS == 0 {
             ask_better_collector(&node, &socket, now);
         }
@@ -292,7 +294,7 @@
     }
 }
 
-fn tell_shares(node: &Node, socket: &UdpSocket, now: TimePoint) {
+fn tell_shares(node: &Node, socket: &UdpSocket, with_contact: bool, now: TimePoint) {
     let own = own_share(node);
     let peers = node.peers.borrow();
     let members: Vec<_> = peers.members.fresh_tellers(now).cloned().collect();
@@ -316,9 +318,11 @@
         }
     }
     drop(peers);
+    let store = if with_contact { told_contact(node, now) } else { None };
     for (address, scope, share) in sent {
         let relayed = if scope == Scope::Own { None } else { relayed(node, address, now) };
-        send(node, socket, address, Content::Share { scope, share: Box::new(share), relayed });
+        let share = Box::new(share);
+        send(node, socket, address, Content::Share { scope, share, relayed, store });
         node.peers.borrow_mut().book.asked(address, now);
     }
 }
@@ -329,7 +333,14 @@
     let better = node.peers.borrow().book.better_collector(now);
     let Some(address) = better else { return };
     let share = Box::<Share>::default();
-    send(node, socket, address, Content::Share { scope: Scope::Own, share, relayed: None });
+    let content = Content::Share { scope: Scope::Own, share, relayed: None, store: None };
+    send(node, socket, address, content);
+}
+
+fn told_contact(node: &Node, now: TimePoint) -> Option<ToldContact> {
+    let contact = node.store_contact.get().contact()?;
+    let age = now.since(contact.newest);
+    Some(ToldContact { age, steady: contact.newest.since(contact.since) })
 }
 
 /// What a VM that reads the store passes on to another.
@@ -358,9 +369,9 @@
 
 /// Takes it that the store answered another VM; however long the datagram was on its way, that isn't taken for newer
 /// than it is.
-fn take_contact(node: &Node, told: Option<ToldContact>, echo: Option<Echo>) {
-    let (Some(told), Some(sent_after)) = (told, sent_after(node, echo)) else { return };
-    let Some(newest) = earlier(sent_after, told.age) else { return };
+fn take_contact(node: &Node, told: ToldContact, echo: Option<Echo>) {
+    let newest = sent_after(node, echo).and_then(|it| earlier(it, told.age));
+    let Some(newest) = newest else { return };
     let since = earlier(newest, told.steady).unwrap_or(TimePoint::ZERO);
     if newest <= clock::now() {
         heard_of_store(node, Contact { since, newest });
@@ -420,11 +431,6 @@
         sent: now,
         echo,
         seen: node.store_view.borrow().reached().map(|it| it.0),
-        store: node
-            .store_contact
-            .get()
-            .contact()
-            .map(|it| ToldContact { age: now.since(it.newest), steady: it.newest.since(it.since) }),
         from: node.peers.borrow().book.me().clone(),
         incarnation: node.incarnation,
         wall_ms: clock::wall_ms(),
@@ -477,9 +483,12 @@
         peers.newest.insert(name.clone(), newest);
     }
     node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
-    take_contact(node, telling.store, telling.echo);
     match telling.content {
-        Content::Share { scope, share, relayed } => {
+        Content::Share { scope, share, relayed, store } => {
+            // What is relayed may say that servers are gone, and the contact whether that may be a lapse.
+            if let Some(told) = store {
+                take_contact(node, told, telling.echo);
+            }
             if let Some(relayed) = relayed {
                 take_relayed(node, relayed, telling.echo);
                 if config_copy::is_wanted(node, now) {
