--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -47,6 +47,7 @@
     registry: Registry,
     requests: Family<Ended, Counter>,
     first_answer: Family<ToRoute, Histogram>,
+    between_events: Family<ToRoute, Histogram>,
     sendings: Family<ToServer, Counter>,
     in_flight: Gauge,
     servers: Gauge,
@@ -60,8 +61,10 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("quincevalve");
         let requests = Family::default();
-        let first_answer = Family::<ToRoute, Histogram>::new_with_constructor(|| {
-            Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+        let [first_answer, between_events] = std::array::from_fn(|_| {
+            Family::<ToRoute, Histogram>::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+            })
         });
         let sendings = Family::default();
         let [in_flight, servers, vms, config_version, proof_age_ms] =
@@ -73,6 +76,11 @@
             "Time to the first byte of a server's answer",
             first_answer.clone(),
         );
+        registry.register(
+            "between_events_seconds",
+            "Time between two events of a stream, as they go to the caller",
+            between_events.clone(),
+        );
         registry.register("sendings", "Sendings to servers by result", sendings.clone());
         registry.register("in_flight", "Requests and streams at present", in_flight.clone());
         registry.register("servers", "Servers that take new work", servers.clone());
@@ -84,6 +92,7 @@
             registry,
             requests,
             first_answer,
+            between_events,
             sendings,
             in_flight,
             servers,
@@ -108,6 +117,12 @@
         self.first_answer.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    /// Takes the time between two events of a stream.
+    pub(crate) fn between_events(&self, route: &str, took: Duration) {
+        let labels = ToRoute { route: route.to_owned() };
+        self.between_events.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
     /// Counts a sending to a server.
     pub(crate) fn sending(&self, service: &str, result: &str) {
         let labels = ToServer { service: service.to_owned(), result: result.to_owned() };
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -86,6 +86,7 @@
         last_event: None,
         began: false,
         first_after: None,
+        newest_event: None,
         runs_before,
         _in_flight: InFlight::new(node),
     };
@@ -104,6 +105,8 @@
     began: bool,
     /// From the request's arrival to the first event.
     first_after: Option<Duration>,
+    /// When the newest event came.
+    newest_event: Option<Instant>,
     /// Servers that may have run the request before the first of this stream.
     runs_before: u32,
     _in_flight: InFlight,
@@ -202,6 +205,10 @@
                 note_answered(&self.node, &source.place, source.sent);
                 self.node.note_began(self.req.account.as_ref());
             }
+            let now = Instant::now();
+            if let Some(before) = self.newest_event.replace(now) {
+                self.node.metrics.between_events(&self.req.route.name, now - before);
+            }
             if self.tx.send(Ok(events)).await.is_err() {
                 return End::CallerLeft;
             }
--- a/crates/quincevalve_node/tests/whole_path.rs
+++ b/crates/quincevalve_node/tests/whole_path.rs
@@ -99,7 +99,7 @@
         world.ask("/once/7", "id-1", "").await;
         world.ask("/once/7", "id-2", "").await;
         assert_eq!(world.connections.get(), 1, "it was just used");
-        tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
         world.ask("/once/7", "id-3", "").await;
         assert_eq!(world.connections.get(), 2);
     });
@@ -348,6 +348,22 @@
     });
 }
 
+// Answers stumble between tokens, and no figure shows it: the pause while a stream goes from one server to another counts
+// as time between two events like any other.
+#[test]
+fn the_time_between_events_is_measured() {
+    run(async {
+        let script = |number, it: &Arrival| match number {
+            0 => Reply::SendAndClose(stream_head(it) + &events(1..=1)),
+            _ => Reply::Send(stream_head(it) + &events(2..=2) + END),
+        };
+        let world = World::start(2, script).await;
+        world.ask("/resumable/7", "id-1", "").await;
+        let count = "quincevalve_between_events_seconds_count{route=\"/resumable/\"}";
+        assert_eq!(metric(world.metrics, count).await, Some(1));
+    });
+}
+
 // A chat runs on three servers though its route allows two: the first server's answer was lost, the second one's
 // stream broke off before any event, and only the servers of the stream were counted.
 #[test]
