--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -110,6 +110,10 @@
 /// Servers that live put their entries back within two seconds; one that is still missing then is gone.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
+/// How long after the store's return an outage isn't believed in yet, so that others who had answers all the while have
+/// told so: twice the time between two such tellings, and their way.
+const DOUBT_TIME: Duration = Duration::from_millis(600);
+
 /// How long a server without an entry is remembered, so that running requests keep their load entry.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -125,6 +129,11 @@
     fn is_recent(&self, now: TimePoint) -> bool {
         self.to.since(self.from) >= LAPSE_AFTER && now.since(self.to) < RETURN_TIME
     }
+
+    /// Whether it was long enough ago that others would have denied it.
+    fn is_believed(&self, now: TimePoint) -> bool {
+        now.since(self.to) >= DOUBT_TIME
+    }
 }
 
 /// All servers, by name. A server that starts again may keep its name; it then has none of the work, the memory
@@ -314,6 +323,11 @@
         self.store_away.get_or_insert(before.map_or(since, |it| it.from));
     }
 
+    /// Whether the store is taken for away.
+    pub fn is_store_away(&self) -> bool {
+        self.store_away.is_some()
+    }
+
     /// Notes that the store answers again.
     pub fn store_found(&mut self, now: TimePoint) {
         if let Some(from) = self.store_away.take() {
@@ -337,6 +351,10 @@
     /// Failure: the store was away, entries lapsed meanwhile, and all servers look gone at its return.
     /// Symptom: every request is refused for two seconds. Entries that went missing around an outage
     /// therefore count until the time has passed in which living servers put theirs back.
+    ///
+    /// Failure: a VM gets no processor time for two seconds, and its first answer of the store looks like the end of an
+    /// outage. Symptom: until others have told it otherwise, requests reach servers that left meanwhile. At first
+    /// what is missing is a last resort only.
     pub fn is_usable(&self, server: &Server, now: TimePoint) -> bool {
         if server.leaving.is_some() {
             return false;
@@ -344,7 +362,10 @@
         match server.listing {
             Listing::Listed => true,
             Listing::Unreadable => false,
-            Listing::Removed(at) => self.store_away.is_none() && self.may_lapse(at, now),
+            Listing::Removed(at) => {
+                let is_believed = self.outage.is_some_and(|it| it.is_believed(now));
+                is_believed && self.may_lapse(at, now)
+            }
         }
     }
 
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store_sync.rs
@@ -106,7 +106,14 @@
     node.store_contact.set(contact);
     let now = clock::now();
     let mut servers = node.servers.borrow_mut();
+    // Failure: a VM was cut off, said so to itself, and then hears of answers that leave no gap. Symptom: it takes the
+    // store for away for good.
+    let is_there = contact.away_since(now).is_none();
     match news {
+        StoreNews::Unchanged if is_there && servers.is_store_away() => {
+            log::info!("store-never-away");
+            servers.store_never_away(now);
+        }
         StoreNews::Unchanged => {}
         StoreNews::Returned { since } => {
             log::info!(away_ms = now.since(since).as_millis() as u64; "store-returned");
@@ -218,3 +225,6 @@
     store.commit(&Commit { expected: Vec::new(), puts: vec![put] }).await?;
     Ok(lease)
 }
+
+#[cfg(test)]
+mod tests;
