A collector takes each member's share off one sum

Cause: the sum of all others was added up anew for each member, the square of the members; a weak VM that collects for twenty stalled for seconds.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -95,6 +95,17 @@
         self.memory = self.memory.saturating_sub(u64::from(work.memory));
     }
 
+    /// What is left of it without a part.
+    pub fn minus(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            prefill: self.prefill.saturating_sub(part.prefill),
+            urgent_prefill: self.urgent_prefill.saturating_sub(part.urgent_prefill),
+            memory: self.memory.saturating_sub(part.memory),
+            recent: self.recent.saturating_sub(part.recent),
+        }
+    }
+
     /// The sum of both.
     pub fn plus(self, other: Self) -> Self {
         Self {
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -1,6 +1,6 @@
 //! What VMs tell each other of their work and of quotas, summed up without counting anything twice.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, hash::Hash, time::Duration};
 
 use indexmap::IndexMap;
 use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
@@ -33,6 +33,51 @@
     pub demand: Demand,
 }
 
+/// What is left of a rate after a subtraction and is below this, in units or busy servers a second, is a rounding error.
+const ROUNDING: f64 = 1e-6;
+
+impl Share {
+    /// Adds another share.
+    pub fn add(&mut self, other: &Self) {
+        self.vms += other.vms;
+        for (server, work) in &other.works {
+            let known = self.works.entry(*server).or_default();
+            *known = known.plus(*work);
+        }
+        for (account, spending) in &other.spending {
+            *self.spending.entry(account.clone()).or_default() += spending;
+        }
+        for (service, busy) in &other.demand {
+            *self.demand.entry(service.clone()).or_default() += busy;
+        }
+    }
+
+    /// What is left of this sum without one share that was added to it.
+    ///
+    /// Load: a collector tells each of its members the sum of all others. Adding that up for each anew costs the square
+    /// of the members; taking one share off the sum of all costs each member once.
+    pub fn without(&self, part: &Self) -> Self {
+        let work = |(server, sum): (&u64, &WorkSum)| {
+            let rest = part.works.get(server).map_or(*sum, |it| sum.minus(*it));
+            (rest != WorkSum::default()).then_some((*server, rest))
+        };
+        Self {
+            vms: self.vms.saturating_sub(part.vms),
+            works: self.works.iter().filter_map(work).collect(),
+            spending: rates_without(&self.spending, &part.spending),
+            demand: rates_without(&self.demand, &part.demand),
+        }
+    }
+}
+
+fn rates_without<K>(sum: &IndexMap<K, f64>, part: &IndexMap<K, f64>) -> IndexMap<K, f64>
+where
+    K: Clone + Eq + Hash,
+{
+    let rest = sum.iter().map(|(key, rate)| (key, rate - part.get(key).copied().unwrap_or(0.0)));
+    rest.filter(|(_, rate)| rate.abs() >= ROUNDING).map(|(key, rate)| (key.clone(), rate)).collect()
+}
+
 #[derive(Clone, Debug)]
 struct Told {
     at: TimePoint,
@@ -65,19 +110,13 @@
     /// Adds all fresh shares but that of `except` to `sum`.
     pub fn add_to(&self, sum: &mut Share, except: Option<&str>, now: TimePoint) {
         let others = self.fresh(now).filter(|(teller, _)| Some(teller.as_str()) != except);
-        for (_, Told { share, .. }) in others {
-            sum.vms += share.vms;
-            for (server, work) in &share.works {
-                let known = sum.works.entry(*server).or_default();
-                *known = known.plus(*work);
-            }
-            for (account, spending) in &share.spending {
-                *sum.spending.entry(account.clone()).or_default() += spending;
-            }
-            for (service, busy) in &share.demand {
-                *sum.demand.entry(service.clone()).or_default() += busy;
-            }
-        }
+        others.for_each(|(_, it)| sum.add(&it.share));
+    }
+
+    /// What a teller told, if it is fresh.
+    pub fn told(&self, teller: &str, now: TimePoint) -> Option<&Share> {
+        let told = self.told.get(teller).filter(|it| now.since(it.at) <= FRESH)?;
+        Some(&told.share)
     }
 
     fn fresh(&self, now: TimePoint) -> impl Iterator<Item = (&String, &Told)> {
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -305,15 +305,15 @@
             sent.push((address, Scope::Own, own));
         }
         Role::Collector { others } => {
+            let mut share = own;
+            peers.members.add_to(&mut share, None, now);
+            let mut all = share.clone();
+            peers.collectors.add_to(&mut all, None, now);
             for member in &members {
                 let Some(address) = peers.member_addresses.get(member) else { continue };
-                let mut rest = own.clone();
-                peers.members.add_to(&mut rest, Some(member), now);
-                peers.collectors.add_to(&mut rest, None, now);
-                sent.push((*address, Scope::Rest, rest));
+                let Some(told) = peers.members.told(member, now) else { continue };
+                sent.push((*address, Scope::Rest, all.without(told)));
             }
-            let mut share = own;
-            peers.members.add_to(&mut share, None, now);
             sent.extend(others.into_iter().map(|it| (it, Scope::Members, share.clone())));
         }
     }
