--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use bincode::{DefaultOptions, Options};
 use quincevalve_forwarding::{
     change_log::Excerpt,
     parts::Part,
@@ -437,7 +438,7 @@
         true_ms: node.wall.borrow().true_ms(now),
         content,
     };
-    match bincode::serialize(&telling) {
+    match encoding().serialize(&telling) {
         // A datagram that can't be sent is like one that is lost.
         Ok(bytes) => {
             if let Err(error) = socket.try_send_to(&bytes, address) {
@@ -448,6 +449,14 @@
     }
 }
 
+/// How datagrams are encoded: numbers take as many bytes as they need.
+///
+/// Load: a collector tells each of its members the work at all servers, sixteen times a second. With numbers of fixed
+/// length and twenty members it sent 2.1 MB a second, and a VM of an eighth of a core had no time left for requests.
+fn encoding() -> impl Options {
+    DefaultOptions::new().with_limit(MAX_DATAGRAM as u64)
+}
+
 /// Hears peers, for as long as the process lives.
 pub(crate) async fn hear_peers(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -460,7 +469,7 @@
                 continue;
             }
         };
-        match bincode::deserialize::<Telling>(&buf[..length]) {
+        match encoding().deserialize::<Telling>(&buf[..length]) {
             Ok(telling) => hear(&node, &socket, telling),
             Err(error) => log::warn!(from:% = from, error:% = error; "telling-unreadable"),
         }
