--- a/crates/quincevalve_explain/src/story.rs
+++ b/crates/quincevalve_explain/src/story.rs
@@ -5,12 +5,14 @@
 use crate::line::{Line, Lines};
 
 /// Events of the process that can be the cause of what a request met.
-const CAUSES: [&str; 14] = [
+const CAUSES: [&str; 16] = [
     "started",
     "draining",
     "stopped",
     "store-lost",
     "store-regained",
+    "store-returned",
+    "store-never-away",
     "store-read-here",
     "store-history-gone",
     "config-applied",
@@ -40,9 +42,20 @@
         let _ = writeln!(text, "  {} {} {}", line.timestamp, line.message, line.fields());
     }
     let _ = writeln!(text, "so: {}", conclusion(&own));
+    for line in own.iter().filter(|it| is_of_unlisted(it)) {
+        let (server, ms) = (line.field("server"), line.field("unlisted_ms"));
+        let _ =
+            writeln!(text, "and: {server} got it {ms} ms after its entry went; see server-removed");
+    }
     Some(text)
 }
 
+/// Whether a line says that a server was chosen whose entry was missing.
+fn is_of_unlisted(line: &Line) -> bool {
+    let age = line.field("unlisted_ms");
+    !age.is_empty() && !age.starts_with('-')
+}
+
 /// The newest line of each cause before `until`; of servers only those that the request met.
 fn believed<'a>(lines: &'a Lines, vm: &str, until: &str, servers: &[String]) -> Vec<&'a Line> {
     let mut newest: Vec<&Line> = Vec::new();
