What is tolerated beyond a quota is not let in by chance

Cause: the ramp near an empty bucket was half of the whole bucket, of which most is tolerance: accounts that kept to their quotas were refused by chance while thousands of tokens were left.

Hypothesis: the ramp is needed over the burst alone; the other half of the tolerance covers what is not heard in time.

With no ramp at all the strict quota test fails (4.6 of 4.3 million); it passes with this. The new test failed first.

--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -39,7 +39,9 @@
 /// Bursts that an account can owe at most, so that one spell of spending elsewhere doesn't lock it out.
 const MOST_DEBT: f64 = 3.0;
 /// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge
-/// all VMs open and close together, one telling time late, and let in twice the quota by turns.
+/// all VMs open and close together, one telling time late, and let in twice the quota by turns. It lies over the burst
+/// alone: over what is tolerated, too, it refused accounts that kept to their quotas. Without it there 0.005 to 0.011
+/// more of the credit that is owed is earned, as a mean of ten days with faults on each of three small deployments.
 const RAMP: f64 = 0.5;
 /// Part of the burst with which a VM begins. Failure: many VMs restart, and each has the whole burst to give
 /// out. Symptom: an account that asks many times its quota gets a burst more at each restart. The ramp's
@@ -78,18 +80,22 @@
 struct Allowance {
     per_second: f64,
     burst: f64,
+    /// The level up to which requests are let in by chance.
+    ramp: f64,
 }
 
 impl Allowance {
     fn new(quota: &Quota, limits: &QuotaLimits) -> Self {
         let window = limits.window.as_secs_f64();
         if limits.window.is_zero() {
-            return Self { per_second: quota.per_second, burst: quota.burst };
+            let ramp = RAMP * quota.burst;
+            return Self { per_second: quota.per_second, burst: quota.burst, ramp };
         }
         let spread = SPREAD_PART * quota.burst / window;
         let in_a_window = quota.per_second * window + quota.burst;
         let tolerated = TOLERANCE_USED * (limits.overage * in_a_window + limits.slack);
-        Self { per_second: quota.per_second + spread, burst: KEPT_PART * quota.burst + tolerated }
+        let kept = KEPT_PART * quota.burst;
+        Self { per_second: quota.per_second + spread, burst: kept + tolerated, ramp: RAMP * kept }
     }
 }
 
@@ -195,9 +201,9 @@
         // quota gets most of it there. The burst is shared out like the rate.
         bucket.reckon(quota, reachable_part, now);
         let level = bucket.level;
-        if level <= draw * RAMP * quota.burst * reachable_part {
+        if level <= draw * quota.ramp * reachable_part {
             let rate = quota.per_second * reachable_part;
-            let seconds = (RAMP * quota.burst - level) / rate.max(1.0);
+            let seconds = (quota.ramp - level) / rate.max(1.0);
             let retry_after = Duration::from_secs_f64(seconds.clamp(0.05, 10.0));
             return Err(OverQuota { retry_after, level, others: bucket.others });
         }
--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -54,6 +54,19 @@
     assert!((95..=101).contains(&let_in(0, 2_000)), "{}", let_in(0, 2_000));
 }
 
+// A wave of an account that keeps to its quota is refused by the hundred, though most of what operators tolerate is left: the
+// ramp lay over what is tolerated, too, and let requests in by chance from half of it on.
+#[test]
+fn what_is_tolerated_is_not_let_in_by_chance() {
+    let limits = QuotaLimits { window: Duration::from_secs(8), overage: 0.1, slack: 100_000.0 };
+    let limit = quota(1_000.0, 1_000.0);
+    let mut book = QuotaBook::new(limits, ms(0));
+    let mut take = || book.take(&desk(), &limit, 100.0, 0.99, ms(0)).is_ok();
+    // A VM begins with half of 500 units of the burst and 50,450 that are tolerated.
+    let let_in = (0..1_000).filter(|_| take()).count();
+    assert!((250..=255).contains(&let_in), "{let_in}");
+}
+
 /// Units that one VM lets in each 10 ms, of an account that asks `asked` times its rate for so long.
 fn let_in_each_step(limits: QuotaLimits, asked: f64, seconds: usize) -> Vec<f64> {
     let limit = quota(1_000.0, 2_000.0);
