--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -52,6 +52,20 @@
     assert!(!usable(&table, ms(100)));
 }
 
+// Streams are cut with the server that they run on: it had said when it goes, its entry lapsed and came back, and the time
+// was forgotten, so that nothing was moved.
+#[test]
+fn the_end_of_a_leaving_server_is_not_forgotten() {
+    let mut table = ServerTable::default();
+    table.listed(&server(0), draining("a"), ms(0));
+    let goes_at = table.goes_at(&server(0), START);
+    assert!(goes_at.is_some());
+    table.removed(&server(0), ms(100));
+    assert!(table.listed(&server(0), entry("a"), ms(200)), "it was not listed");
+    assert!(!table.listed(&server(0), entry("a"), ms(300)), "it was");
+    assert_eq!(table.goes_at(&server(0), START), goes_at);
+}
+
 // Every caller is refused for two seconds after the store was away: all entries lapsed meanwhile, though the
 // servers live. They are used until the time is over in which living servers put their entries back.
 #[test]
--- a/crates/quincevalve_forwarding/tests/limits.rs
+++ b/crates/quincevalve_forwarding/tests/limits.rs
@@ -54,6 +54,21 @@
     assert!((95..=101).contains(&let_in(0, 2_000)), "{}", let_in(0, 2_000));
 }
 
+// An account gets more than its part on both sides of a partition: what the others let in falls to nothing, and the bucket is
+// filled beyond the part of the burst that stands for the VMs that are heard.
+#[test]
+fn what_others_no_longer_spend_fills_a_part_of_the_bucket_only() {
+    let config = config(1, Vec::new());
+    let limit = quota(1_000.0, 1_000.0);
+    let mut book = QuotaBook::new(PLAIN, ms(0));
+    book.set_others(&[(desk(), 900.0)].into_iter().collect(), 0.5, &config, ms(0));
+    book.set_others(&[(desk(), 900.0)].into_iter().collect(), 0.5, &config, ms(5_000));
+    book.set_others(&Spending::new(), 0.5, &config, ms(20_000));
+    let let_in = (0..5_000).filter(|_| book.take(&desk(), &limit, 1.0, DRAW, ms(20_000)).is_ok());
+    let let_in = let_in.count();
+    assert!(let_in <= 501, "{let_in}");
+}
+
 // A wave of an account that keeps to its quota is refused by the hundred, though most of what operators tolerate is left: the
 // ramp lay over what is tolerated, too, and let requests in by chance from half of it on.
 #[test]
--- a/crates/quincevalve_forwarding/tests/placement.rs
+++ b/crates/quincevalve_forwarding/tests/placement.rs
@@ -171,6 +171,18 @@
     assert!(place(&table, &Asking::default()).is_ok());
 }
 
+// A data centre is left alone for a second and a half though it is well: one server there crashed and was tried twice, or
+// two were, long after each other.
+#[test]
+fn one_server_out_of_reach_is_no_data_centre() {
+    let mut table = table(16);
+    for at in [0, 100] {
+        assert_eq!(table.unreachable(&server(1), START, ms(at)), [(server(1), START)]);
+    }
+    assert_eq!(table.unreachable(&server(5), START, ms(1_601)), [(server(5), START)]);
+    assert_eq!(table.unreachable(&server(9), START, ms(3_101)).len(), 4, "in time after the last");
+}
+
 // Caller after caller waits for a connection in vain: a data centre is cut off, and its servers are tried one
 // by one. After two of them the others are left alone too, for a while.
 #[test]
--- a/crates/quincevalve_forwarding/tests/store_contact.rs
+++ b/crates/quincevalve_forwarding/tests/store_contact.rs
@@ -152,6 +152,28 @@
     assert!(!usable(&table, ms(4_800)));
 }
 
+// While the store is away, a removal from before is none of its making, and one in its first moments neither: nothing has
+// lapsed yet.
+#[test]
+fn a_removal_before_entries_lapse_is_a_leave() {
+    let mut table = table(1);
+    table.removed(&server(0), ms(900));
+    table.store_lost(ms(1_000));
+    assert!(!usable(&table, ms(3_100)), "it was removed before");
+    let mut table = self::table(1);
+    table.store_lost(ms(1_000));
+    assert_eq!(table.removed(&server(0), ms(1_500)), Some(Removal::Leaving));
+    assert!(!usable(&table, ms(1_500)), "nothing lapses that soon");
+}
+
+#[test]
+fn a_placement_tells_for_how_long_an_entry_is_missing() {
+    let mut table = table(1);
+    assert_eq!(table.get(&server(0)).unwrap().unlisted_for(ms(100)), None);
+    table.removed(&server(0), ms(100));
+    assert_eq!(table.get(&server(0)).unwrap().unlisted_for(ms(350)), Some(millis(250)));
+}
+
 // All callers are refused: the store falls silent again before the entries that lapsed are back, and what had gone
 // missing in the first outage is taken for gone.
 #[test]
