Sight: which attempts ask for the same thing, and that a server exited under one

Logs of the incident could not tell a request that comes again from a run of bad luck, nor the end of a server from the end of one connection. 'placed' has a digest of path, account and body; a connection that breaks off is followed by an attempt to connect, and 'server-exited' is written where the port refuses it.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod quota;
 pub mod rate;
+pub mod request_digest;
 pub mod retry_window;
 pub mod servers;
 pub mod store_contact;
--- /dev/null
+++ b/crates/quincevalve_forwarding/src/request_digest.rs
@@ -0,0 +1,40 @@
+//! Tells whether two attempts ask for the same thing.
+
+use std::fmt;
+
+use quincevalve_names::{ClientAccountName, hash_parts};
+use serde::{Deserialize, Serialize};
+
+/// What a request asks for, by whom: the same for each attempt of the same path, account and body, at any VM.
+///
+/// Attempt ids differ for each attempt, so they can't tell that a request comes again. The hash is cryptographic, so
+/// that no account can make a request that counts as another account's.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestDigest(pub u64);
+
+impl RequestDigest {
+    /// The digest of a request. `path` includes the query.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use quincevalve_forwarding::request_digest::RequestDigest;
+    /// let desk = "desk".into();
+    /// let first = RequestDigest::of(Some(&desk), "/seats/7", b"two");
+    /// assert_eq!(first, RequestDigest::of(Some(&desk), "/seats/7", b"two"));
+    /// assert_ne!(first, RequestDigest::of(None, "/seats/7", b"two"));
+    /// assert_ne!(first, RequestDigest::of(Some(&desk), "/seats/7", b"three"));
+    /// ```
+    pub fn of(account: Option<&ClientAccountName>, path: &str, body: &[u8]) -> Self {
+        let account = account.map_or("", ClientAccountName::as_str);
+        Self(hash_parts([account.as_bytes(), path.as_bytes(), body]))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether it leaves or its entry is gone, so that its end is expected.
+    pub fn is_going(&self) -> bool {
+        self.leaving.is_some() || matches!(self.listing, Listing::Removed(_))
+    }
+
     /// Expects the end of a server whose entry is gone without an announcement.
     fn leaves_silently(&mut self, now: TimePoint) {
         let left = if self.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
--- a/crates/quincevalve_names/src/lib.rs
+++ b/crates/quincevalve_names/src/lib.rs
@@ -11,7 +11,7 @@
 mod time_point;
 
 pub use crate::{
-    mix::{hash_text, mix, rendezvous_score},
+    mix::{hash_parts, hash_text, mix, rendezvous_score},
     numbers::{FencingNumber, Incarnation, Revision, Sequence, TokenCount},
     outcome::Outcome,
     request_id::{HomeTag, InvalidRequestId, RequestId},
--- a/crates/quincevalve_names/src/mix.rs
+++ b/crates/quincevalve_names/src/mix.rs
@@ -11,9 +11,27 @@
 /// assert_ne!(quincevalve_names::hash_text("erding"), quincevalve_names::hash_text("freising"));
 /// ```
 pub fn hash_text(text: &str) -> u64 {
-    let digest = Sha256::digest(text.as_bytes());
+    first_bytes(Sha256::digest(text.as_bytes()))
+}
+
+/// Hashes several byte strings into one number; where one ends and the next begins counts too.
+///
+/// ```
+/// use quincevalve_names::hash_parts;
+/// assert_ne!(hash_parts([b"ab".as_slice(), b"c"]), hash_parts([b"a".as_slice(), b"bc"]));
+/// ```
+pub fn hash_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    first_bytes(hasher.finalize())
+}
+
+fn first_bytes(digest: impl AsRef<[u8]>) -> u64 {
     let mut first = [0; 8];
-    first.copy_from_slice(&digest[..8]);
+    first.copy_from_slice(&digest.as_ref()[..8]);
     u64::from_be_bytes(first)
 }
 
--- a/crates/quincevalve_node/src/backends.rs
+++ b/crates/quincevalve_node/src/backends.rs
@@ -49,6 +49,16 @@
     Handshake { address: SocketAddr, source: hyper::Error },
 }
 
+/// What an attempt to connect tells of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Listens,
+    /// Its VM answers, and no process listens at its port.
+    NobodyListens,
+    /// Nothing, or something else, came back.
+    Unknown,
+}
+
 /// Ends the task of a connection with its owner, so that a request that is given up leaves the server at
 /// once: the server sees the connection close and stops its work.
 #[derive(Debug)]
@@ -99,6 +109,25 @@
         }
     }
 
+    /// Whether a server still listens. A connection that can be made is kept for the next request.
+    pub(crate) async fn reach(&self, place: &Placement, address: SocketAddr) -> Reach {
+        match self.connect(address).await {
+            Ok(connection) => {
+                self.keep(place, connection, &KeepAlive::For(REUSE_LIMIT));
+                Reach::Listens
+            }
+            Err(ConnectError::Refused { source, .. })
+                if source.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                Reach::NobodyListens
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "reach-unknown");
+                Reach::Unknown
+            }
+        }
+    }
+
     /// Keeps a connection for the next request, for as long as the server's answer says.
     pub(crate) fn keep(&self, place: &Placement, mut connection: Connection, answer: &KeepAlive) {
         let KeepAlive::For(time) = answer else { return };
--- a/crates/quincevalve_node/src/dispatch.rs
+++ b/crates/quincevalve_node/src/dispatch.rs
@@ -18,6 +18,7 @@
     body::AnswerBody,
     clock,
     exchange::{Failed, ServerAnswer, about, exchange, note_answered},
+    exit_check::connection_broke,
     identify::{Identified, is_hop_by_hop},
     node::Node,
     refusal::Refusal,
@@ -117,7 +118,8 @@
             server = place.server.as_str(), urgency = req.urgency, home = place.home.map_or(-1, usize::cast_signed) as i64,
             predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
             prefill = place.seen.prefill, recent = place.seen.recent,
-            told_age_ms = place.told_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place);
+            told_age_ms = place.told_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place),
+            digest = req.digest;
             "placed"
         );
         let failed = match exchange(node, &req, &body, &place, &[]).await {
@@ -290,6 +292,7 @@
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "answer-broke-off");
             about(node, place, |it, _| it.load.failed());
+            connection_broke(node, req, place);
             return Err(Failed::MayHaveRun);
         }
         Ok(Ok(whole)) => whole.to_bytes(),
--- a/crates/quincevalve_node/src/exchange.rs
+++ b/crates/quincevalve_node/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One sending of a request to one server.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
@@ -16,6 +16,7 @@
 use crate::{
     backends::{Connection, KeepAlive},
     clock,
+    exit_check::connection_broke,
     identify::{Identified, text},
     node::{Node, left},
     story::note,
@@ -47,7 +48,7 @@
 
 /// Sends a request to the server that was picked for it.
 pub(crate) async fn exchange(
-    node: &Node,
+    node: &Rc<Node>,
     req: &Identified,
     body: &Bytes,
     place: &Placement,
@@ -98,6 +99,7 @@
             // Other connections of the same age are likely to be gone too.
             node.backends.forget(place);
             about(node, place, |it, now| it.load.unreachable(now));
+            connection_broke(node, req, place);
             return Err(Failed::MayHaveRun);
         }
     };
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/front.rs
@@ -157,11 +157,12 @@
     // Also for a request that is refused: an answer before the end of the body is followed by a reset,
     // which can overtake it.
     let body = read_body(req, body_limit, until).await;
-    let identified = identified.map_err(|refusal| match refusal {
+    let mut identified = identified.map_err(|refusal| match refusal {
         Refusal::StaleConfig => Refused { refusal, retry_after: Some(stale_retry(node)) },
         _ => refusal.into(),
     })?;
     let body = body?;
+    identified.body_read(&body);
     if !node.can_finish(&identified.route) {
         return Err(Refused { refusal: Refusal::Stopping, retry_after: Some(STOPPING_RETRY) });
     }
--- a/crates/quincevalve_node/src/identify.rs
+++ b/crates/quincevalve_node/src/identify.rs
@@ -6,6 +6,7 @@
 use quincevalve_forwarding::{
     config::{ForwardingConfig, Repeat, Route},
     placement::Prompt,
+    request_digest::RequestDigest,
 };
 use quincevalve_names::{ClientAccountName, ServiceName, hash_text};
 use tokio::time::Instant;
@@ -16,6 +17,8 @@
 #[derive(Debug)]
 pub(crate) struct Identified {
     pub(crate) id: String,
+    /// What it asks for; known once its body was read.
+    pub(crate) digest: RequestDigest,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// The headers that go on to a server.
@@ -37,6 +40,12 @@
         self.route.repeat
     }
 
+    /// Notes the body that came after the head.
+    pub(crate) fn body_read(&mut self, body: &[u8]) {
+        let path = self.uri.path_and_query().map_or("", |it| it.as_str());
+        self.digest = RequestDigest::of(self.account.as_ref(), path, body);
+    }
+
     /// The prompt's tokens and the most that may be generated.
     pub(crate) fn token_counts(&self) -> Option<(u32, u32)> {
         self.prompt.map(|it| (it.input, it.output))
@@ -62,6 +71,7 @@
     let limit = waits.map_or(route.timeout, |it| it.min(route.timeout));
     let urgency = account.as_ref().and_then(|it| config.accounts.get(it)?.urgency);
     Ok(Identified {
+        digest: RequestDigest::default(),
         method: req.method().clone(),
         uri: req.uri().clone(),
         headers: forwarded(names, req.headers()),
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod duties;
 mod exchange;
+mod exit_check;
 mod front;
 mod identify;
 mod metrics;
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -18,6 +18,7 @@
     clock, dispatch,
     dispatch::{WorkGuard, passed_on},
     exchange::{ServerAnswer, about, exchange, note_answered},
+    exit_check::connection_broke,
     identify::Identified,
     node::{InFlight, Node},
     story::note,
@@ -134,6 +135,7 @@
                 }
                 End::BrokeOff => {
                     about(&self.node, &source.place, |it, _| it.load.failed());
+                    connection_broke(&self.node, &self.req, &source.place);
                     drop(source);
                     let Some(next) = self.resume(&mut servers).await else {
                         self.ended("broke-off", &servers);
