--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -31,7 +31,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     task::{LocalSet, spawn_local},
     time::sleep,
 };
@@ -395,6 +395,9 @@
     SendAndWait(String),
     /// Sends these bytes, waits for the word, and closes the connection.
     SendAndHold(String, Rc<Notify>),
+    /// Sends these bytes, and the server's process ends with all its connections. Another start of it comes back under
+    /// a name and at a port of its own.
+    SendAndExit(String),
 }
 
 /// A request as a server got it.
@@ -489,9 +492,16 @@
         let store = FakeStore::default();
         let (arrivals_tx, arrivals) = mpsc::unbounded_channel();
         let (left_tx, left) = mpsc::unbounded_channel();
-        let script = Rc::new(script);
-        let seen = Rc::new(RefCell::new(0));
         let connections = Rc::new(Cell::new(0));
+        let fleet = Rc::new(Fleet {
+            script,
+            store: store.clone(),
+            seen: Cell::new(0),
+            started: Cell::new(count),
+            arrivals: arrivals_tx,
+            left: left_tx,
+            connections: connections.clone(),
+        });
         let mut servers = Vec::new();
         for at in 0..count {
             let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
@@ -499,17 +509,7 @@
             servers.push(address);
             let name = format!("server-{at}");
             store.shared.servers.borrow_mut().push((name.as_str().into(), entry(address)));
-            let (script, seen) = (script.clone(), seen.clone());
-            let (arrivals, left) = (arrivals_tx.clone(), left_tx.clone());
-            let connections = connections.clone();
-            spawn_local(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    connections.set(connections.get() + 1);
-                    let (script, seen) = (script.clone(), seen.clone());
-                    let (arrivals, left) = (arrivals.clone(), left.clone());
-                    spawn_local(serve(at, stream, script, seen, arrivals, left));
-                }
-            });
+            spawn_local(run_server(fleet.clone(), at, listener));
         }
         *store.shared.config.borrow_mut() = Some(config());
         let vm = Vm::start("vm-1", store.clone()).await;
@@ -549,21 +549,75 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// What all scripted servers share.
+struct Fleet<F> {
+    script: F,
+    store: FakeStore,
+    /// Requests that have arrived.
+    seen: Cell<usize>,
+    /// Servers that were started.
+    started: Cell<usize>,
+    arrivals: mpsc::UnboundedSender<Arrival>,
+    left: mpsc::UnboundedSender<usize>,
+    connections: Rc<Cell<usize>>,
+}
+
+/// Time until another start of a server that exited is back.
+const RESTART_TIME: Duration = Duration::from_millis(100);
+
+/// Runs a server, and after each exit its next start.
+async fn run_server<F>(fleet: Rc<Fleet<F>>, mut at: usize, mut listener: TcpListener)
+where
+    F: Fn(usize, &Arrival) -> Reply + 'static,
+{
+    loop {
+        serve_until_exit(&fleet, at, listener).await;
+        let gone = format!("server-{at}");
+        sleep(RESTART_TIME).await;
+        listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        at = fleet.started.replace(fleet.started.get() + 1);
+        let address = listener.local_addr().expect("an address");
+        fleet.store.change(&format!("server-{at}"), entry(address));
+        fleet.store.remove(&gone);
+    }
+}
+
+/// Serves until a request ends the process; then nobody listens any more and all connections are closed.
+async fn serve_until_exit<F>(fleet: &Rc<Fleet<F>>, at: usize, listener: TcpListener)
+where
+    F: Fn(usize, &Arrival) -> Reply + 'static,
+{
+    let (exit_tx, exit) = watch::channel(false);
+    let exit_tx = Rc::new(exit_tx);
+    let mut exited = exit.clone();
+    loop {
+        let stream = tokio::select! {
+            _ = exited.wait_for(|it| *it) => return,
+            accepted = listener.accept() => accepted.expect("a connection").0,
+        };
+        fleet.connections.set(fleet.connections.get() + 1);
+        let (fleet, exit_tx, mut exit) = (fleet.clone(), exit_tx.clone(), exit.clone());
+        spawn_local(async move {
+            tokio::select! {
+                _ = exit.wait_for(|it| *it) => {}
+                () = serve(&fleet, at, stream, &exit_tx) => {}
+            }
+        });
+    }
+}
+
 async fn serve<F>(
+    fleet: &Fleet<F>,
     server: usize,
     mut stream: TcpStream,
-    script: Rc<F>,
-    seen: Rc<RefCell<usize>>,
-    arrivals: mpsc::UnboundedSender<Arrival>,
-    left: mpsc::UnboundedSender<usize>,
+    exit: &watch::Sender<bool>,
 ) where
     F: Fn(usize, &Arrival) -> Reply,
 {
     while let Some(arrival) = read_request(server, &mut stream).await {
-        let number = *seen.borrow();
-        *seen.borrow_mut() += 1;
-        let reply = script(number, &arrival);
-        let _ = arrivals.send(arrival);
+        let number = fleet.seen.replace(fleet.seen.get() + 1);
+        let reply = (fleet.script)(number, &arrival);
+        let _ = fleet.arrivals.send(arrival);
         match reply {
             Reply::Send(text) => {
                 let _ = stream.write_all(text.as_bytes()).await;
@@ -576,7 +630,7 @@
                 let _ = stream.write_all(text.as_bytes()).await;
                 let mut rest = [0; 64];
                 while matches!(stream.read(&mut rest).await, Ok(read) if read > 0) {}
-                let _ = left.send(server);
+                let _ = fleet.left.send(server);
                 return;
             }
             Reply::SendAndHold(text, word) => {
@@ -584,6 +638,11 @@
                 word.notified().await;
                 return;
             }
+            Reply::SendAndExit(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                exit.send_replace(true);
+                return;
+            }
         }
     }
 }
