A stream whose request was quarantined while it ran is not moved

Callers of the other engine lost their streams: whether a run may be moved was decided when its stream began, so one that was quarantined meanwhile was moved when its engine was taken back, and the other engine ended too. It is decided anew at each look.

--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -31,4 +31,7 @@
 #[cfg(test)]
 mod test_node;
 
-pub use crate::start::{Listeners, StartError, run};
+pub use crate::{
+    quarantine::{lift_quarantine, quarantined},
+    start::{Listeners, StartError, run},
+};
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -54,6 +54,7 @@
     vms: Gauge,
     config_version: Gauge,
     proof_age_ms: Gauge,
+    quarantined: Gauge,
     lines_left_out: Counter,
 }
 
@@ -67,7 +68,7 @@
             })
         });
         let sendings = Family::default();
-        let [in_flight, servers, vms, config_version, proof_age_ms] =
+        let [in_flight, servers, vms, config_version, proof_age_ms, quarantined] =
             std::array::from_fn(|_| Gauge::default());
         let lines_left_out = Counter::default();
         registry.register("requests", "Requests by route and outcome", requests.clone());
@@ -87,6 +88,7 @@
         registry.register("vms", "Entry VMs that are known", vms.clone());
         registry.register("config_version", "Configuration in force", config_version.clone());
         registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
+        registry.register("quarantined", "Requests kept from servers", quarantined.clone());
         registry.register("log_lines_left_out", "Log lines not written", lines_left_out.clone());
         Self {
             registry,
@@ -99,6 +101,7 @@
             vms,
             config_version,
             proof_age_ms,
+            quarantined,
             lines_left_out,
         }
     }
@@ -144,6 +147,7 @@
         self.vms.set(gauge(node.vms()));
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.quarantined.set(gauge(node.poison.borrow().listed().count()));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics-not-encoded");
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/relay.rs
@@ -166,14 +166,16 @@
     }
 
     /// Passes whole events on until the source ends.
-    async fn pump(&mut self, source: &mut Source, can_move: bool) -> End {
+    async fn pump(&mut self, source: &mut Source, may_move: bool) -> End {
         loop {
+            // A request may be quarantined while its stream runs: the other engine would end too.
+            let can_move = may_move && !quarantine::is_quarantined(&self.node, &self.req);
             let move_at = if can_move { self.move_at(&source.place) } else { None };
             let frame = tokio::select! {
                 biased;
                 () = self.tx.closed() => return End::CallerLeft,
                 () = wait_until(move_at) => return End::MustMove,
-                () = self.node.changed.notified(), if can_move && move_at.is_none() => continue,
+                () = self.node.changed.notified(), if may_move && move_at.is_none() => continue,
                 frame = timeout_at(self.req.deadline, source.incoming.frame()) => frame,
             };
             let data = match frame {
@@ -215,12 +217,7 @@
         }
     }
 
-    /// Whether the stream may go to another engine before its own goes. One of a quarantined request stays where it is:
-    /// the other engine would end too.
     fn can_move(&self) -> bool {
-        if quarantine::is_quarantined(&self.node, &self.req) {
-            return false;
-        }
         let engine = self.req.config.services.get(&self.req.service).and_then(|it| it.engine);
         engine.is_some_and(|it| it.moves)
     }
--- a/crates/quincevalve_node/tests/poison_request.rs
+++ b/crates/quincevalve_node/tests/poison_request.rs
@@ -34,14 +34,21 @@
     arrival.head.contains("/poison HTTP/1.1")
 }
 
-/// The same, but attempts whose ids begin with `held` get `first` and are held until the word.
+/// The same, but the attempt `held` gets `first` and is held until the word. Its server lives on whatever else it runs.
 fn holding(
     first: fn(&Arrival) -> String,
     word: Rc<Notify>,
 ) -> impl Fn(usize, &Arrival) -> Reply + 'static {
-    move |number, arrival| match arrival.header("x-attempt") {
-        Some(id) if id.starts_with("held") => Reply::SendAndHold(first(arrival), word.clone()),
-        _ => script(number, arrival),
+    let holds = Cell::new(None);
+    move |number, arrival| {
+        if arrival.header("x-attempt") == Some("held") {
+            holds.set(Some(arrival.server));
+            return Reply::SendAndHold(first(arrival), word.clone());
+        }
+        if holds.get() == Some(arrival.server) {
+            return Reply::SendAndClose(String::new());
+        }
+        script(number, arrival)
     }
 }
 
