--- a/crates/quincevalve_explain/src/story.rs
+++ b/crates/quincevalve_explain/src/story.rs
@@ -4,6 +4,9 @@
 
 use crate::line::{Line, Lines};
 
+/// Events about a request that is asked for again and again, told by whichever VM saw them.
+const OF_A_DIGEST: [&str; 4] = ["server-exited", "quarantined", "trial-begun", "quarantine-lifted"];
+
 /// Events of the process that can be the cause of what a request met.
 const CAUSES: [&str; 16] = [
     "started",
@@ -41,6 +44,14 @@
     for line in believed(lines, &last.vm, &last.timestamp, &servers) {
         let _ = writeln!(text, "  {} {} {}", line.timestamp, line.message, line.fields());
     }
+    let asked_again = of_the_same_digest(lines, &own, id);
+    if !asked_again.is_empty() {
+        let _ = writeln!(text, "of other attempts for the same");
+    }
+    for line in asked_again {
+        let _ =
+            writeln!(text, "  {} {} {} {}", line.timestamp, line.vm, line.message, line.fields());
+    }
     let _ = writeln!(text, "so: {}", conclusion(&own));
     for line in own.iter().filter(|it| is_of_unlisted(it)) {
         let (server, ms) = (line.field("server"), line.field("unlisted_ms"));
@@ -50,6 +61,16 @@
     Some(text)
 }
 
+/// What VMs saw of other attempts for the same, where this one was kept from servers or a server exited under it.
+fn of_the_same_digest<'a>(lines: &'a Lines, own: &[&Line], id: &str) -> Vec<&'a Line> {
+    let told = own.iter().find(|it| ["withheld", "server-exited"].contains(&it.message.as_str()));
+    let Some(digest) = told.map(|it| it.field("digest")) else { return Vec::new() };
+    let is_about = |it: &&Line| {
+        OF_A_DIGEST.contains(&it.message.as_str()) && it.field("digest") == digest && !it.is_of(id)
+    };
+    lines.lines.iter().filter(is_about).collect()
+}
+
 /// Whether a line says that a server was chosen whose entry was missing.
 fn is_of_unlisted(line: &Line) -> bool {
     let age = line.field("unlisted_ms");
@@ -115,6 +136,7 @@
         "servers-refused" => "each server that was asked said that it did not run it",
         "stopping" => "the VM had SIGTERM; see draining above",
         "server-failed" => "a server took it and gave no whole answer; see exchange-failed",
+        "quarantined" => "servers exited under the same request; see server-exited above",
         "late" => "a server took it and was silent until the deadline",
         "unknown-key" => "no account holds the key in this version",
         "no-route" => "no route of this version matches host and path",
--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -138,7 +138,7 @@
         if self.inquiries.shift_remove(&digest).is_some_and(|until| until > now) {
             self.outbox.send(Recipient::Arbiters, PoisonMessage::Completed(digest), now);
         }
-        self.quarantine.is_known(digest)
+        self.quarantine.is_known(digest, now)
     }
 
     /// Whether a request may be sent to a server. `true_ms` is the time of day.
@@ -163,7 +163,7 @@
 
     /// Takes an entry of the store.
     pub fn entry_listed(&mut self, digest: RequestDigest, entry: QuarantineEntry) {
-        self.cases.close(digest);
+        self.cases.forget(digest);
         self.quarantine.entry_listed(digest, entry);
     }
 
@@ -199,7 +199,7 @@
     pub fn hear(&mut self, from: &str, message: PoisonMessage, now: TimePoint) {
         match message {
             PoisonMessage::Exited { digest, server } => {
-                if !self.quarantine.is_known(digest) {
+                if !self.quarantine.is_known(digest, now) {
                     self.cases.report(digest, server, now);
                 }
             }
@@ -215,7 +215,7 @@
             }
             PoisonMessage::Completed(digest) => self.cases.cleared(digest, now),
             PoisonMessage::Quarantined { digest, servers } => {
-                self.cases.close(digest);
+                self.cases.forget(digest);
                 self.cases.explained(&servers);
                 self.quarantine.told(digest, now);
             }
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -49,22 +49,18 @@
     Cleared {
         at: TimePoint,
     },
-    /// It is quarantined.
-    Closed,
 }
 
 #[derive(Clone, Debug)]
 struct Case {
     /// Servers that exited, each with the first word of it, oldest first.
     exits: Vec<(u64, TimePoint)>,
-    /// Exits that make the request the likely cause.
-    needed: usize,
     stage: Stage,
 }
 
 impl Default for Case {
     fn default() -> Self {
-        Self { exits: Vec::new(), needed: EXITS, stage: Stage::Open }
+        Self { exits: Vec::new(), stage: Stage::Open }
     }
 }
 
@@ -142,7 +138,7 @@
         if matches!(case.stage, Stage::Cleared { at } if now.since(at) > CLEARED_TIME) {
             *case = Case::default();
         }
-        if matches!(case.stage, Stage::Cleared { .. } | Stage::Closed) {
+        if matches!(case.stage, Stage::Cleared { .. }) {
             return;
         }
         case.exits.retain(|(_, at)| now.since(*at) <= REMEMBERED);
@@ -150,16 +146,14 @@
             return;
         }
         case.exits.push((server, now));
-        if case.stage == Stage::Open && case.exits.len() >= case.needed {
+        if case.stage == Stage::Open && case.exits.len() >= EXITS {
             case.stage = Stage::Accused { since: now };
         }
     }
 
     /// Takes it that the request ended well somewhere.
     pub(super) fn cleared(&mut self, digest: RequestDigest, now: TimePoint) {
-        if let Some(case) = self.cases.get_mut(&digest)
-            && case.stage != Stage::Closed
-        {
+        if let Some(case) = self.cases.get_mut(&digest) {
             *case = Case { stage: Stage::Cleared { at: now }, ..Case::default() };
         }
     }
@@ -167,13 +161,12 @@
     /// Takes it that another request is suspected for these servers.
     ///
     /// Failure: a popular request happens to be on each of the first three servers that a poison request ends. Symptom:
-    /// both are quarantined. The evidence against both is the same, and the next exit is under one of them only.
+    /// both are quarantined. The evidence against both is the same; the next exit, which is under one of them, accuses that.
     pub(super) fn has_rival(&mut self, rival: RequestDigest, servers: &Servers) {
         let accused = self.cases.iter_mut().filter(|(it, case)| **it != rival && case.is_accused());
         for (_, case) in accused {
             if case.exits.iter().all(|(server, _)| servers.has(*server)) {
                 case.stage = Stage::Open;
-                case.needed = case.exits.len() + 1;
             }
         }
     }
@@ -182,19 +175,13 @@
     pub(super) fn explained(&mut self, servers: &Servers) {
         for case in self.cases.values_mut() {
             case.exits.retain(|(server, _)| !servers.has(*server));
-            if case.is_accused() && case.exits.len() < case.needed {
+            if case.is_accused() && case.exits.len() < EXITS {
                 case.stage = Stage::Open;
             }
         }
     }
 
-    /// Ends a case whose request is quarantined.
-    pub(super) fn close(&mut self, digest: RequestDigest) {
-        if let Some(case) = self.cases.get_mut(&digest) {
-            *case = Case { stage: Stage::Closed, ..Case::default() };
-        }
-    }
-
+    /// Ends a case: its request is quarantined, or no longer.
     pub(super) fn forget(&mut self, digest: RequestDigest) {
         self.cases.shift_remove(&digest);
     }
@@ -205,7 +192,7 @@
     }
 
     /// The steps that are due. Which arbiter `me` is, of all VMs' `names`, says when it has its turn.
-    /// Where some VMs aren't heard, which may have seen the request end well, one exit more is needed.
+    /// Where some VMs aren't heard, which may have seen the request end well, the next exit has to accuse it once more.
     pub(super) fn tick(
         &mut self,
         names: &[&str],
@@ -219,7 +206,6 @@
             match case.stage {
                 Stage::Accused { .. } if misses_some && case.exits.len() <= EXITS => {
                     case.stage = Stage::Open;
-                    case.needed = EXITS + 1;
                 }
                 Stage::Accused { since }
                     if is_small || now.since(since) >= turn(*digest, names, me) =>
@@ -235,11 +221,15 @@
                     }
                     let (servers, exits) = (case.servers(), case.exits());
                     steps.push(Step::Quarantine { digest: *digest, servers, exits });
-                    *case = Case { stage: Stage::Closed, ..Case::default() };
                 }
                 _ => {}
             }
         }
+        for step in &steps {
+            if let Step::Quarantine { digest, .. } = step {
+                self.forget(*digest);
+            }
+        }
         steps
     }
 }
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -104,8 +104,8 @@
     }
 
     /// Whether anybody has said that it is quarantined.
-    pub(super) fn is_known(&self, digest: RequestDigest) -> bool {
-        self.is_listed(digest) || self.told.contains_key(&digest)
+    pub(super) fn is_known(&self, digest: RequestDigest, now: TimePoint) -> bool {
+        self.is_listed(digest) || self.told.get(&digest).is_some_and(|until| *until > now)
     }
 
     pub(super) fn listed(&self) -> impl Iterator<Item = (RequestDigest, QuarantineEntry)> {
--- a/crates/quincevalve_forwarding/tests/poison.rs
+++ b/crates/quincevalve_forwarding/tests/poison.rs
@@ -108,6 +108,15 @@
     assert!(matches!(arbiter.guard.standing(POISON, at(1_100), None), Standing::Quarantined(_)));
 }
 
+// VMs that lose the first questions are asked again while there is time to answer.
+#[test]
+fn an_inquiry_is_repeated() {
+    let mut arbiter = Alone::arbiter(0, MANY);
+    arbiter.exits(POISON, &TOGETHER);
+    let asked = (0..200).map(|it| 250 + it * 10).filter(|it| arbiter.inquiries(*it) > 0);
+    assert_eq!(asked.collect::<Vec<_>>(), [250, 320, 390, 1_000]);
+}
+
 // Each of a dozen VMs had a copy on the server that exited, and tells so three times: it is one exit.
 #[test]
 fn each_server_counts_once_whoever_tells() {
@@ -173,10 +182,20 @@
     let to: Vec<&str> = told.iter().map(|(to, _)| to.as_str()).collect();
     // The third of them is this VM itself.
     assert_eq!(to, arbiters(POISON, &refs)[..2]);
+    // The arbiter decides a second and a half after its question.
+    let mut vm = Alone::arbiter(2, MANY);
+    vm.hear(inquiry(POISON, &SEPARATE), 0);
+    vm.guard.completed(POISON, at(1_500));
+    assert!(vm.tick(1_500).is_empty());
+}
+
+#[test]
+fn a_vm_answers_each_of_two_inquiries() {
     let mut vm = Alone::arbiter(2, MANY);
     vm.hear(inquiry(POISON, &SEPARATE), 0);
-    vm.guard.completed(POISON, at(1_600));
-    assert!(vm.tick(1_600).is_empty());
+    vm.hear(inquiry(OTHER, &TOGETHER), 100);
+    vm.guard.completed(POISON, at(200));
+    assert!(!vm.tick(200).is_empty());
 }
 
 #[test]
@@ -246,6 +265,28 @@
     assert_eq!(arbiter.decides(800), Some((220, Exits::Separate)));
 }
 
+// One exit of four is explained by another request; three are left.
+#[test]
+fn exits_that_are_left_count_on() {
+    let mut arbiter = Alone::arbiter(0, MANY);
+    arbiter.exits(POISON, &[(9, 0)]);
+    arbiter.exits(POISON, &SEPARATE.map(|(server, millis)| (server, millis + 400)));
+    arbiter.tick(1_200);
+    arbiter.hear(quarantined(OTHER, &[(9, 0), (10, 400), (11, 800)]), 1_300);
+    assert_eq!(arbiter.decides(1_300), Some((120, Exits::Separate)));
+}
+
+// Of a request that isn't accused yet a rival says nothing.
+#[test]
+fn a_rival_before_the_third_exit_changes_nothing() {
+    let mut arbiter = Alone::arbiter(0, MANY);
+    arbiter.exits(POISON, &SEPARATE[..1]);
+    assert!(!arbiter.guard.is_due(at(0)));
+    arbiter.hear(inquiry(OTHER, &SEPARATE), 100);
+    arbiter.exits(POISON, &SEPARATE[1..2]);
+    assert_eq!(arbiter.decides(400), None);
+}
+
 #[test]
 fn exits_that_another_request_is_to_blame_for_do_not_count() {
     let mut arbiter = Alone::arbiter(0, MANY);
@@ -271,13 +312,21 @@
 #[test]
 fn an_arbiter_that_misses_some_needs_one_exit_more() {
     let mut arbiter = Alone::arbiter(0, MANY);
-    arbiter.heard_part = 0.8;
+    arbiter.heard_part = 0.89;
     arbiter.exits(POISON, &SEPARATE);
     assert_eq!(arbiter.decides(800), None);
     arbiter.exits(POISON, &[(4, 11_000)]);
     assert_eq!(arbiter.decides(11_000), Some((220, Exits::Separate)));
 }
 
+#[test]
+fn an_arbiter_that_misses_a_tenth_needs_no_more() {
+    let mut arbiter = Alone::arbiter(0, MANY);
+    arbiter.heard_part = 0.9;
+    arbiter.exits(POISON, &SEPARATE);
+    assert_eq!(arbiter.decides(800), Some((220, Exits::Separate)));
+}
+
 #[test]
 fn an_exit_is_held_against_a_request_for_an_hour() {
     let hour = 3_600_000;
@@ -373,6 +422,8 @@
     let standing = |vm: &Alone, millis| vm.guard.standing(POISON, at(millis), Some(0));
     assert_eq!(standing(&vm, 10_000), Standing::Quarantined(Duration::from_secs(50)));
     assert_eq!(standing(&vm, 60_000), Standing::Free);
+    assert!(vm.guard.completed(POISON, at(59_999)));
+    assert!(!vm.guard.completed(POISON, at(60_000)));
     assert_eq!(vm.guard.standing(OTHER, at(10_000), Some(0)), Standing::Free);
 }
 
--- a/crates/quincevalve_node/src/state_copy/tests.rs
+++ b/crates/quincevalve_node/src/state_copy/tests.rs
@@ -92,6 +92,8 @@
             take_part(&lacking, part, Some(now), any());
         }
         assert_eq!(lacking.config().map(|it| it.version), Some(3));
+        let quarantined: Vec<_> = lacking.poison.borrow().listed().map(|(it, _)| it).collect();
+        assert_eq!(quarantined, [RequestDigest(7)]);
         assert_eq!(lacking.store_view.borrow().reached().map(|it| it.0), Some(50));
         let servers = lacking.servers.borrow();
         assert_eq!(servers.all().count(), usize::from(SERVERS));
--- a/crates/quincevalve_node/src/store_view/tests.rs
+++ b/crates/quincevalve_node/src/store_view/tests.rs
@@ -25,6 +25,8 @@
 #[test]
 fn only_what_others_need_is_passed_on() {
     assert!(own("peers/vm-1", 100).concerns_others());
+    assert!(own("quarantine/00000000000000ab", 40).concerns_others());
+    assert!(Passed::OwnRemoved("quarantine/00000000000000ab".to_owned()).concerns_others());
     assert!(own(HOLDER_KEY, 5).concerns_others());
     assert!(Passed::OwnRemoved(HOLDER_KEY.to_owned()).concerns_others());
     assert!(Passed::Config(7).concerns_others());
@@ -102,3 +104,20 @@
         assert_eq!(node.store_view.borrow().left_lease(), None);
     });
 }
+
+// What one VM read of a quarantine is known to those that it tells, and so is its end.
+#[test]
+fn a_quarantine_is_taken_from_another_vm_and_given_up_with_its_entry() {
+    run(|| {
+        let node = node("vm-2");
+        take_whole(&node, Whole { at: 100, newest: 100, ..Whole::default() });
+        let key = "quarantine/00000000000000ab".to_owned();
+        let value = br#"{"trials":0,"until_ms":1}"#.to_vec();
+        let changes = vec![(101, Passed::Own { key: key.clone(), value })];
+        take_excerpt(&node, Excerpt { after: 100, upto: 101, changes });
+        assert_eq!(node.poison.borrow().listed().count(), 1);
+        let changes = vec![(102, Passed::OwnRemoved(key))];
+        take_excerpt(&node, Excerpt { after: 101, upto: 102, changes });
+        assert_eq!(node.poison.borrow().listed().count(), 0);
+    });
+}
