Quarantine: tests that what is remembered of one request doesn't go with the next

Mutations of these lines were not noticed by any test. A told quarantine needn't ask whether the store lists it too: a removed entry ends both.

--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -139,7 +139,7 @@
         if self.lifted.get(&digest).is_some_and(|until| *until > now) {
             return;
         }
-        if !self.is_listed(digest) && self.told.len() < MOST {
+        if self.told.len() < MOST {
             self.told.insert(digest, now + TOLD_HOLD);
         }
     }
--- a/crates/quincevalve_forwarding/tests/poison.rs
+++ b/crates/quincevalve_forwarding/tests/poison.rs
@@ -493,6 +493,39 @@
     assert_ne!(vm.guard.standing(POISON, at(2_100), Some(0)), Standing::Free);
 }
 
+// What is remembered of one request doesn't go with the next one.
+#[test]
+fn each_of_two_requests_has_its_own_time() {
+    let mut vm = Alone::arbiter(2, MANY);
+    let held = |vm: &Alone, digest, millis| {
+        vm.guard.standing(digest, at(millis), Some(i64::MAX)) != Standing::Free
+    };
+    vm.hear(quarantined(POISON, &SEPARATE), 0);
+    vm.hear(quarantined(OTHER, &SEPARATE), 100);
+    assert!(held(&vm, POISON, 200) && held(&vm, OTHER, 200));
+    vm.guard.entry_removed(POISON, at(200));
+    vm.guard.entry_removed(OTHER, at(300));
+    vm.hear(quarantined(POISON, &SEPARATE), 400);
+    assert!(!held(&vm, POISON, 400) && !held(&vm, OTHER, 400));
+    for digest in [POISON, OTHER] {
+        vm.guard.entry_listed(digest, QuarantineEntry::first(Exits::Separate, 0));
+        vm.guard.trial_asked(digest, at(500));
+    }
+    let standing = |digest| vm.guard.standing(digest, at(600), Some(20_000));
+    assert_eq!(standing(POISON), Standing::Quarantined(Duration::from_millis(900)));
+    assert_eq!(standing(OTHER), Standing::Quarantined(Duration::from_millis(900)));
+}
+
+#[test]
+fn words_of_too_many_requests_are_not_taken() {
+    let mut vm = Alone::arbiter(2, MANY);
+    for digest in 0..1_025 {
+        vm.hear(quarantined(RequestDigest(digest), &SEPARATE), 0);
+    }
+    let held = |digest| vm.guard.standing(RequestDigest(digest), at(1), None) != Standing::Free;
+    assert!(held(1_023) && !held(1_024));
+}
+
 #[test]
 fn exits_under_a_quarantined_request_are_not_counted() {
     let mut vm = Alone::arbiter(0, MANY);
