A VM that hears few others keeps from servers what it saw end three itself; longer holds

A VM that is cut off from its peers, and reaches servers, went on sending a request of whose exits nobody else knew: its reports reached no arbiter, and it decides nothing for others. It now holds such a request itself until it can ask the others, and tells nobody before.

--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -22,12 +22,14 @@
 mod outbox;
 mod quarantine;
 
-use indexmap::IndexMap;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
 use quincevalve_names::{TimePoint, hash_text, rendezvous_score};
 use serde::{Deserialize, Serialize};
 
 use self::{
-    cases::{Cases, LONGEST_INQUIRY, Step},
+    cases::{Cases, Hears, LONGEST_INQUIRY, Step},
     completed::CompletedRuns,
     outbox::{Item, Outbox, Recipient},
     quarantine::Quarantine,
@@ -41,10 +43,8 @@
 /// VMs that count the exits under one request: one may be cut off while another is restarted.
 const ARBITERS: usize = 3;
 
-/// A VM that hears more than this part of the VMs hears most of them.
-const MOST_VMS: f64 = 0.5;
-/// A VM that hears less than this part of the VMs misses more of them than are restarted at any time.
-const NEARLY_ALL_VMS: f64 = 0.9;
+/// How long the caller of a request is told to stay away that this VM can't ask others about.
+const HELD_HERE: Duration = Duration::from_secs(5);
 
 /// What VMs tell each other of requests under which servers exit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,6 +107,8 @@
     outbox: Outbox,
     /// Requests whose arbiters asked for a good end, and until when they wait for it.
     inquiries: IndexMap<RequestDigest, TimePoint>,
+    /// Requests that this VM keeps from servers until it can ask the others, as long as they are accused.
+    held_here: IndexSet<RequestDigest>,
     /// Requests whose quarantine has to be written to the store.
     unwritten: Vec<(RequestDigest, Exits)>,
 }
@@ -121,15 +123,18 @@
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
             inquiries: IndexMap::new(),
+            held_here: IndexSet::new(),
             unwritten: Vec::new(),
         }
     }
 
     /// Notes that a server exited while it ran a request of this VM.
     pub fn server_exited(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
-        if !self.completed.has(digest, now) {
-            self.outbox.report(digest, server, now);
+        if self.completed.has(digest, now) || self.quarantine.is_known(digest, now) {
+            return;
         }
+        self.outbox.report(digest, server, now);
+        self.cases.report_own(digest, server, now);
     }
 
     /// Notes that a request of this VM ended well. `true` if it was quarantined, which its good end lifts.
@@ -148,12 +153,15 @@
         now: TimePoint,
         true_ms: Option<i64>,
     ) -> Standing {
+        if self.held_here.contains(&digest) && self.cases.is_accused(digest) {
+            return Standing::Quarantined(HELD_HERE);
+        }
         self.quarantine.standing(digest, now, true_ms)
     }
 
     /// Whether any request is quarantined, so that digests have to be compared.
     pub fn has_quarantined(&self) -> bool {
-        !self.quarantine.is_empty()
+        !self.quarantine.is_empty() || !self.held_here.is_empty()
     }
 
     /// The quarantined requests that stand in the store.
@@ -224,28 +232,21 @@
 
     /// Whether there is anything to do for [`Self::tick`].
     pub fn is_due(&self, now: TimePoint) -> bool {
-        self.outbox.is_due(now) || self.cases.is_due()
+        self.outbox.is_due(now) || self.cases.is_due() || !self.held_here.is_empty()
     }
 
     /// Decides what is due, and returns what to tell which VM. `names` are all VMs that are listed, this one included, and
     /// `heard_part` is the part of them that was heard lately.
-    ///
-    /// Failure: an arbiter is cut off with a few other VMs, and none of those has seen a popular request end well.
-    /// Symptom: it takes their silence for everybody's, and quarantines an innocent. One that doesn't hear most of the
-    /// others leaves decisions to arbiters that do, or to when it hears them again; one that misses some needs more
-    /// evidence.
     pub fn tick(
         &mut self,
         names: &[&str],
         heard_part: f64,
         now: TimePoint,
     ) -> Vec<(String, PoisonMessage)> {
-        if heard_part > MOST_VMS {
-            let misses_some = heard_part < NEARLY_ALL_VMS;
-            for step in self.cases.tick(names, &self.me, misses_some, now) {
-                self.take_step(step, now);
-            }
+        for step in self.cases.tick(names, &self.me, Hears::of(heard_part), now) {
+            self.take_step(step, now);
         }
+        self.held_here.retain(|it| self.cases.is_accused(*it));
         let mut told = Vec::new();
         for Item { to, message, .. } in self.outbox.take_due(now) {
             for name in recipients(&to, &message, names) {
@@ -274,6 +275,9 @@
                 self.cases.has_rival(digest, &servers);
                 self.outbox.inquire(PoisonMessage::Inquiry { digest, servers }, now);
             }
+            Step::HoldHere(digest) => {
+                self.held_here.insert(digest);
+            }
             Step::Quarantine { digest, servers, exits } => {
                 self.cases.explained(&servers);
                 self.quarantine.told(digest, now);
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -45,16 +45,28 @@
     Inquired {
         asked: TimePoint,
     },
+    /// It is kept from servers by this VM, which hears few others, until it can ask most of them.
+    HeldHere,
     /// It ended well somewhere.
     Cleared {
         at: TimePoint,
     },
 }
 
+/// A server that exited under a request.
+#[derive(Clone, Copy, Debug)]
+struct Exit {
+    server: u64,
+    /// When it was first told.
+    at: TimePoint,
+    /// Whether this VM saw it itself.
+    is_own: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Case {
-    /// Servers that exited, each with the first word of it, oldest first.
-    exits: Vec<(u64, TimePoint)>,
+    /// Each server once, oldest first.
+    exits: Vec<Exit>,
     stage: Stage,
 }
 
@@ -66,11 +78,16 @@
 
 impl Case {
     fn is_accused(&self) -> bool {
-        matches!(self.stage, Stage::Accused { .. } | Stage::Inquired { .. })
+        matches!(self.stage, Stage::Accused { .. } | Stage::Inquired { .. } | Stage::HeldHere)
+    }
+
+    /// Whether what this VM saw itself suffices.
+    fn is_own(&self) -> bool {
+        self.exits.iter().filter(|it| it.is_own).count() >= EXITS
     }
 
     fn servers(&self) -> Servers {
-        Servers(self.exits.iter().map(|(server, _)| *server).take(SERVERS_TOLD).collect())
+        Servers(self.exits.iter().map(|it| it.server).take(SERVERS_TOLD).collect())
     }
 
     fn inquiry(&self) -> Duration {
@@ -84,7 +101,7 @@
     fn exits(&self) -> Exits {
         let mut events = 0;
         let mut newest: Option<TimePoint> = None;
-        for (_, at) in &self.exits {
+        for Exit { at, .. } in &self.exits {
             if newest.is_none_or(|it| at.since(it) >= SAME_EVENT) {
                 events += 1;
                 newest = Some(*at);
@@ -113,11 +130,34 @@
     }
 }
 
+/// How many of the other VMs are heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Hears {
+    /// Half of them or fewer.
+    Few,
+    /// Fewer than nine in ten, which is more than are restarted at any time.
+    Most,
+    NearlyAll,
+}
+
+impl Hears {
+    /// Of all VMs, this one included, that part is heard.
+    pub(super) fn of(part: f64) -> Self {
+        match part {
+            ..=0.5 => Self::Few,
+            ..0.9 => Self::Most,
+            _ => Self::NearlyAll,
+        }
+    }
+}
+
 /// What has to be done about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Step {
     /// Ask all VMs whether it ended well.
     Inquire { digest: RequestDigest, servers: Servers },
+    /// Keep it from servers here, until others can be asked.
+    HoldHere(RequestDigest),
     /// Keep it from servers.
     Quarantine { digest: RequestDigest, servers: Servers, exits: Exits },
 }
@@ -129,8 +169,17 @@
 }
 
 impl Cases {
-    /// Counts an exit; each server counts once, whoever told of it.
+    /// Counts an exit that another VM saw; each server counts once, whoever told of it.
     pub(super) fn report(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
+        self.count(digest, Exit { server, at: now, is_own: false }, now);
+    }
+
+    /// Counts an exit that this VM saw itself.
+    pub(super) fn report_own(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
+        self.count(digest, Exit { server, at: now, is_own: true }, now);
+    }
+
+    fn count(&mut self, digest: RequestDigest, exit: Exit, now: TimePoint) {
         if self.cases.len() >= MOST && !self.cases.contains_key(&digest) {
             self.cases.shift_remove_index(0);
         }
@@ -141,11 +190,12 @@
         if matches!(case.stage, Stage::Cleared { .. }) {
             return;
         }
-        case.exits.retain(|(_, at)| now.since(*at) <= REMEMBERED);
-        if case.exits.iter().any(|(it, _)| *it == server) {
+        case.exits.retain(|it| now.since(it.at) <= REMEMBERED);
+        if let Some(known) = case.exits.iter_mut().find(|it| it.server == exit.server) {
+            known.is_own |= exit.is_own;
             return;
         }
-        case.exits.push((server, now));
+        case.exits.push(exit);
         if case.stage == Stage::Open && case.exits.len() >= EXITS {
             case.stage = Stage::Accused { since: now };
         }
@@ -165,7 +215,7 @@
     pub(super) fn has_rival(&mut self, rival: RequestDigest, servers: &Servers) {
         let accused = self.cases.iter_mut().filter(|(it, case)| **it != rival && case.is_accused());
         for (_, case) in accused {
-            if case.exits.iter().all(|(server, _)| servers.has(*server)) {
+            if case.exits.iter().all(|it| servers.has(it.server)) {
                 case.stage = Stage::Open;
             }
         }
@@ -174,7 +224,7 @@
     /// Takes it that a request which is quarantined ended these servers: no other is to blame for them.
     pub(super) fn explained(&mut self, servers: &Servers) {
         for case in self.cases.values_mut() {
-            case.exits.retain(|(server, _)| !servers.has(*server));
+            case.exits.retain(|it| !servers.has(it.server));
             if case.is_accused() && case.exits.len() < EXITS {
                 case.stage = Stage::Open;
             }
@@ -186,25 +236,45 @@
         self.cases.shift_remove(&digest);
     }
 
+    /// Whether enough speaks against a request to decide about it.
+    pub(super) fn is_accused(&self, digest: RequestDigest) -> bool {
+        self.cases.get(&digest).is_some_and(Case::is_accused)
+    }
+
     /// Whether a decision may be due.
     pub(super) fn is_due(&self) -> bool {
         self.cases.values().any(Case::is_accused)
     }
 
     /// The steps that are due. Which arbiter `me` is, of all VMs' `names`, says when it has its turn.
-    /// Where some VMs aren't heard, which may have seen the request end well, the next exit has to accuse it once more.
+    ///
+    /// Failure: an arbiter is cut off with a few other VMs, and none of those has seen a popular request end well.
+    /// Symptom: it takes their silence for everybody's, and quarantines an innocent. One that doesn't hear most of the
+    /// others leaves decisions to arbiters that do, or to when it hears them again. Requests under which it saw enough
+    /// servers exit itself, of which nobody else may know, it keeps from servers until then, without telling anybody. One
+    /// that misses some waits for one exit more.
     pub(super) fn tick(
         &mut self,
         names: &[&str],
         me: &str,
-        misses_some: bool,
+        hears: Hears,
         now: TimePoint,
     ) -> Vec<Step> {
         let is_small = names.len() <= FEW_VMS;
         let mut steps = Vec::new();
         for (digest, case) in &mut self.cases {
             match case.stage {
-                Stage::Accused { .. } if misses_some && case.exits.len() <= EXITS => {
+                Stage::Accused { .. } | Stage::Inquired { .. }
+                    if hears == Hears::Few && case.is_own() =>
+                {
+                    case.stage = Stage::HeldHere;
+                    steps.push(Step::HoldHere(*digest));
+                }
+                Stage::Accused { .. } | Stage::Inquired { .. } if hears == Hears::Few => {}
+                Stage::HeldHere if hears != Hears::Few => {
+                    case.stage = Stage::Accused { since: now };
+                }
+                Stage::Accused { .. } if hears == Hears::Most && case.exits.len() <= EXITS => {
                     case.stage = Stage::Open;
                 }
                 Stage::Accused { since }
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -9,13 +9,14 @@
 use super::cases::Exits;
 use crate::request_digest::RequestDigest;
 
-/// How long a quarantined request is kept from servers before its first trial and after each: one that came into a wave
-/// of crashes by chance is served again when the wave is over, and one that does end servers ends three more at most
-/// within a quarter of an hour, and then one a day, by when servers may have been released anew.
+/// How long a quarantined request is kept from servers before its first trial and after each. One that came into a wave of
+/// crashes by chance is served again when the wave is over; that happens to few, and each trial of one that does end
+/// servers costs all callers of that server their answers. So it ends three more in an hour, and then one a day, by when
+/// servers may have been released anew.
 const HOLDS: [Duration; 4] = [
-    Duration::from_secs(10),
-    Duration::from_secs(60),
-    Duration::from_secs(600),
+    Duration::from_secs(30),
+    Duration::from_secs(300),
+    Duration::from_secs(3_600),
     Duration::from_secs(24 * 3_600),
 ];
 /// The first hold where servers exited together: if it was a rack, the next one stays up.
@@ -55,9 +56,9 @@
     /// ```
     /// use quincevalve_forwarding::poison::{Exits, QuarantineEntry};
     /// let first = QuarantineEntry::first(Exits::Separate, 0);
-    /// assert_eq!(first.next_trial(9_999), None);
-    /// let begun = first.next_trial(10_000).unwrap();
-    /// assert_eq!((begun.trials, begun.until_ms), (1, 70_000));
+    /// assert_eq!(first.next_trial(29_999), None);
+    /// let begun = first.next_trial(30_000).unwrap();
+    /// assert_eq!((begun.trials, begun.until_ms), (1, 330_000));
     /// ```
     pub fn next_trial(&self, true_ms: i64) -> Option<Self> {
         let trials = self.trials + 1;
