Tests of each way by which a VM that reads the store, or is told, hears that a server leaves

One's own reading (says so, gone, spoiled), a whole reading, an old whole reading, a takeover by another collector with and without a gap, a VM whose readers are gone. The configuration that three test files built stands once.

--- a/crates/quincevalve_node/src/peers/hear/tests.rs
+++ b/crates/quincevalve_node/src/peers/hear/tests.rs
@@ -13,7 +13,7 @@
 use crate::{
     store_sync::note_away,
     store_view::{Passed, Whole, take_whole},
-    test_node::{any, node as bare_node},
+    test_node::{any, config, node as bare_node},
 };
 
 const AT: u64 = 50;
@@ -151,3 +151,52 @@
         assert_eq!(usable(&node), ["i-2"]);
     });
 }
+
+/// What a VM of that name tells of the store, from one revision to another.
+fn relays(node: &Node, teller: &str, after: u64, changes: Vec<(u64, Passed)>) -> Telling {
+    let mut telling = telling(node, Some(answered_all_the_while()), changes);
+    telling.from.name = teller.to_owned();
+    if let Content::Share { relayed: Some(relayed), .. } = &mut telling.content {
+        relayed.after = after;
+    }
+    telling
+}
+
+// Requests reach a server that said that it leaves while the collector was replaced: the first one passed nothing more on,
+// and the next one, another VM, goes on where it ended.
+#[test]
+fn another_collector_goes_on_where_the_first_ended() {
+    run(async {
+        let (node, socket) = (node(100), socket().await);
+        hear(&node, &socket, relays(&node, "vm-2", AT, vec![(AT + 1, Passed::Config(0))]));
+        let leaves = vec![(AT + 2, Passed::Server("i-1".into(), server(true)))];
+        hear(&node, &socket, relays(&node, "vm-3", AT + 1, leaves));
+        assert_eq!(usable(&node), ["i-2"]);
+    });
+}
+
+// The next collector doesn't go back far enough: this VM missed the change in which the server said that it leaves. What
+// it is told is then no proof that nothing is newer, and it has to read the store itself.
+#[test]
+fn a_collector_that_lacks_what_came_before_proves_nothing() {
+    run(async {
+        let (node, socket) = (node(100), socket().await);
+        let later = vec![(AT + 4, Passed::ServerRemoved("i-2".into()))];
+        hear(&node, &socket, relays(&node, "vm-3", AT + 3, later));
+        assert_eq!(usable(&node), ["i-1", "i-2"], "a part without what came before isn't taken");
+        assert_eq!(node.store_view.borrow().reached().map(|it| it.0), Some(AT));
+        assert!(!node.was_proved());
+    });
+}
+
+// The same datagram with nothing missing does prove it, once there is a configuration.
+#[test]
+fn a_collector_that_lacks_nothing_proves_it() {
+    run(async {
+        let (node, socket) = (node(100), socket().await);
+        node.apply_config(config(1));
+        let leaves = vec![(AT + 1, Passed::ServerRemoved("i-2".into()))];
+        hear(&node, &socket, relays(&node, "vm-3", AT, leaves));
+        assert!(node.was_proved());
+    });
+}
--- a/crates/quincevalve_node/src/state_copy/tests.rs
+++ b/crates/quincevalve_node/src/state_copy/tests.rs
@@ -1,8 +1,6 @@
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use quincevalve_forwarding::{
-    config::{Account, CallerLimits, ForwardingConfig},
     peer_book::VmCard,
     poison::{Exits, QuarantineEntry},
     request_digest::RequestDigest,
@@ -12,7 +10,7 @@
 use super::*;
 use crate::{
     clock,
-    test_node::{any, node as bare_node, run},
+    test_node::{any, config, node as bare_node, run},
 };
 
 const SERVERS: u16 = 900;
@@ -39,17 +37,6 @@
     }
 }
 
-fn config(version: u64) -> ForwardingConfig {
-    let limits = CallerLimits {
-        head_bytes: 16 << 10,
-        body_bytes: 1_000,
-        head_time: Duration::from_secs(3),
-        idle_time: Duration::from_secs(15),
-    };
-    let accounts = IndexMap::from([("desk".into(), Account::default())]);
-    ForwardingConfig::new(version, Vec::new(), IndexMap::new(), accounts, limits)
-}
-
 /// A VM that has read the store a moment ago.
 fn informed(name: &str) -> Node {
     let node = bare_node(name);
--- a/crates/quincevalve_node/src/store_sync/tests.rs
+++ b/crates/quincevalve_node/src/store_sync/tests.rs
@@ -1,5 +1,10 @@
+use quincevalve_forwarding::peer_book::VmCard;
+
 use super::*;
-use crate::test_node::{node, run};
+use crate::{
+    store_view::{Whole, take_whole},
+    test_node::{config, node, run},
+};
 
 fn ago(millis: u64) -> TimePoint {
     TimePoint(clock::now().as_micros() - millis * 1_000)
@@ -33,3 +38,36 @@
         assert!(servers.may_lack_entries(clock::now()), "entries may have lapsed");
     });
 }
+
+// The VMs that read the store for all are gone. Who was told by them reads it itself as soon as what it was told is too
+// old, and not before.
+#[test]
+fn a_vm_that_is_told_nothing_new_reads_the_store() {
+    run(|| {
+        let node = node("vm-9");
+        let card = |at: u32| VmCard {
+            name: format!("vm-{at}"),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "a".into(),
+            cpu: 1_000,
+        };
+        let vms = (1..4).map(card).collect();
+        let whole = Whole { at: 7, newest: 7, config: Some(config(1)), vms, ..Whole::default() };
+        take_whole(&node, whole);
+        let told_age = ReadingPart::Told.longest_told_age(node.settings.bounds.change_in_force);
+        assert_eq!(node.reading_part(), ReadingPart::Told);
+        prove(&node, ago(told_age.as_millis() as u64 + 50));
+        assert!(must_read(&node));
+        prove(&node, ago(told_age.as_millis() as u64 - 300));
+        assert!(!must_read(&node));
+    });
+}
+
+#[test]
+fn a_vm_that_knows_nothing_reads_the_store() {
+    run(|| {
+        let node = node("vm-9");
+        prove(&node, ago(1));
+        assert!(must_read(&node));
+    });
+}
--- a/crates/quincevalve_node/src/store_view/tests.rs
+++ b/crates/quincevalve_node/src/store_view/tests.rs
@@ -1,7 +1,10 @@
-use quincevalve_forwarding::servers::ServerStart;
+use quincevalve_forwarding::{servers::ServerStart, store_contact::Contact};
 
 use super::*;
-use crate::test_node::{node, run};
+use crate::{
+    store_sync::heard_of_store,
+    test_node::{node, run},
+};
 
 fn draining() -> ServerEntry {
     ServerEntry {
@@ -121,3 +124,79 @@
         assert_eq!(node.poison.borrow().listed().count(), 0);
     });
 }
+
+fn ready() -> ServerEntry {
+    ServerEntry { draining: false, leaves_in: None, ..draining() }
+}
+
+fn usable(node: &Node) -> usize {
+    node.servers.borrow().usable(&"model".into(), clock::now()).count()
+}
+
+/// A VM that knows one server, and that the store answers it.
+fn informed() -> Node {
+    let node = node("vm-1");
+    heard_of_store(&node, Contact::at(clock::now()));
+    let servers = vec![("i-1".into(), ready())];
+    take_whole(&node, Whole { at: 100, newest: 100, servers, ..Whole::default() });
+    assert_eq!(usable(&node), 1);
+    node
+}
+
+// Each way by which a VM that reads the store hears that a server leaves, alone: requests go on reaching the server where
+// one of them is lost.
+#[test]
+fn a_server_that_leaves_is_heard_of_by_ones_own_reading() {
+    run(|| {
+        let node = informed();
+        let says = (StoreRevision(101), Change::Server("i-1".into(), draining()));
+        take_changes(&node, Changes { changes: vec![says], at: StoreRevision(101) });
+        assert_eq!(usable(&node), 0);
+    });
+    run(|| {
+        let node = informed();
+        let gone = (StoreRevision(101), Change::ServerRemoved("i-1".into()));
+        take_changes(&node, Changes { changes: vec![gone], at: StoreRevision(101) });
+        assert_eq!(usable(&node), 0);
+    });
+    run(|| {
+        let node = informed();
+        let spoiled = Change::ServerUnreadable("i-1".into(), "spoiled".to_owned());
+        let changes = vec![(StoreRevision(101), spoiled)];
+        take_changes(&node, Changes { changes, at: StoreRevision(101) });
+        assert_eq!(usable(&node), 0);
+    });
+}
+
+// The history that held the change is gone, and all is read anew.
+#[test]
+fn a_server_that_leaves_is_heard_of_by_a_whole_reading() {
+    let readings = [
+        Snapshot { servers: vec![("i-1".into(), draining())], ..Snapshot::default() },
+        Snapshot { unreadable: vec![("i-1".into(), "spoiled".to_owned())], ..Snapshot::default() },
+        Snapshot::default(),
+    ];
+    for reading in readings {
+        run(|| {
+            let node = informed();
+            node.store_view.borrow_mut().forget();
+            let at = StoreRevision(120);
+            take_snapshot(&node, Snapshot { at, newest: at, ..reading });
+            assert_eq!(usable(&node), 0);
+        });
+    }
+}
+
+// A whole reading that is older than what this VM knows by now brings no server back.
+#[test]
+fn an_old_whole_reading_brings_no_server_back() {
+    run(|| {
+        let node = informed();
+        let gone = (StoreRevision(101), Change::ServerRemoved("i-1".into()));
+        take_changes(&node, Changes { changes: vec![gone], at: StoreRevision(101) });
+        let at = StoreRevision(100);
+        let servers = vec![("i-1".into(), ready())];
+        take_snapshot(&node, Snapshot { servers, at, newest: at, ..Snapshot::default() });
+        assert_eq!(usable(&node), 0);
+    });
+}
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -3,7 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::HeaderName;
-use quincevalve_forwarding::{quota::QuotaLimits, retry_window::RetryLimits};
+use indexmap::IndexMap;
+use quincevalve_forwarding::{
+    config::{Account, CallerLimits, ForwardingConfig},
+    quota::QuotaLimits,
+    retry_window::RetryLimits,
+};
 use tokio::task::LocalSet;
 
 use crate::{
@@ -83,3 +88,15 @@
     let rt = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
     LocalSet::new().block_on(&rt, async { test() });
 }
+
+/// A configuration of that version with one account and no route.
+pub(crate) fn config(version: u64) -> ForwardingConfig {
+    let limits = CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 1_000,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let accounts = IndexMap::from([("desk".into(), Account::default())]);
+    ForwardingConfig::new(version, Vec::new(), IndexMap::new(), accounts, limits)
+}
