The process laid out by the way of a request and of a change; dispatch and relay untied

request/ and store/ hold what eleven and four files of one flat folder did. Placing (a server with room, the work that is counted for it) is a file of its own, so that relay no longer goes back to dispatch, and the answer as the caller gets it stands where servers' answers are.

--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -14,7 +14,7 @@
     clock,
     node::Node,
     ports::{ActingHolder, CloudApi, Commit, LeaseId, PlatformStore, StoreError, StoreRevision},
-    store_view::HOLDER_KEY,
+    store::view::HOLDER_KEY,
 };
 
 use self::{orders::order_servers, reports::report_usage};
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -4,30 +4,17 @@
 //! share needs no locks then. Decisions live in `quincevalve_forwarding`; what the platform calls things
 //! stays behind the traits in [`ports`].
 
-mod backends;
-mod body;
 mod clock;
-mod config_copy;
-mod dispatch;
 mod duties;
-mod exchange;
-mod exit_check;
-mod front;
-mod identify;
 mod metrics;
-mod mover;
 mod node;
 mod peers;
 pub mod ports;
 mod quarantine;
-mod refusal;
-mod relay;
+mod request;
 pub mod settings;
 mod start;
-mod state_copy;
-mod store_sync;
-mod store_view;
-mod story;
+mod store;
 #[cfg(test)]
 mod test_node;
 
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -17,7 +17,7 @@
 };
 use tokio::{net::TcpListener, task::spawn_local, time::sleep};
 
-use crate::{body::AnswerBody, clock, node::Node};
+use crate::{clock, node::Node, request::body::AnswerBody};
 
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -33,9 +33,14 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    backends::Backends, clock, config_copy::ConfigCopy, metrics::Metrics, mover::Mover,
-    peers::Peers, ports::HeaderNames, quarantine::QuarantineStore, settings::NodeSettings,
-    state_copy::StateCopy, store_view::StoreView,
+    clock,
+    metrics::Metrics,
+    peers::Peers,
+    ports::HeaderNames,
+    quarantine::QuarantineStore,
+    request::{backends::Backends, mover::Mover},
+    settings::NodeSettings,
+    store::{config_copy::ConfigCopy, state_copy::StateCopy, view::StoreView},
 };
 
 /// Where the process stands between its start and its end.
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -9,7 +9,7 @@
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use crate::store_view::Passed;
+use crate::store::view::Passed;
 
 /// The largest datagram that is taken, in bytes.
 pub(super) const MAX_DATAGRAM: usize = 60 << 10;
--- a/crates/quincevalve_node/src/peers/hear.rs
+++ b/crates/quincevalve_node/src/peers/hear.rs
@@ -13,11 +13,13 @@
     tell::{PERIOD, send},
 };
 use crate::{
-    clock, config_copy,
+    clock,
     node::Node,
-    state_copy,
-    store_sync::{heard_of_store, prove},
-    store_view::take_excerpt,
+    store::{
+        config_copy, state_copy,
+        sync::{heard_of_store, prove},
+        view::take_excerpt,
+    },
 };
 
 /// Hears peers, for as long as the process lives.
--- a/crates/quincevalve_node/src/peers/hear/tests.rs
+++ b/crates/quincevalve_node/src/peers/hear/tests.rs
@@ -11,8 +11,10 @@
 
 use super::*;
 use crate::{
-    store_sync::note_away,
-    store_view::{Passed, Whole, take_whole},
+    store::{
+        sync::note_away,
+        view::{Passed, Whole, take_whole},
+    },
     test_node::{any, config, node as bare_node},
 };
 
--- a/crates/quincevalve_node/src/quarantine.rs
+++ b/crates/quincevalve_node/src/quarantine.rs
@@ -15,7 +15,11 @@
     entries::{QUARANTINE_KEYS, digest_of, listed},
     orders::{QuarantineStore, keep_quarantine},
 };
-use crate::{clock, identify::Identified, node::Node, story::note};
+use crate::{
+    clock,
+    node::Node,
+    request::{identify::Identified, story::note},
+};
 
 /// How long a caller whose trial the store didn't answer is told to stay away.
 const UNANSWERED_HOLD: Duration = Duration::from_secs(1);
--- a/crates/quincevalve_node/src/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -14,13 +14,16 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    backends::{Connection, KeepAlive},
     clock,
-    exit_check::connection_broke,
-    identify::{Identified, text},
     node::{Node, left},
     quarantine,
-    story::note,
+    request::{
+        backends::{Connection, KeepAlive},
+        body::AnswerBody,
+        exit_check::connection_broke,
+        identify::{Identified, is_hop_by_hop, text},
+        story::note,
+    },
 };
 
 /// A server that said that it is full is left alone for this long: a request ends about that often.
@@ -195,3 +198,19 @@
 pub(crate) fn note_answered(node: &Node, place: &Placement, sent: Instant) {
     about(node, place, |it, _| it.load.answered(sent.elapsed(), place.predicted));
 }
+
+/// A server's answer as the caller gets it.
+pub(crate) fn passed_on(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    for (name, value) in headers {
+        if !is_hop_by_hop(name) && *name != http::header::CONTENT_LENGTH {
+            answer.headers_mut().append(name, value.clone());
+        }
+    }
+    answer
+}
--- a/crates/quincevalve_node/src/exit_check.rs
+++ b/crates/quincevalve_node/src/request/exit_check.rs
@@ -5,7 +5,11 @@
 use quincevalve_forwarding::{placement::Placement, servers::start_hash};
 use tokio::task::spawn_local;
 
-use crate::{backends::Reach, clock, identify::Identified, node::Node};
+use crate::{
+    clock,
+    node::Node,
+    request::{backends::Reach, identify::Identified},
+};
 
 /// Finds out in the background why a server's connection ended before the answer did.
 pub(crate) fn connection_broke(node: &Rc<Node>, req: &Identified, place: &Placement) {
--- a/crates/quincevalve_node/src/front.rs
+++ b/crates/quincevalve_node/src/request/front.rs
@@ -17,13 +17,15 @@
 };
 
 use crate::{
-    body::AnswerBody,
     clock,
-    dispatch::{Refused, dispatch},
-    identify::{Identified, identify, text},
     node::{InFlight, Node, Phase},
-    refusal::Refusal,
-    story::note,
+    request::{
+        body::AnswerBody,
+        dispatch::dispatch,
+        identify::{Identified, identify, text},
+        refusal::{Refusal, Refused},
+        story::note,
+    },
 };
 
 /// Pause after a failure to accept, which is a lack of descriptors: connections end in that time.
--- a/crates/quincevalve_node/src/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -12,7 +12,11 @@
 use quincevalve_names::{ClientAccountName, ServiceName, hash_text};
 use tokio::time::Instant;
 
-use crate::{node::Node, ports::HeaderNames, refusal::Refusal, story::Story};
+use crate::{
+    node::Node,
+    ports::HeaderNames,
+    request::{refusal::Refusal, story::Story},
+};
 
 /// The largest body, in bytes, that is hashed for each request: about 50 microseconds of a core. Larger ones are hashed
 /// where a server exited under the request or some request is quarantined.
--- a/crates/quincevalve_node/src/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -5,7 +5,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use quincevalve_names::Outcome;
 
-use crate::body::AnswerBody;
+use crate::request::body::AnswerBody;
 
 /// Why a request gets no server's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,3 +103,16 @@
         answer
     }
 }
+
+/// The end of a request without a server's answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refused {
+    pub(crate) refusal: Refusal,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self { refusal, retry_after: None }
+    }
+}
--- a/crates/quincevalve_node/src/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -13,16 +13,18 @@
 };
 
 use crate::{
-    backends::{Connection, KeepAlive},
-    body::{AnswerBody, BrokenOff},
-    clock, dispatch,
-    dispatch::{WorkGuard, passed_on},
-    exchange::{ServerAnswer, about, exchange, note_answered},
-    exit_check::connection_broke,
-    identify::Identified,
+    clock,
     node::{InFlight, Node},
     quarantine,
-    story::note,
+    request::{
+        backends::{Connection, KeepAlive},
+        body::{AnswerBody, BrokenOff},
+        exchange::{ServerAnswer, about, exchange, note_answered, passed_on},
+        exit_check::connection_broke,
+        identify::Identified,
+        placing::{WorkGuard, place_again, unlisted_ms},
+        story::note,
+    },
 };
 
 /// Events that may wait for a slow caller before the server's stream is no longer read.
@@ -240,7 +242,7 @@
         mut source: Source,
         servers: &mut Vec<quincevalve_names::BackendServerName>,
     ) -> Option<Source> {
-        let to = dispatch::place_again(&self.node, &self.req, servers);
+        let to = place_again(&self.node, &self.req, servers);
         let addresses = {
             let table = self.node.servers.borrow();
             let address = |it: &Placement| table.get(&it.server).map(|it| it.entry.address);
@@ -319,7 +321,7 @@
             if Instant::now() >= self.req.deadline {
                 return None;
             }
-            let place = dispatch::place_again(&self.node, &self.req, servers)?;
+            let place = place_again(&self.node, &self.req, servers)?;
             servers.push(place.server.clone());
             if let Some(source) = self.go_on(place, None).await {
                 return Some(source);
@@ -346,7 +348,7 @@
         let extra: Vec<(HeaderName, HeaderValue)> = last.chain(extra).collect();
         note!(
             self.node, self.req,
-            server = place.server.as_str(), moved = moved, unlisted_ms = dispatch::unlisted_ms(&place);
+            server = place.server.as_str(), moved = moved, unlisted_ms = unlisted_ms(&place);
             "stream-resumed"
         );
         let answer = exchange(&self.node, &self.req, &place, &extra).await.ok()?;
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -12,14 +12,14 @@
 };
 
 use crate::{
-    clock, duties, front,
-    mover::Mover,
+    clock, duties,
     node::{Node, Phase},
     peers,
     ports::{CloudApi, EngineApi, HeaderNames, PlatformStore},
     quarantine::{QuarantineStore, keep_quarantine},
+    request::{front, mover::Mover},
     settings::NodeSettings,
-    store_sync,
+    store::sync::{follow_store, keep_entry},
 };
 
 /// After SIGTERM the platform needs two questions, a second apart, to stop sending callers here; idle
@@ -141,8 +141,8 @@
     spawn_local(front::serve_ready(node.clone(), ready));
     spawn_local(crate::metrics::serve_metrics(node.clone(), metrics));
     spawn_local(front::serve_callers(node.clone(), front, closing));
-    spawn_local(store_sync::follow_store(node.clone(), store.clone(), socket.clone()));
-    spawn_local(store_sync::keep_entry(node.clone(), store.clone()));
+    spawn_local(follow_store(node.clone(), store.clone(), socket.clone()));
+    spawn_local(keep_entry(node.clone(), store.clone()));
     spawn_local(keep_quarantine(node.clone(), store.clone(), quarantine_orders));
     spawn_local(peers::tell_peers(node.clone(), socket.clone()));
     spawn_local(peers::hear_peers(node.clone(), socket));
--- a/crates/quincevalve_node/src/state_copy.rs
+++ b/crates/quincevalve_node/src/store/state_copy.rs
@@ -22,8 +22,10 @@
     node::Node,
     peers::ask_for_state,
     ports::PlatformStore,
-    store_sync::prove,
-    store_view::{Whole, cards, note_left_lease, peer_keys, take_whole, whole},
+    store::{
+        sync::prove,
+        view::{Whole, cards, note_left_lease, peer_keys, take_whole, whole},
+    },
 };
 
 /// A VM that got nothing from others for so long reads the store itself: the others start too, and read in less time.
--- a/crates/quincevalve_node/src/store_sync.rs
+++ b/crates/quincevalve_node/src/store/sync.rs
@@ -16,8 +16,10 @@
     clock,
     node::Node,
     ports::{Commit, LeaseId, PlatformStore, ReadAge, StoreError},
-    state_copy::fetch_state,
-    store_view::{peer_key, take_changes, take_snapshot},
+    store::{
+        state_copy::fetch_state,
+        view::{peer_key, take_changes, take_snapshot},
+    },
 };
 
 /// A VM that starts has read the store within this time, if it answers; until then others don't know of it.
--- a/crates/quincevalve_node/src/store_sync/tests.rs
+++ b/crates/quincevalve_node/src/store/sync/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::{
-    store_view::{Whole, take_whole},
+    store::view::{Whole, take_whole},
     test_node::{config, node, run},
 };
 
--- a/crates/quincevalve_node/src/store_view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::{
-    store_sync::heard_of_store,
+    store::sync::heard_of_store,
     test_node::{node, run},
 };
 
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -12,10 +12,10 @@
 use tokio::task::LocalSet;
 
 use crate::{
-    mover::Mover,
     node::Node,
     ports::{EngineApi, HeaderNames, MoveError, MovedRun},
     quarantine::QuarantineStore,
+    request::mover::Mover,
     settings::{Bounds, Duties, NodeSettings},
 };
 
