Two poison requests that are placed on the same servers are both found

Read in the diff: two requests with the same evidence waited for each other for ever, and poison requests that share a prompt are placed on the same servers. After five exits no rival counts. A good end also clears what the VM counts itself.

--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -140,6 +140,7 @@
     /// Notes that a request of this VM ended well. `true` if it was quarantined, which its good end lifts.
     pub fn completed(&mut self, digest: RequestDigest, now: TimePoint) -> bool {
         self.completed.note(digest, now);
+        self.cases.cleared(digest, now);
         if self.inquiries.shift_remove(&digest).is_some_and(|until| until > now) {
             self.outbox.send(Recipient::Arbiters, PoisonMessage::Completed(digest), now);
         }
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -12,6 +12,9 @@
 /// Exits under a request that make it the likely cause. Two happen to a request by chance whenever many servers crash,
 /// and with each one more another server is lost to it.
 const EXITS: usize = 3;
+/// Exits under two requests that were on the same servers, after which both are likely causes: an innocent one is on each
+/// of so many by chance only where nearly all servers run it, and then it ends well on others.
+const EXITS_BESIDE_RIVAL: usize = 5;
 /// Exits so close to each other belong to one event.
 const SAME_EVENT: Duration = Duration::from_millis(300);
 /// Time for VMs to say that the same request ended well there: three askings and their way.
@@ -212,10 +215,14 @@
     ///
     /// Failure: a popular request happens to be on each of the first three servers that a poison request ends. Symptom:
     /// both are quarantined. The evidence against both is the same; the next exit, which is under one of them, accuses that.
+    ///
+    /// Failure: two poison requests share a prompt, and are placed on the same servers. Symptom: neither is ever accused.
+    /// After some more exits no rival counts.
     pub(super) fn has_rival(&mut self, rival: RequestDigest, servers: &Servers) {
         let accused = self.cases.iter_mut().filter(|(it, case)| **it != rival && case.is_accused());
         for (_, case) in accused {
-            if case.exits.iter().all(|it| servers.has(it.server)) {
+            let may_wait = case.exits.len() < EXITS_BESIDE_RIVAL;
+            if may_wait && case.exits.iter().all(|it| servers.has(it.server)) {
                 case.stage = Stage::Open;
             }
         }
--- a/crates/quincevalve_forwarding/tests/poison.rs
+++ b/crates/quincevalve_forwarding/tests/poison.rs
@@ -256,6 +256,30 @@
     assert_eq!(arbiter.decides(11_200), Some((220, Exits::Separate)));
 }
 
+// Two poison requests share a prompt and are placed on the same servers each time. Both are found out in the end.
+#[test]
+fn two_poison_requests_on_the_same_servers_are_both_found() {
+    let servers: Vec<(u64, u64)> = (1..6).map(|it| (it, it * 1_000)).collect();
+    let mut arbiter = Alone::arbiter(0, MANY);
+    for exits in 3..=5 {
+        let now = servers[exits - 1].1;
+        arbiter.exits(POISON, &servers[..exits]);
+        arbiter.tick(now);
+        arbiter.hear(inquiry(OTHER, &servers[..exits]), now + 50);
+        let decided = arbiter.decides(now + 100);
+        assert_eq!(decided.is_some(), exits == 5, "after {exits} exits");
+    }
+}
+
+#[test]
+fn a_good_end_here_clears_what_this_vm_counts() {
+    let mut arbiter = Alone::arbiter(0, MANY);
+    arbiter.exits(POISON, &SEPARATE[..2]);
+    arbiter.guard.completed(POISON, at(500));
+    arbiter.exits(POISON, &[(3, 121_000)]);
+    assert_eq!(arbiter.decides(121_000), None);
+}
+
 #[test]
 fn a_rival_on_other_servers_is_none() {
     let mut arbiter = Alone::arbiter(0, MANY);
