Tests: another VM may write between a read of the store and its answer

The test of one trial among many attempts passed also without the expected revision, since the scripted store answered at once; now it fails then (two sendings).

--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -244,7 +244,10 @@
 
     async fn get(&self, key: &str) -> Result<Option<OwnItem>, StoreError> {
         self.answer().await?;
-        Ok(self.own(key).into_iter().find(|it| it.key == key))
+        let found = self.own(key).into_iter().find(|it| it.key == key);
+        // Other VMs may read and write before this one has the answer.
+        tokio::task::yield_now().await;
+        Ok(found)
     }
 
     async fn commit(&self, commit: &Commit) -> Result<StoreRevision, StoreError> {
