--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -200,3 +200,23 @@
         assert_eq!(usable(&node), 0);
     });
 }
+
+// A VM that starts when all that knew of a quarantine are gone, and after the store has dropped its history, has only the
+// whole reading to know it from.
+#[test]
+fn a_quarantine_is_known_from_a_whole_reading() {
+    run(|| {
+        let node = node("vm-1");
+        let item = OwnItem {
+            key: "quarantine/00000000000000ab".to_owned(),
+            value: br#"{"trials":0,"until_ms":1}"#.to_vec(),
+            revision: StoreRevision(5),
+            lease: None,
+        };
+        take_snapshot(
+            &node,
+            Snapshot { own: vec![item], at: StoreRevision(7), ..Snapshot::default() },
+        );
+        assert_eq!(node.poison.borrow().listed().count(), 1);
+    });
+}
