Roll-outs: a service is moved to another version, and back from a bad one

Operators order a version; nothing of ours read the order, told them a state, or knew that servers have versions, so a bad version's servers got requests like any others.

- quincevalve_forwarding::rollout: canary within a share and slack over all VMs (by parts, like the retry budget; the bound is shared_limit now), evidence by route and server in sums that travel with the others, sequential test on failures and a comparison of times, halt at each VM by all that was told, promotion and completion by the holder of the duties.
- The record stands in the store, written by compare-and-swap with the holder's entry and the order's revision expected; the operators' status is in the same write.
- Placement, moves, resumes and the fleet's plan know versions.
Without an order nothing more is told or called than an empty map in each share.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -27,6 +27,11 @@
 /// Requests in a batch beyond which objectives are missed whatever the slots are: tokens come too slowly.
 const FULL_BATCH: u32 = 40;
 
+/// Milliseconds between two tokens of a request on an engine that runs so many.
+pub fn step_ms(requests: u32) -> f64 {
+    STEP_MS + STEP_MS_PER_REQUEST * f64::from(requests)
+}
+
 impl Work {
     /// Seconds for which the work would keep an engine busy whose batch is full with such work.
     pub fn busy_seconds(self, slots: u32) -> f64 {
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use quincevalve_names::{
-    BackendServerName, DataCentreName, ServiceName, TimePoint, rendezvous_score,
+    BackendServerName, DataCentreName, ServerVersion, ServiceName, TimePoint, rendezvous_score,
 };
 use rand::{Rng, RngExt};
 
 use crate::{
     config::Engine,
     load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
+    rollout::scope::VersionScope,
     servers::{Server, ServerStart, ServerTable, start_hash},
 };
 
@@ -60,6 +61,14 @@
     pub data_centre: &'a DataCentreName,
     /// Servers that have had the request.
     pub had: &'a [BackendServerName],
+    /// The servers that it may go to, where their versions differ.
+    pub scope: Option<&'a VersionScope>,
+}
+
+impl Ask<'_> {
+    fn admits(&self, name: &BackendServerName, server: &Server) -> bool {
+        self.scope.is_none_or(|it| it.admits(name, &server.entry))
+    }
 }
 
 /// A server for a request.
@@ -69,12 +78,16 @@
     pub server: BackendServerName,
     /// Its start for which it was picked.
     pub start: ServerStart,
+    /// Its version.
+    pub version: ServerVersion,
     /// The work that it takes on.
     pub work: Work,
     /// Its place in the order of servers that keep the prompt's shared part, 0 first; `None` if it isn't in it.
     pub home: Option<usize>,
     /// When the first answer is expected, from now.
     pub predicted: Duration,
+    /// The same of a server without a record; `None` while it is slow after its start.
+    pub expected: Option<Duration>,
     /// The work that the server had, as far as known.
     pub seen: WorkSum,
     /// How long ago others told their part of it.
@@ -147,7 +160,8 @@
     where
         R: Rng,
     {
-        let usable: Vec<_> = self.usable(ask.service, now).collect();
+        let usable = self.usable(ask.service, now).filter(|(name, it)| ask.admits(name, it));
+        let usable: Vec<_> = usable.collect();
         let some = candidates(ask, &usable, rng);
         if let Ok(placement) = best_of(ask, &usable, &some, rng, now) {
             return Ok(placement);
@@ -179,7 +193,7 @@
         }
         let home = homes.iter().position(|it| it == at);
         let rank = home.unwrap_or(homes.len());
-        let Prediction { ms: predicted_ms, work, room, reading, slots } =
+        let Prediction { ms: predicted_ms, expected_ms, work, room, reading, slots } =
             predict(ask, server, rank, now);
         let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
         nearest = Some(nearest.map_or(predicted, |it| it.min(predicted)));
@@ -198,9 +212,19 @@
             let seen = server.load.total(now);
             let told_age = server.load.told_age(now);
             let unlisted_for = server.unlisted_for(now);
-            let (start, server) = (server.entry.start, name.clone());
-            let place =
-                Placement { server, start, work, home, predicted, seen, told_age, unlisted_for };
+            let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+            let place = Placement {
+                server: name.clone(),
+                start: server.entry.start,
+                version: server.entry.version.clone(),
+                work,
+                home,
+                predicted,
+                expected: (!server.entry.is_cold).then_some(expected),
+                seen,
+                told_age,
+                unlisted_for,
+            };
             best = Some((cost, place));
         }
     }
@@ -274,6 +298,8 @@
 struct Prediction {
     /// Milliseconds to the first answer.
     ms: f64,
+    /// The same of a server without a record.
+    expected_ms: f64,
     work: Work,
     /// Whether there is room for it at all.
     room: bool,
@@ -292,11 +318,13 @@
         let queued = (f64::from(load.requests) + 1.0 - slots).max(0.0);
         let spread = f64::from(load.requests) / slots;
         let work = Work { urgency: ask.urgency, ..Work::default() };
-        let ms = each * (1.0 + 0.3 * spread + queued / slots);
-        return Prediction { ms, work, room: true, reading: 0.0, slots: 0.0 };
+        let waits = 1.0 + 0.3 * spread + queued / slots;
+        let (ms, expected_ms) = (each * waits, CALL_MS * waits);
+        return Prediction { ms, expected_ms, work, room: true, reading: 0.0, slots: 0.0 };
     };
+    let is_cold = ask.scope.is_some_and(VersionScope::is_cold);
     let kept = prompt.shared.map_or(0, |(_, tokens)| match rank {
-        0 => (f64::from(tokens) * server.load.warmth(now)) as u32,
+        0 if !is_cold => (f64::from(tokens) * server.load.warmth(now)) as u32,
         _ => 0,
     });
     let prefill = prompt.input.saturating_sub(kept);
@@ -306,7 +334,8 @@
     let ahead = if is_urgent(ask.urgency) { load.urgent_prefill } else { load.prefill };
     let read_ms = (ahead as f64 + f64::from(prefill)) / PREFILL_PER_MS;
     let step = STEP_MS_PER_REQUEST * f64::from(load.requests);
-    let predicted = (FIRST_TOKEN_MS + read_ms + step) * server.load.slowness();
+    let expected_ms = FIRST_TOKEN_MS + read_ms + step;
+    let ms = expected_ms * server.load.slowness();
     let memory_left = engine.kv_tokens as f64 * MEMORY_PART - load.memory as f64;
     let slots = f64::from(load.requests) / f64::from(engine.slots.max(1));
     let reading = server.load.reading_part(&load);
@@ -315,5 +344,5 @@
     let room = slots < SLOT_PART
         && (f64::from(memory) <= memory_left || load.requests == 0)
         && (reading + own_part <= most || reading <= IDLE_READING_PART);
-    Prediction { ms: predicted, work, room, reading, slots }
+    Prediction { ms, expected_ms, work, room, reading, slots }
 }
--- a/crates/quincevalve_forwarding/src/retry_window.rs
+++ b/crates/quincevalve_forwarding/src/retry_window.rs
@@ -4,6 +4,8 @@
 
 use quincevalve_names::TimePoint;
 
+use crate::shared_limit::SharedLimit;
+
 /// What all entry VMs together may send again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
@@ -18,6 +20,12 @@
 /// Part of the promised budget that is used; the rest covers windows that the VMs count at other offsets.
 const USED_PART: f64 = 0.7;
 
+impl RetryLimits {
+    const fn shared(&self) -> SharedLimit {
+        SharedLimit { ratio: self.ratio, slack: self.slack }
+    }
+}
+
 /// One entry VM's part of a service's retry budget.
 ///
 /// Failure: servers refuse or fail, and each entry VM sends again. Symptom: the repeats add load that
@@ -51,8 +59,7 @@
     /// Takes one repeat out of the budget of `vms` entry VMs; `false` if there is none left.
     pub fn spend(&mut self, limits: &RetryLimits, vms: usize, now: TimePoint) -> bool {
         self.forget(limits.window, now);
-        let slack = limits.slack / vms.max(1) as f64;
-        let allowed = USED_PART * (slack + limits.ratio * self.requests.len() as f64);
+        let allowed = USED_PART * limits.shared().part(self.requests.len() as u64, vms);
         if (self.repeats.len() + 1) as f64 > allowed {
             return false;
         }
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_names::{
-    BackendServerName, DataCentreName, ServiceName, TimePoint, hash_text, mix,
+    BackendServerName, DataCentreName, ServerVersion, ServiceName, TimePoint, hash_text, mix,
 };
 use serde::{Deserialize, Serialize};
 
@@ -27,8 +27,12 @@
     pub address: SocketAddr,
     /// Where it stands.
     pub data_centre: DataCentreName,
+    /// The version of its software.
+    pub version: ServerVersion,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Whether it says that it is still slow after its start.
+    pub is_cold: bool,
     /// Whether it says that it leaves.
     pub draining: bool,
     /// Whether the platform may take it back at any time.
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -6,7 +6,10 @@
 use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
 use serde::{Deserialize, Serialize};
 
-use crate::load::WorkSum;
+use crate::{
+    load::WorkSum,
+    rollout::share::{RolloutShares, add_shares, shares_without},
+};
 
 /// What was told counts for this long: several periods, so that a lost datagram or two change nothing.
 const FRESH: Duration = Duration::from_millis(800);
@@ -31,6 +34,8 @@
     pub spending: Spending,
     /// The work that they take on, in busy servers, by service.
     pub demand: Demand,
+    /// What they saw of roll-outs, by service.
+    pub rollouts: RolloutShares,
 }
 
 /// What is left of a rate after a subtraction and is below this, in units or busy servers a second, is a rounding error.
@@ -50,6 +55,7 @@
         for (service, busy) in &other.demand {
             *self.demand.entry(service.clone()).or_default() += busy;
         }
+        add_shares(&mut self.rollouts, &other.rollouts);
     }
 
     /// What is left of this sum without one share that was added to it.
@@ -66,6 +72,7 @@
             works: self.works.iter().filter_map(work).collect(),
             spending: rates_without(&self.spending, &part.spending),
             demand: rates_without(&self.demand, &part.demand),
+            rollouts: shares_without(&self.rollouts, &part.rollouts),
         }
     }
 }
--- a/crates/quincevalve_forwarding/tests/sums.rs
+++ b/crates/quincevalve_forwarding/tests/sums.rs
@@ -37,6 +37,7 @@
             .into_iter()
             .map(|(at, rate)| (ServiceName::from(format!("engines-{at}").as_str()), rate))
             .collect(),
+        ..Share::default()
     })
 }
 
--- a/crates/quincevalve_forwarding/tests/support/mod.rs
+++ b/crates/quincevalve_forwarding/tests/support/mod.rs
@@ -96,7 +96,9 @@
         service: "engines".into(),
         address: ([10, 0, 0, 1], 80).into(),
         data_centre: centre.into(),
+        version: "v1".into(),
         slots: 128,
+        is_cold: false,
         draining: false,
         reclaimable: false,
         leaves_in: None,
@@ -156,6 +158,7 @@
             within: self.within,
             data_centre: &self.data_centre,
             had: &self.had,
+            scope: None,
         }
     }
 }
--- a/crates/quincevalve_measure/src/experiments/placement.rs
+++ b/crates/quincevalve_measure/src/experiments/placement.rs
@@ -54,7 +54,9 @@
             service: "model".into(),
             address: ([10, 1, (at / 200) as u8, (at % 200) as u8], 80).into(),
             data_centre: CENTRES[at % CENTRES.len()].into(),
+            version: "v1".into(),
             slots: 16,
+            is_cold: false,
             draining: false,
             reclaimable: true,
             leaves_in: None,
@@ -80,6 +82,7 @@
         within: Duration::from_millis(680),
         data_centre: &"a".into(),
         had: &[],
+        scope: None,
     };
     std::hint::black_box(servers.place(&ask, rng, now()).is_ok());
 }
--- a/crates/quincevalve_names/src/lib.rs
+++ b/crates/quincevalve_names/src/lib.rs
@@ -17,7 +17,7 @@
     request_id::{HomeTag, InvalidRequestId, RequestId},
     text_names::{
         BackendServerName, ClassName, ClientAccountName, DataCentreName, EntryVmName,
-        IdempotencyKey, ModelName, RegionName, ServiceName,
+        IdempotencyKey, ModelName, RegionName, ServerVersion, ServiceName,
     },
     time_point::TimePoint,
 };
--- a/crates/quincevalve_names/src/text_names.rs
+++ b/crates/quincevalve_names/src/text_names.rs
@@ -71,6 +71,10 @@
     /// A class of request with its latency promise.
     ClassName
 }
+text_name! {
+    /// A version of a service's software, as its backend servers name it.
+    ServerVersion
+}
 text_name! {
     /// The caller's `Idempotency-Key`, unique within one client account.
     IdempotencyKey
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -2,6 +2,7 @@
 
 mod orders;
 mod reports;
+mod rollouts;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -17,7 +18,7 @@
     store::view::HOLDER_KEY,
 };
 
-use self::{orders::order_servers, reports::report_usage};
+use self::{orders::order_servers, reports::report_usage, rollouts::lead_rollouts};
 
 /// The key that counts the holders; it has no lease.
 const TERM_KEY: &str = "duty/term";
@@ -130,10 +131,12 @@
     let recalled = Cell::new(false);
     let reports = report_usage(node, store, cloud, &recalled);
     let orders = order_servers(node, cloud, &recalled);
+    let rollouts = lead_rollouts(node, store);
     tokio::select! {
         () = renewal => {}
         () = reports => {}
         () = orders => {}
+        () = rollouts => {}
     }
 }
 
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -50,6 +50,10 @@
             if node.servers.borrow().may_lack_entries(now) {
                 continue;
             }
+            // The old servers go, and the new ones are as many: what is there says nothing for some seconds.
+            if node.rollouts.borrow().is_promoting(name) {
+                continue;
+            }
             let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
             if let Some(measured) = node.measured.borrow().get(name) {
                 planner.go_on_from(measured.clone());
@@ -93,7 +97,10 @@
     centres: impl Iterator<Item = &'a DataCentreName>,
 ) -> IndexMap<DataCentreName, Present> {
     let mut present: IndexMap<_, _> = centres.map(|it| (it.clone(), Present::default())).collect();
-    for (_, server) in node.servers.borrow().usable(service, clock::now()) {
+    let servers = node.servers.borrow();
+    let book = node.rollouts.borrow();
+    let usable = servers.usable(service, clock::now());
+    for (_, server) in usable.filter(|(_, it)| book.carries_load(service, &it.entry.version)) {
         let centre = present.entry(server.entry.data_centre.clone()).or_default();
         if server.entry.reclaimable {
             centre.reclaimable += 1;
@@ -104,6 +111,20 @@
     present
 }
 
+/// Servers of a version that isn't planned with, of the kind and in the data centre of an order.
+///
+/// Failure: an order names all servers of a kind, and the plan knows the old version's only. Symptom: while both versions
+/// serve, an order for one more server gives back those of the new version.
+fn uncounted(node: &Node, service: &ServiceName, order: &Order) -> u32 {
+    let is_reclaimable = order.kind == ServerKind::Reclaimable;
+    let servers = node.servers.borrow();
+    let book = node.rollouts.borrow();
+    let of_kind = servers.usable(service, clock::now()).filter(|(_, it)| {
+        it.entry.data_centre == order.data_centre && it.entry.reclaimable == is_reclaimable
+    });
+    of_kind.filter(|(_, it)| !book.carries_load(service, &it.entry.version)).count() as u32
+}
+
 /// Sends an order; `None` where this VM may no longer act.
 async fn send_order<C>(
     node: &Node,
@@ -119,7 +140,7 @@
     let wanted = ServerOrder {
         service: service.clone(),
         data_centre: order.data_centre.clone(),
-        count: order.count,
+        count: order.count + uncounted(node, service, order),
         reclaimable: order.kind == ServerKind::Reclaimable,
     };
     let result = cloud.order(&holder, &wanted).await;
@@ -130,7 +151,7 @@
     };
     log::info!(
         service = service.as_str(), centre = order.data_centre.as_str(), kind:? = order.kind,
-        count = order.count, busy, number = holder.number.0, outcome:? = outcome;
+        count = wanted.count, busy, number = holder.number.0, outcome:? = outcome;
         "servers-ordered"
     );
     if let Err(error @ CloudError::Call { .. }) = result {
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ports;
 mod quarantine;
 mod request;
+mod rollouts;
 pub mod settings;
 mod start;
 mod store;
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -42,6 +42,12 @@
     result: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ToVersion {
+    service: String,
+    version: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -49,6 +55,7 @@
     first_answer: Family<ToRoute, Histogram>,
     between_events: Family<ToRoute, Histogram>,
     sendings: Family<ToServer, Counter>,
+    sendings_by_version: Family<ToVersion, Counter>,
     in_flight: Gauge,
     servers: Gauge,
     vms: Gauge,
@@ -68,6 +75,7 @@
             })
         });
         let sendings = Family::default();
+        let sendings_by_version = Family::default();
         let [in_flight, servers, vms, config_version, proof_age_ms, quarantined] =
             std::array::from_fn(|_| Gauge::default());
         let lines_left_out = Counter::default();
@@ -83,6 +91,11 @@
             between_events.clone(),
         );
         registry.register("sendings", "Sendings to servers by result", sendings.clone());
+        registry.register(
+            "sendings_by_version",
+            "Sendings to servers by their software's version",
+            sendings_by_version.clone(),
+        );
         registry.register("in_flight", "Requests and streams at present", in_flight.clone());
         registry.register("servers", "Servers that take new work", servers.clone());
         registry.register("vms", "Entry VMs that are known", vms.clone());
@@ -96,6 +109,7 @@
             first_answer,
             between_events,
             sendings,
+            sendings_by_version,
             in_flight,
             servers,
             vms,
@@ -114,6 +128,12 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a sending to a server of a version.
+    pub(crate) fn sent_to(&self, service: &str, version: &str) {
+        let labels = ToVersion { service: service.to_owned(), version: version.to_owned() };
+        self.sendings_by_version.get_or_create(&labels).inc();
+    }
+
     /// Takes the time to a first answer.
     pub(crate) fn first_answer(&self, route: &str, took: Duration) {
         let labels = ToRoute { route: route.to_owned() };
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -17,10 +17,12 @@
     line_budget::LineBudget,
     load::{self, Work, WorkSum},
     peer_book::VmCard,
+    placement::Placement,
     poison::PoisonGuard,
     quota::QuotaBook,
     rate::Rate,
     retry_window::RetryWindow,
+    rollout::book::RolloutBook,
     servers::{ServerTable, start_hash},
     store_contact::StoreContact,
     store_pacing::ReadingPart,
@@ -93,6 +95,8 @@
     /// What is known of requests under which servers exit.
     pub(crate) poison: RefCell<PoisonGuard>,
     pub(crate) quarantine: QuarantineStore,
+    /// What is known of services that are moved to another version.
+    pub(crate) rollouts: RefCell<RolloutBook>,
     pub(crate) lines: RefCell<LineBudget>,
     pub(crate) refusal_lines: RefCell<LineBudget>,
     pub(crate) metrics: Metrics,
@@ -138,6 +142,7 @@
             mover,
             poison: RefCell::new(PoisonGuard::new(settings.name.as_str())),
             quarantine,
+            rollouts: RefCell::new(RolloutBook::new(settings.exposure)),
             lines: RefCell::default(),
             refusal_lines: RefCell::new(LineBudget::for_refusals()),
             metrics: Metrics::default(),
@@ -250,6 +255,15 @@
         self.peers.borrow().book.vms()
     }
 
+    /// Counts a request that is sent to a server, by the server's version.
+    pub(crate) fn note_sent(&self, place: &Placement) {
+        let servers = self.servers.borrow();
+        let Some(server) = servers.get(&place.server) else { return };
+        let service = &server.entry.service;
+        self.rollouts.borrow_mut().sent(service, &place.version);
+        self.metrics.sent_to(service.as_str(), place.version.as_str());
+    }
+
     /// Takes one repeat out of a service's retry budget.
     pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
         let vms = self.vms();
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -10,7 +10,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use super::datagram::{Content, Echo, Relayed, Scope, Telling, ToldContact, encoding};
-use crate::{clock, node::Node, ports::StoreRevision};
+use crate::{clock, node::Node, ports::StoreRevision, rollouts};
 
 /// Time between two tellings. Loads and quotas are known everywhere after three of them at most. Against 120 ms,
 /// one request in a hundred more was on time with 85 VMs, for a third more processor time.
@@ -78,6 +78,10 @@
         quota.set_others(&others.spending, reachable_part, &config, now);
     }
     measure_demand(node, now);
+    if !node.rollouts.borrow().is_idle() {
+        node.rollouts.borrow_mut().set_others(&others.rollouts);
+        rollouts::refresh(node);
+    }
     for (name, server) in node.servers.borrow_mut().all_mut() {
         let work =
             others.works.get(&start_hash(name, server.entry.start)).copied().unwrap_or_default();
@@ -105,6 +109,7 @@
         works: node.own_work().into_iter().collect(),
         spending,
         demand: demand.collect(),
+        rollouts: node.rollouts.borrow_mut().shares(&node.servers.borrow(), now),
     }
 }
 
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -4,9 +4,11 @@
 
 use http::{HeaderName, HeaderValue};
 use indexmap::IndexMap;
-use quincevalve_forwarding::{config::ForwardingConfig, servers::ServerEntry};
+use quincevalve_forwarding::{
+    config::ForwardingConfig, rollout::record::RolloutOrder, servers::ServerEntry,
+};
 use quincevalve_names::{
-    BackendServerName, ClientAccountName, DataCentreName, FencingNumber, ServiceName,
+    BackendServerName, ClientAccountName, DataCentreName, FencingNumber, ServerVersion, ServiceName,
 };
 use quincevalve_ports::CallError;
 use snafu::Snafu;
@@ -33,6 +35,8 @@
     pub servers: Vec<(BackendServerName, ServerEntry)>,
     /// Backend servers' names under which something stands that can't be read, and why.
     pub unreadable: Vec<(BackendServerName, String)>,
+    /// The operators' orders for roll-outs.
+    pub rollouts: Vec<(ServiceName, RolloutOrder)>,
     /// The system's own keys.
     pub own: Vec<OwnItem>,
     /// All changes up to this revision are in it.
@@ -65,6 +69,10 @@
     ServerRemoved(BackendServerName),
     /// What stands under a backend server's name can't be read; the reason is logged.
     ServerUnreadable(BackendServerName, String),
+    /// An order to move a service to another version.
+    RolloutOrder(ServiceName, RolloutOrder),
+    /// Such an order was removed.
+    RolloutOrderRemoved(ServiceName),
     /// The system's own item.
     Own(OwnItem),
     /// The system's own item was removed.
@@ -93,6 +101,30 @@
     pub removes: Vec<String>,
 }
 
+/// What operators are told of a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    /// The traffic is being moved.
+    Active,
+    /// The old version's servers may stop.
+    Completed,
+    /// The new version's servers may go.
+    RolledBack,
+}
+
+/// The word to the operators about one order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that was ordered.
+    pub to: ServerVersion,
+    /// How far it has come.
+    pub state: RolloutState,
+    /// The revision at which the order has to stand for the word to be written; absent where it was removed.
+    pub order: StoreRevision,
+}
+
 /// How new what is read has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadAge {
@@ -156,6 +188,13 @@
     /// Writes the system's own keys.
     fn commit(&self, commit: &Commit) -> impl Future<Output = Result<StoreRevision, StoreError>>;
 
+    /// Writes the system's own keys and, in the same write, the word about a roll-out.
+    fn commit_rollout(
+        &self,
+        commit: &Commit,
+        status: &RolloutStatus,
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>>;
+
     /// Takes out a lease.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
 
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -51,10 +51,12 @@
         };
         had.push(place.server.clone());
         let mut guard = WorkGuard::new(node, &place);
+        guard.watch(&req, &place);
         let sent = Instant::now();
         note!(
             node, req,
-            server = place.server.as_str(), urgency = req.urgency, home = place.home.map_or(-1, usize::cast_signed) as i64,
+            server = place.server.as_str(), urgency = req.urgency, version = &place.version,
+            home = place.home.map_or(-1, usize::cast_signed) as i64,
             predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
             prefill = place.seen.prefill, recent = place.seen.recent,
             told_age_ms = place.told_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place),
@@ -67,6 +69,9 @@
                 Err(failed) => failed,
             },
             Err(failed) => {
+                if failed == Failed::TimedOut {
+                    guard.judged(false);
+                }
                 guard.prefilled();
                 drop(guard);
                 failed
@@ -136,8 +141,12 @@
     if !answer.sealed && !status.is_client_error() && !status.is_server_error() {
         log::warn!(id = req.id, server = place.server.as_str(), status = status.as_u16(); "unsealed");
         about(node, place, |it, _| it.load.failed());
+        guard.judged(false);
         return Err(Failed::MayHaveRun);
     }
+    if answer.sealed && status.is_server_error() {
+        guard.judged(false);
+    }
     if !answer.sealed || status.is_server_error() {
         about(node, place, |it, _| it.load.failed());
     }
@@ -167,6 +176,10 @@
         Ok(Ok(whole)) => whole.to_bytes(),
     };
     guard.prefilled();
+    if !status.is_server_error() {
+        guard.first_part();
+        guard.judged(true);
+    }
     if status.is_success() {
         note_answered(node, place, sent);
         quarantine::note_completed(node, req);
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -184,7 +184,9 @@
 fn is_usable(node: &Node, place: &Placement) -> bool {
     let servers = node.servers.borrow();
     let picked = servers.get(&place.server).filter(|it| it.entry.start == place.start);
-    picked.is_some_and(|it| servers.may_take(it, clock::now()))
+    let Some(picked) = picked else { return false };
+    let book = node.rollouts.borrow();
+    servers.may_take(picked, clock::now()) && book.admits(&picked.entry.service, &place.version)
 }
 
 /// Changes what is known of the server that was picked.
--- a/crates/quincevalve_node/src/request/placing.rs
+++ b/crates/quincevalve_node/src/request/placing.rs
@@ -5,6 +5,7 @@
 use quincevalve_forwarding::{
     load::Work,
     placement::{Ask, NoPlace, Placement},
+    rollout::{book::Choice, scope::VersionScope},
     servers::ServerStart,
 };
 use quincevalve_names::BackendServerName;
@@ -18,6 +19,7 @@
         identify::Identified,
         refusal::{Refusal, Refused},
     },
+    rollouts::{self, WatchedRun},
 };
 
 /// A request that finds all servers too busy waits at most this part of its objective for room: a wait
@@ -38,13 +40,36 @@
     start: ServerStart,
     work: Work,
     reading: bool,
+    /// Set where the answer is compared with those of another version.
+    watched: Option<WatchedRun>,
 }
 
 impl WorkGuard {
     pub(crate) fn new(node: &Rc<Node>, place: &Placement) -> Self {
         about(node, place, |it, now| it.load.begin(place.work, now));
+        node.note_sent(place);
         let (server, start, work) = (place.server.clone(), place.start, place.work);
-        Self { node: node.clone(), server, start, work, reading: true }
+        Self { node: node.clone(), server, start, work, reading: true, watched: None }
+    }
+
+    /// Compares how the request is answered with answers of another version, if there is one.
+    pub(crate) fn watch(&mut self, req: &Identified, place: &Placement) {
+        self.watched = WatchedRun::begin(&self.node, req, place);
+    }
+
+    /// Notes the first part of the server's answer.
+    pub(crate) fn first_part(&self) {
+        self.watched.iter().for_each(WatchedRun::first_part);
+    }
+
+    /// Notes whether the server succeeded.
+    pub(crate) fn judged(&self, succeeded: bool) {
+        self.watched.iter().for_each(|it| it.judged(succeeded));
+    }
+
+    /// Notes the mean time between two events of the server's stream.
+    pub(crate) fn pace(&self, between_ms: f64) {
+        self.watched.iter().for_each(|it| it.pace(between_ms));
     }
 
     /// Notes that the prompt has been read.
@@ -78,23 +103,17 @@
     had: &[BackendServerName],
 ) -> Result<Placement, Refused> {
     let waits_until = req.arrived + req.route.objective.mul_f64(WAIT_PART);
-    let engine = req.config.services.get(&req.service).and_then(|it| it.engine);
+    let choice = if had.is_empty() {
+        rollouts::choose(node, req)
+    } else {
+        rollouts::regular(node, &req.service)
+    };
     loop {
         let since = req.arrived.elapsed();
         let objective = req.route.objective.mul_f64(OBJECTIVE_PART);
-        let ask = Ask {
-            service: &req.service,
-            prompt: req.prompt.zip(engine),
-            urgency: req.urgency,
-            within: objective.saturating_sub(since).max(objective / 4),
-            data_centre: &node.settings.data_centre,
-            had,
-        };
-        let placed = {
-            let mut rng = node.rng.borrow_mut();
-            node.servers.borrow().place(&ask, &mut *rng, clock::now())
-        };
-        let lacking = match placed {
+        let within = objective.saturating_sub(since).max(objective / 4);
+        let ask = ask(node, req, had, within);
+        let lacking = match place(node, &ask, &choice) {
             Ok(place) => return Ok(place),
             Err(lacking) => lacking,
         };
@@ -111,17 +130,40 @@
     req: &Identified,
     had: &[BackendServerName],
 ) -> Option<Placement> {
+    let choice = rollouts::regular(node, &req.service);
+    place(node, &ask(node, req, had, req.route.objective), &choice).ok()
+}
+
+fn ask<'a>(
+    node: &'a Node,
+    req: &'a Identified,
+    had: &'a [BackendServerName],
+    within: Duration,
+) -> Ask<'a> {
     let engine = req.config.services.get(&req.service).and_then(|it| it.engine);
-    let ask = Ask {
+    Ask {
         service: &req.service,
         prompt: req.prompt.zip(engine),
         urgency: req.urgency,
-        within: req.route.objective,
+        within,
         data_centre: &node.settings.data_centre,
         had,
-    };
+        scope: None,
+    }
+}
+
+/// The best server among those that a request may go to.
+fn place(node: &Node, ask: &Ask<'_>, choice: &Choice) -> Result<Placement, NoPlace> {
+    let servers = node.servers.borrow();
     let mut rng = node.rng.borrow_mut();
-    node.servers.borrow().place(&ask, &mut *rng, clock::now()).ok()
+    let mut place_in = |scope: Option<&VersionScope>| {
+        servers.place(&Ask { scope, ..*ask }, &mut *rng, clock::now())
+    };
+    match choice {
+        Choice::Any => place_in(None),
+        Choice::One(scope) => place_in(Some(scope)),
+        Choice::Either(first, second) => place_in(Some(first)).or_else(|_| place_in(Some(second))),
+    }
 }
 
 fn no_place(ask: &Ask<'_>, lacking: NoPlace) -> Refused {
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -88,6 +88,8 @@
         began: false,
         first_after: None,
         newest_event: None,
+        between_events: Duration::ZERO,
+        pauses: 0,
         runs_before,
         _in_flight: InFlight::new(node),
     };
@@ -107,6 +109,9 @@
     first_after: Option<Duration>,
     /// When the newest event came.
     newest_event: Option<Instant>,
+    /// The time between all events, and how many pauses that were.
+    between_events: Duration,
+    pauses: u32,
     /// Servers that may have run the request before the first of this stream.
     runs_before: u32,
     _in_flight: InFlight,
@@ -121,6 +126,10 @@
                 End::Whole => {
                     quarantine::note_completed(&self.node, &self.req);
                     self.ended("whole", &servers);
+                    if servers.len() == 1 && self.pauses > 0 {
+                        let between = self.between_events / self.pauses;
+                        source.guard.pace(between.as_secs_f64() * 1_000.0);
+                    }
                     self.node.backends.keep(&source.place, source.connection, &source.keep_alive);
                     return;
                 }
@@ -197,6 +206,8 @@
             let Some(events) = self.whole_events(&data) else { continue };
             if !std::mem::replace(&mut self.began, true) {
                 source.guard.prefilled();
+                source.guard.first_part();
+                source.guard.judged(true);
                 note!(
                     self.node, self.req,
                     server = source.place.server.as_str(),
@@ -212,6 +223,8 @@
             let now = Instant::now();
             if let Some(before) = self.newest_event.replace(now) {
                 self.node.metrics.between_events(&self.req.route.name, now - before);
+                self.between_events += now - before;
+                self.pauses += 1;
             }
             if self.tx.send(Ok(events)).await.is_err() {
                 return End::CallerLeft;
@@ -226,7 +239,9 @@
 
     /// When the stream has to be moved, if its server goes.
     fn move_at(&self, place: &Placement) -> Option<Instant> {
-        let goes_at = self.node.servers.borrow().goes_at(&place.server, place.start)?;
+        let leaves = self.node.servers.borrow().goes_at(&place.server, place.start);
+        let replaced = self.node.rollouts.borrow().goes_at(&self.req.service, &place.version);
+        let goes_at = leaves.into_iter().chain(replaced).min()?;
         let left = goes_at.since(clock::now());
         Some(Instant::now() + left.saturating_sub(MOVE_BEFORE))
     }
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
-use quincevalve_forwarding::{quota::QuotaLimits, retry_window::RetryLimits};
+use quincevalve_forwarding::{
+    quota::QuotaLimits, retry_window::RetryLimits, shared_limit::SharedLimit,
+};
 use quincevalve_names::{DataCentreName, EntryVmName};
 
 /// The settings of one entry VM's process.
@@ -33,6 +35,8 @@
     pub bounds: Bounds,
     /// The retry budget of all entry VMs.
     pub retries: RetryLimits,
+    /// How many requests of all entry VMs a version may get that isn't known to be good.
+    pub exposure: SharedLimit,
     /// How quotas are counted over all entry VMs.
     pub quotas: QuotaLimits,
     /// What one holder does for all.
--- a/crates/quincevalve_node/src/store/state_copy/tests.rs
+++ b/crates/quincevalve_node/src/store/state_copy/tests.rs
@@ -21,7 +21,9 @@
         service: "model".into(),
         address: ([10, 2, (at / 200) as u8, (at % 200) as u8], 80).into(),
         data_centre: "north".into(),
+        version: "v1".into(),
         slots: 16,
+        is_cold: false,
         draining: at == 7,
         reclaimable: true,
         leaves_in: None,
@@ -49,6 +51,7 @@
         vms: (0..300).map(card).collect(),
         holder: Some("vm-9".to_owned()),
         quarantine: vec![(RequestDigest(7), QuarantineEntry::first(Exits::Separate, 0))],
+        ..Whole::default()
     };
     assert!(take_whole(&node, whole));
     prove(&node, clock::now());
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -6,9 +6,10 @@
     peer_book::VmCard,
     poison::QuarantineEntry,
     request_digest::RequestDigest,
+    rollout::record::{RolloutOrder, RolloutRecord},
     servers::{Removal, ServerEntry},
 };
-use quincevalve_names::{BackendServerName, DataCentreName};
+use quincevalve_names::{BackendServerName, DataCentreName, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -16,6 +17,7 @@
     node::Node,
     ports::{Change, Changes, LeaseId, OwnItem, Snapshot, StoreRevision},
     quarantine::{QUARANTINE_KEYS, digest_of, listed},
+    rollouts::{self, ROLLOUT_KEYS},
 };
 
 /// Keys of entry VMs, each with its card: the data centre, and the name in it.
@@ -46,6 +48,8 @@
         value: Vec<u8>,
     },
     OwnRemoved(String),
+    /// The operators' order for a service; `None` once it was removed.
+    RolloutOrder(ServiceName, Option<RolloutOrder>),
     /// There is a configuration of this version.
     ///
     /// Failure: a VM that can't read the new configuration passes on what came after it. Symptom: who is told
@@ -68,6 +72,10 @@
             Self::ServerRemoved(name) | Self::ServerUnreadable(name) => name.as_str().len(),
             Self::Own { key, value } => key.len() + value.len(),
             Self::OwnRemoved(key) => key.len(),
+            Self::RolloutOrder(service, order) => {
+                let version = order.as_ref().map_or(0, |it| it.to.as_str().len());
+                service.as_str().len() + version
+            }
             Self::Config(_) => 0,
         };
         CHANGE_BYTES + own
@@ -82,11 +90,15 @@
     fn concerns_others(&self) -> bool {
         match self {
             Self::Own { key, .. } | Self::OwnRemoved(key) => {
-                key == HOLDER_KEY || key.starts_with(PEER_KEYS) || key.starts_with(QUARANTINE_KEYS)
+                key == HOLDER_KEY
+                    || [PEER_KEYS, QUARANTINE_KEYS, ROLLOUT_KEYS]
+                        .iter()
+                        .any(|it| key.starts_with(it))
             }
             Self::Server(..)
             | Self::ServerRemoved(_)
             | Self::ServerUnreadable(_)
+            | Self::RolloutOrder(..)
             | Self::Config(_) => true,
         }
     }
@@ -146,6 +158,10 @@
     pub(crate) holder: Option<String>,
     /// Requests that are kept from servers.
     pub(crate) quarantine: Vec<(RequestDigest, QuarantineEntry)>,
+    /// The operators' orders for roll-outs.
+    pub(crate) rollout_orders: Vec<(ServiceName, RolloutOrder)>,
+    /// How far roll-outs have come.
+    pub(crate) rollouts: Vec<(ServiceName, RolloutRecord)>,
 }
 
 /// Takes the whole store as this VM read it.
@@ -166,6 +182,8 @@
         vms: cards(&snapshot.own),
         holder,
         quarantine: snapshot.own.iter().filter_map(|it| listed(&it.key, &it.value)).collect(),
+        rollouts: rollouts::records(&snapshot.own),
+        rollout_orders: snapshot.rollouts,
     };
     if take_whole(node, whole) {
         log::info!(revision = at, servers; "store-read");
@@ -186,6 +204,8 @@
         tell_removed(&name, Some(taken_for));
     }
     node.poison.borrow_mut().replace_all(whole.quarantine, now);
+    let was_running = node.store_view.borrow().was_read();
+    rollouts::replace_all(node, whole.rollout_orders, whole.rollouts, was_running);
     let mut peers = node.peers.borrow_mut();
     peers.book.replace_all(whole.vms);
     peers.holder_seen(whole.holder);
@@ -212,9 +232,18 @@
         vms: peers.book.listed_cards().cloned().collect(),
         holder: peers.holder().map(str::to_owned),
         quarantine: node.poison.borrow().listed().collect(),
+        rollout_orders: owned(node.rollouts.borrow().orders()),
+        rollouts: owned(node.rollouts.borrow().records()),
     })
 }
 
+fn owned<'a, T>(items: impl Iterator<Item = (&'a ServiceName, &'a T)>) -> Vec<(ServiceName, T)>
+where
+    T: Clone + 'a,
+{
+    items.map(|(service, it)| (service.clone(), it.clone())).collect()
+}
+
 /// Notes the lease of the entry that the last start of this VM left, if it is among these items.
 pub(crate) fn note_left_lease(node: &Node, own: &[OwnItem]) {
     let peers = node.peers.borrow();
@@ -240,6 +269,12 @@
             }
             Change::Server(name, entry) => passed.push((at.0, Passed::Server(name, entry))),
             Change::ServerRemoved(name) => passed.push((at.0, Passed::ServerRemoved(name))),
+            Change::RolloutOrder(service, order) => {
+                passed.push((at.0, Passed::RolloutOrder(service, Some(order))));
+            }
+            Change::RolloutOrderRemoved(service) => {
+                passed.push((at.0, Passed::RolloutOrder(service, None)));
+            }
             Change::Own(OwnItem { key, value, .. }) => {
                 passed.push((at.0, Passed::Own { key, value }));
             }
@@ -310,6 +345,14 @@
         Passed::Own { key, value } if key == HOLDER_KEY => {
             node.peers.borrow_mut().holder_seen(Some(holder_name(value)));
         }
+        Passed::RolloutOrder(service, order) => {
+            rollouts::take_order(node, service, order.clone());
+        }
+        Passed::Own { key, value } if key.starts_with(ROLLOUT_KEYS) => {
+            if let Some((service, record)) = rollouts::record(key, value) {
+                rollouts::take_record(node, &service, record);
+            }
+        }
         Passed::Own { key, value } if key.starts_with(QUARANTINE_KEYS) => {
             if let Some((digest, entry)) = listed(key, value) {
                 node.poison.borrow_mut().entry_listed(digest, entry);
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -8,6 +8,7 @@
     config::{Account, CallerLimits, ForwardingConfig},
     quota::QuotaLimits,
     retry_window::RetryLimits,
+    shared_limit::SharedLimit,
 };
 use tokio::task::LocalSet;
 
@@ -71,6 +72,7 @@
             keys_fail_closed: true,
             grace: Duration::from_secs(8),
         },
+        exposure: SharedLimit { ratio: 0.1, slack: 50.0 },
         retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
         quotas: QuotaLimits::default(),
         duties: Duties {
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -16,15 +16,17 @@
     peer_book::VmCard,
     quota::QuotaLimits,
     retry_window::RetryLimits,
+    rollout::record::{OrderId, RolloutOrder},
     servers::ServerEntry,
+    shared_limit::SharedLimit,
 };
-use quincevalve_names::{BackendServerName, ClientAccountName};
+use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName};
 use quincevalve_node::{
     Listeners,
     ports::{
         ActingHolder, Change, Changes, CloudApi, CloudError, Commit, EngineApi, HeaderNames,
-        LeaseId, MoveError, MovedRun, OwnItem, PlatformStore, ReadAge, ServerOrder, Snapshot,
-        StoreError, StoreRevision,
+        LeaseId, MoveError, MovedRun, OwnItem, PlatformStore, ReadAge, RolloutStatus, ServerOrder,
+        Snapshot, StoreError, StoreRevision,
     },
     settings::{Bounds, Duties, NodeSettings},
 };
@@ -59,6 +61,9 @@
     config: RefCell<Option<ForwardingConfig>>,
     servers: RefCell<Vec<(BackendServerName, ServerEntry)>>,
     own: RefCell<Vec<OwnItem>>,
+    rollouts: RefCell<IndexMap<ServiceName, RolloutOrder>>,
+    /// The words about roll-outs, oldest first.
+    statuses: RefCell<Vec<RolloutStatus>>,
     changes: RefCell<Vec<(StoreRevision, FakeChange)>>,
     silent: Cell<bool>,
     holds_changes: Cell<bool>,
@@ -70,6 +75,7 @@
 enum FakeChange {
     Server(BackendServerName, Option<ServerEntry>),
     Own(String, Option<Vec<u8>>),
+    Rollout(ServiceName, Option<RolloutOrder>),
 }
 
 impl FakeChange {
@@ -81,6 +87,11 @@
                 Change::Own(OwnItem { key, value, revision, lease: None })
             }
             Self::Own(key, None) => Change::OwnRemoved(key),
+            Self::Rollout(service, Some(order)) => {
+                let id = OrderId(revision.0);
+                Change::RolloutOrder(service, RolloutOrder { id, ..order })
+            }
+            Self::Rollout(service, None) => Change::RolloutOrderRemoved(service),
         }
     }
 }
@@ -169,6 +180,26 @@
         at
     }
 
+    /// Orders a roll-out, as operators do, or removes the order.
+    pub fn order_rollout(&self, service: &str, order: Option<RolloutOrder>) {
+        let service: ServiceName = service.into();
+        let at = self.add(FakeChange::Rollout(service.clone(), order.clone()));
+        let mut rollouts = self.shared.rollouts.borrow_mut();
+        match order {
+            Some(order) => {
+                rollouts.insert(service, RolloutOrder { id: OrderId(at.0), ..order });
+            }
+            None => {
+                rollouts.shift_remove(&service);
+            }
+        }
+    }
+
+    /// The words about roll-outs so far.
+    pub fn statuses(&self) -> Vec<RolloutStatus> {
+        self.shared.statuses.borrow().clone()
+    }
+
     /// Writes an item of the system's own.
     pub fn put(&self, key: &str, value: Vec<u8>) {
         let revision = self.add(FakeChange::Own(key.to_owned(), Some(value.clone())));
@@ -201,6 +232,13 @@
         self.vm.whole_readings.set(self.vm.whole_readings.get() + 1);
         Ok(Snapshot {
             unreadable: Vec::new(),
+            rollouts: self
+                .shared
+                .rollouts
+                .borrow()
+                .iter()
+                .map(|(name, it)| (name.clone(), it.clone()))
+                .collect(),
             config: self.shared.config.borrow().clone(),
             servers: self.shared.servers.borrow().clone(),
             own: self.shared.own.borrow().clone(),
@@ -279,6 +317,23 @@
         Ok(newest)
     }
 
+    async fn commit_rollout(
+        &self,
+        commit: &Commit,
+        status: &RolloutStatus,
+    ) -> Result<StoreRevision, StoreError> {
+        let stands = {
+            let rollouts = self.shared.rollouts.borrow();
+            rollouts.get(&status.service).map_or(StoreRevision::ABSENT, |it| StoreRevision(it.id.0))
+        };
+        if stands != status.order {
+            return Err(StoreError::Conflict);
+        }
+        let revision = self.commit(commit).await?;
+        self.shared.statuses.borrow_mut().push(status.clone());
+        Ok(revision)
+    }
+
     async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
         self.answer().await?;
         Ok(LeaseId(1))
@@ -367,6 +422,7 @@
             keys_fail_closed: true,
             grace: Duration::from_secs(8),
         },
+        exposure: SharedLimit { ratio: 0.1, slack: 50.0 },
         retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
         quotas: QuotaLimits { window: Duration::from_secs(8), overage: 0.0, slack: 0.0 },
         duties: Duties {
@@ -425,7 +481,9 @@
         service: "engines".into(),
         address,
         data_centre: "a".into(),
+        version: "v1".into(),
         slots: 64,
+        is_cold: false,
         draining: false,
         reclaimable: false,
         leaves_in: None,
