Fleet: a holder that has known the servers for long gives back without seeing them anew

The wait is for a VM that has just started; every VM keeps the list all the time, so it counts from the start of the process.

--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -79,7 +79,7 @@
 const QUOTA_TOKENS_PER_SERVER: f64 = 65_000.0;
 /// Times what the quotas let expect that is prepared for at most at first: not all accounts have a quota.
 const MOST_PROMISED: f64 = 1.5;
-/// Time that a new planner needs to see all servers: they renew their entries within it.
+/// Time that a VM which starts needs to see all servers: they renew their entries within it.
 const ACQUAINTANCE: Duration = Duration::from_millis(2_800);
 /// Time for which fewer reclaimable servers must be enough before fewer are ordered: longer than the times
 /// in which none can be had, so that the fleet doesn't shrink just before a data centre's servers go.
@@ -150,10 +150,14 @@
 }
 
 impl FleetPlanner {
-    /// Begins to plan at `now`.
-    pub fn new(now: TimePoint) -> Self {
+    /// Begins to plan at a VM that has known the servers `since` then.
+    ///
+    /// Failure: entry VMs are restarted one after the other, and with them each holder of the duties. Symptom: no holder
+    /// is there for long enough to give anything back, and servers on demand that nobody needs stay until the restarts are
+    /// over. A VM that has known the servers for long need not see them anew.
+    pub fn new(since: TimePoint) -> Self {
         Self {
-            since: now,
+            since,
             demand: MeasuredDemand::default(),
             expected: None,
             sent: IndexMap::new(),
--- a/crates/quincevalve_forwarding/tests/fleet_size.rs
+++ b/crates/quincevalve_forwarding/tests/fleet_size.rs
@@ -183,6 +183,20 @@
 
 // Callers are late for five seconds: the demand was measured to be half of what was expected, half of the on-demand
 // servers were given back, and a second later the next data centre was taken back. They stay from step to step.
+// Servers on demand that nobody needs any more stay for as long as entry VMs are restarted in turn: each new holder of the
+// duties waits to see all servers, and is gone before it gives anything back.
+#[test]
+fn a_new_holder_that_has_known_the_servers_for_long_gives_back_soon() {
+    let present = fleet([12; 4], [10; 4]);
+    let mut planner = FleetPlanner::new(ms(0));
+    planner.go_on_from(MeasuredDemand::told(20.0));
+    let given_back = (60_000..63_000).step_by(500).map(ms).find(|now| {
+        let orders = due(&mut planner, 20.0, &present, *now);
+        orders.iter().any(|it| it.kind == ServerKind::OnDemand && it.count == 0)
+    });
+    assert!(given_back.is_some(), "a holder of three seconds gives nothing back");
+}
+
 #[test]
 fn on_demand_servers_stay_from_step_to_step_of_a_wave() {
     let none = fleet([0; 4], [0; 4]);
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -54,7 +54,8 @@
             if node.rollouts.borrow().is_promoting(name) {
                 continue;
             }
-            let planner = planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(now));
+            let planner =
+                planners.entry(name.clone()).or_insert_with(|| FleetPlanner::new(node.began));
             if let Some(measured) = node.measured.borrow().get(name) {
                 planner.go_on_from(measured.clone());
             }
