Placement: small shared parts have a home in each data centre; a server's hash is kept with it

A part of up to 1,000 tokens now has its homes in the VM's own data centre, if that has three servers.

--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -11,7 +11,7 @@
     config::Engine,
     load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
     rollout::scope::VersionScope,
-    servers::{Server, ServerStart, ServerTable, start_hash},
+    servers::{Server, ServerStart, ServerTable},
 };
 
 /// What a request asks of a model engine.
@@ -144,6 +144,11 @@
 const CALL_ACROSS_MS: f64 = 25.0;
 /// Servers that are taken to keep a shared part: one, and one that it spills over to.
 const HOMES: usize = 2;
+/// Tokens of a shared part up to which each data centre has a home of its own for it: an engine reads them in some ten
+/// milliseconds.
+const LOCAL_PART: u32 = 1_000;
+/// Servers that a data centre must have for that; with fewer its homes are too busy.
+const LEAST_HERE: usize = 3;
 /// Servers beside those that a request looks at. Few, so that VMs with the same view differ; the number was
 /// chosen, not measured against others.
 const RANDOM_CANDIDATES: usize = 3;
@@ -258,14 +263,25 @@
     chosen
 }
 
-/// The servers that come first in order for a prompt's shared part, best first.
+/// The servers that come first in order for a prompt's shared part, best first. A server that starts again keeps none of
+/// its prompts and takes another place in the order.
+///
+/// Load: most streams share little, and each of their shared parts had one home somewhere: three of four streams ran in
+/// another data centre. A cut between data centres takes all of those with it. To read a small part once in each data
+/// centre costs less than that.
 fn homes(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)]) -> Vec<usize> {
-    let Some((part, _)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
+    let Some((part, tokens)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
         return Vec::new();
     };
+    let is_here = |it: &Server| it.entry.data_centre == *ask.data_centre;
+    let here = usable.iter().filter(|(_, it)| is_here(it)).count();
+    let stays_here = tokens <= LOCAL_PART && here >= LEAST_HERE;
     let mut first: [Option<(u64, usize)>; HOMES] = [None; HOMES];
-    for (at, (name, server)) in usable.iter().enumerate() {
-        let mut candidate = Some((score(part, name, server.entry.start), at));
+    for (at, (_, server)) in usable.iter().enumerate() {
+        if stays_here && !is_here(server) {
+            continue;
+        }
+        let mut candidate = Some((rendezvous_score(part, server.hash), at));
         for place in &mut first {
             if candidate > *place {
                 std::mem::swap(place, &mut candidate);
@@ -275,11 +291,6 @@
     first.into_iter().flatten().map(|(_, at)| at).collect()
 }
 
-/// A server that starts again keeps none of its prompts: it takes another place in the order.
-fn score(part: u64, server: &BackendServerName, start: ServerStart) -> u64 {
-    rendezvous_score(part, start_hash(server, start))
-}
-
 /// Tokens that a server would read although another keeps them, as they weigh. The second in order is where a
 /// hot part spills over, and often keeps it too.
 fn read_again(ask: &Ask<'_>, rank: usize) -> f64 {
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -82,6 +82,8 @@
     goes_at: Option<TimePoint>,
     /// When it was first seen.
     pub since: TimePoint,
+    /// Stands for this start, the same on all entry VMs: [`start_hash`], kept as it is needed for each placement.
+    pub hash: u64,
 }
 
 impl Server {
@@ -192,6 +194,7 @@
             leaving: None,
             goes_at: None,
             since: now,
+            hash: start_hash(name, entry.start),
             entry: entry.clone(),
         });
         server.entry = entry;
