--- a/crates/quincevalve_explain/src/main.rs
+++ b/crates/quincevalve_explain/src/main.rs
@@ -6,13 +6,15 @@
     process::ExitCode,
 };
 
-use quincevalve_explain::{line::Lines, story::story, summary::summary};
+use quincevalve_explain::{line::Lines, rollout::rollout, story::story, summary::summary};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-const HELP: &str = "What became of a request, or what was decided in a span of time, from the log files of entry VMs.
+const HELP: &str = "What became of a request, what was decided in a span of time, or how a service was moved to another version, from the log
+files of entry VMs.
 
 Usage: quincevalve-explain request ID [FILE...]
        quincevalve-explain span FROM UNTIL [FILE...]
+       quincevalve-explain rollout SERVICE [FILE...]
 
 A file holds the standard output of one VM and is named after it; without files, standard input is read. FROM and
 UNTIL are timestamps as in the lines, or beginnings of them. Lines that can't be read are counted and left out.
@@ -28,7 +30,7 @@
 enum ExplainError {
     #[snafu(display("{source}; see --help"))]
     Arguments { source: pico_args::Error },
-    #[snafu(display("name `request ID` or `span FROM UNTIL`; see --help"))]
+    #[snafu(display("name `request ID`, `span FROM UNTIL` or `rollout SERVICE`; see --help"))]
     NoCommand,
     #[snafu(display("{}: {source}", file.display()))]
     Read { file: PathBuf, source: io::Error },
@@ -72,6 +74,11 @@
             let lines = read_all(arguments.finish().into_iter().map(PathBuf::from))?;
             Some(summary(&lines, &from, &until)).filter(|it| !it.is_empty())
         }
+        "rollout" => {
+            let service = operand()?;
+            let lines = read_all(arguments.finish().into_iter().map(PathBuf::from))?;
+            rollout(&lines, &service)
+        }
         _ => return NoCommandSnafu.fail(),
     };
     match &text {
--- a/crates/quincevalve_explain/src/story.rs
+++ b/crates/quincevalve_explain/src/story.rs
@@ -8,7 +8,7 @@
 const OF_A_DIGEST: [&str; 4] = ["server-exited", "quarantined", "trial-begun", "quarantine-lifted"];
 
 /// Events of the process that can be the cause of what a request met.
-const CAUSES: [&str; 16] = [
+const CAUSES: [&str; 18] = [
     "started",
     "draining",
     "stopped",
@@ -24,6 +24,8 @@
     "servers-ordered",
     "duty-taken",
     "duty-lost",
+    "rollout-phase",
+    "rollout-halted",
     "lines-left-out",
 ];
 
