--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -50,19 +50,16 @@
     Unknown,
 }
 
-/// The part of its time that a server is busy in a fleet of the wanted size. Chosen, not measured by itself: it
-/// leaves a third of each server for waves of callers.
+/// The part of its time that a server is busy in a fleet of the wanted size; the rest is for waves of callers.
 const WANTED_BUSY: f64 = 0.65;
 /// The part of its time that a server may be busy while a data centre is lost: those that are left have its prompts to
-/// read again. At 0.85, with 22 servers in each of four data centres, a cut of one for six seconds left 0.6 to 0.7 of the
-/// worth in its last seconds; with 26 at 0.72 the worst seconds of the day rose from 0.64 to 0.82 (one play each).
+/// read again.
 const BEARABLE_BUSY: f64 = 0.72;
-/// The part of its time that a server may be busy before an on-demand one, several times as dear as a
-/// reclaimable one, is ordered beside it. At 0.85, 40 servers in a wave of 30 s ran 25 long answers each, and three in
-/// ten of the longest prompts were late; at 0.72 it was one in ten, for a fifth more on demand.
+/// The part of its time that a server may be busy before an on-demand one, several times as dear as a reclaimable one, is
+/// ordered beside it.
 const ON_DEMAND_BUSY: f64 = 0.72;
 /// The same for the few seconds that an on-demand server takes to start after the next reclaim: the servers that are left
-/// have the prompts of those that went to read again. At 1.0 half of all callers were late in these seconds.
+/// have the prompts of those that went to read again.
 const SHORT_BUSY: f64 = 0.72;
 /// Data centres whose reclaimable servers may be gone at the same time without a server on demand.
 const LOST_CENTRES: usize = 1;
--- a/crates/quincevalve_forwarding/src/line_budget.rs
+++ b/crates/quincevalve_forwarding/src/line_budget.rs
@@ -2,8 +2,7 @@
 
 use quincevalve_names::TimePoint;
 
-/// Lines a second that are written whatever they tell: several times what a calm VM writes. Chosen; the
-/// processor time of a line was not measured.
+/// Lines a second that are written whatever they tell: several times what a calm VM writes.
 const LINES_PER_SECOND: f64 = 200.0;
 /// Lines of refusals a second. A storm of them tells the same thousands of times; the counters have them all.
 const REFUSALS_PER_SECOND: f64 = 300.0;
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -124,16 +124,13 @@
 const SLOTS_MS: f64 = 400.0;
 /// Milliseconds that a server is put back for if all its answers fail lately.
 const FAILING_MS: f64 = 800.0;
-/// Milliseconds that it costs to read a thousand tokens again that another server keeps: beside the time,
-/// which is part of the prediction, it takes prefill from others and memory from other prompts. At 40, a third
-/// of the long prompts were read anew with 85 VMs; at 100 it was a quarter, and no fewer were on time.
+/// Milliseconds that it costs to read a thousand tokens again that another server keeps: beside the time, which is part of
+/// the prediction, it takes prefill from others and memory from other prompts.
 const READ_AGAIN_MS: f64 = 100.0;
 /// The part of shared prompts that is found in memory.
 const USUALLY_KEPT: f64 = 0.7;
-/// The part of its time that an engine may read prompts, by urgency. Tokens of running requests are made
-/// between chunks of prompts: at 0.8 of the assumed rate a token takes three times as long as on an engine
-/// that reads nothing, and long answers just end before their deadlines; beyond it they don't, and their
-/// memory and slots are lost to others.
+/// The part of its time that an engine may read prompts, by urgency. Tokens of running requests are made between chunks of
+/// prompts: beyond it long answers don't end before their deadlines, and their memory and slots are lost to others.
 const READING_PART: [f64; 3] = [0.95, 0.8, 0.7];
 /// The part up to which a large prompt is taken whatever its size.
 const IDLE_READING_PART: f64 = 0.1;
@@ -149,8 +146,7 @@
 const LOCAL_PART: u32 = 1_000;
 /// Servers that a data centre must have for that; with fewer its homes are too busy.
 const LEAST_HERE: usize = 3;
-/// Servers beside those that a request looks at. Few, so that VMs with the same view differ; the number was
-/// chosen, not measured against others.
+/// Servers beside those that a request looks at; few, so that VMs with the same view differ.
 const RANDOM_CANDIDATES: usize = 3;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
 const JITTER: f64 = 0.1;
@@ -243,8 +239,8 @@
 /// The servers that are looked at for a request.
 ///
 /// Failure: many VMs hear of a server with little work at the same time, and until they hear of each other's
-/// newest requests all of them send theirs there. Symptom: with 85 VMs, a server that was told to run 4
-/// requests ran 15, and first tokens were late while others idled. Each request therefore looks at a few
+/// newest requests all of them send theirs there. Symptom: one server gets several times what it was
+/// told to run, and first tokens are late while others idle. Each request therefore looks at a few
 /// servers of its own choice, beside those that keep its prompt's shared part.
 fn candidates<R>(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)], rng: &mut R) -> Vec<usize>
 where
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -38,10 +38,9 @@
 const SPENDING_TIME: Duration = Duration::from_millis(250);
 /// Bursts that an account can owe at most, so that one spell of spending elsewhere doesn't lock it out.
 const MOST_DEBT: f64 = 3.0;
-/// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge
-/// all VMs open and close together, one telling time late, and let in twice the quota by turns. It lies over the burst
-/// alone: over what is tolerated, too, it refused accounts that kept to their quotas. Without it there 0.005 to 0.011
-/// more of the credit that is owed is earned, as a mean of ten days with faults on each of three small deployments.
+/// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge all VMs open
+/// and close together, one telling time late, and let in twice the quota by turns. It lies over the burst alone: over what
+/// is tolerated, too, it would refuse accounts that keep to their quotas.
 const RAMP: f64 = 0.5;
 /// How many times as wide the ramp is for large requests.
 ///
--- a/crates/quincevalve_forwarding/src/store_pacing.rs
+++ b/crates/quincevalve_forwarding/src/store_pacing.rs
@@ -99,9 +99,9 @@
     /// For how long a VM leaves the duties without a holder before it tries to take them over; `draw` is a random number
     /// from 0 to 1 that the VM keeps until there is a holder.
     ///
-    /// Load: the holder is gone, and hundreds of VMs see it at the same moment. If all try, each with three calls of which
-    /// all but one VM's are in vain, a change of holder cost a hundred and thirty calls with 85 VMs. Those that read the
-    /// store try at once; where none of them can, the others follow one after the other.
+    /// Load: the holder is gone, and hundreds of VMs see it at the same moment. If all try, each makes three calls, and all
+    /// but one VM's are in vain. Those that read the store try at once; where none of them can, the others follow one after
+    /// the other.
     ///
     /// # Examples
     ///
@@ -133,8 +133,8 @@
 /// The configuration that a VM lacks, and how it gets it.
 ///
 /// Load: the operators change the configuration, and all VMs lack it at the same moment. Half of the copies of the store
-/// don't have it yet; with a read of the newest at once, each change cost some twenty calls with 85 VMs. Other VMs have it, and
-/// pass it on well before it must be in force.
+/// don't have it yet, and a read of the newest by each VM costs as many calls. Other VMs have it, and pass it on well before it
+/// must be in force.
 ///
 /// # Examples
 ///
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -57,7 +57,7 @@
     },
 }
 
-/// Time that a stream needs before the process ends. Chosen from the length of long answers, not measured.
+/// Time that a stream needs before the process ends: that of a long answer.
 const STREAM_TIME: Duration = Duration::from_millis(4_700);
 
 /// Part of the time from a change to its being in force within which "unknown" may be said for sure.
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -12,8 +12,7 @@
 use super::datagram::{Content, Echo, Relayed, Scope, Telling, ToldContact, encoding};
 use crate::{clock, node::Node, ports::StoreRevision, rollouts};
 
-/// Time between two tellings. Loads and quotas are known everywhere after three of them at most. Against 120 ms,
-/// one request in a hundred more was on time with 85 VMs, for a third more processor time.
+/// Time between two tellings. Loads and quotas are known everywhere after three of them at most.
 pub(super) const PERIOD: Duration = Duration::from_millis(60);
 
 const PERIODS_PER_SECOND: f64 = 1_000.0 / PERIOD.as_millis() as f64;
--- a/crates/quincevalve_node/src/request/backends.rs
+++ b/crates/quincevalve_node/src/request/backends.rs
@@ -32,8 +32,7 @@
 /// Failure: a cut begins, or a connection goes silent, while it is idle. Symptom: a request that is sent on it may have run
 /// for all that is known, is lost for its caller, and reaches its server when the cut heals. The first keepalive
 /// probe goes after this time; from then on a connection that hears nothing is likely dead, and by the third second it
-/// is closed. Against 2.5 s and more: twice the new connections, and 0.005 to 0.009 more of the credit that is owed
-/// earned as a mean of ten days with faults, on each of three small deployments.
+/// is closed.
 const REUSE_LIMIT: Duration = Duration::from_secs(1);
 /// A server that closes a connection after its idle time does so about then; this much earlier is safe.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
--- a/crates/quincevalve_node/src/request/front.rs
+++ b/crates/quincevalve_node/src/request/front.rs
@@ -41,8 +41,8 @@
 const LEAST_BUFFER: usize = 8 << 10;
 /// Waits for a configuration that is new enough before a caller is told to come back.
 const STALE_RETRY: Duration = Duration::from_millis(700);
-/// A VM that has just started knows what others know within this time, also where all start together: with 295 VMs that
-/// were killed at once, 70 to 120 ms after the start of their processes. A caller that comes back then is still on time.
+/// A VM that has just started knows what others know within this time, also where all start together. A caller that comes
+/// back then is still on time.
 const STARTING_RETRY: Duration = Duration::from_millis(150);
 /// A VM that knows nothing for so long after its start is not about to: the store and the others are away.
 const STARTING_TIME: Duration = Duration::from_millis(500);
--- a/crates/quincevalve_node/src/store/state_copy.rs
+++ b/crates/quincevalve_node/src/store/state_copy.rs
@@ -1,8 +1,7 @@
 //! What a VM that starts gets from others of its data centre instead of the store.
 //!
 //! Load: hundreds of VMs lose power together and start together. Each would read everything, and the store's link carries
-//! the whole list once for each VM: with 295 VMs and 200 servers that took 0.8 s, in which every caller was refused. So a
-//! VM reads the entries of its own data centre only, and asks one of the strongest for the rest.
+//! the whole list once for each VM; until that is done every caller is refused. So a VM reads the entries of its own data centre only, and asks one of the strongest for the rest.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
