--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -48,7 +48,7 @@
 /// where all are let in by the same chance, most of the account's callers are refused for a few of them. Large requests
 /// are held back first, so that what is left serves the many that cost little; the wider ramp also lets VMs that hear each
 /// other late come to the edge slowly.
-const LARGE_RAMP: f64 = 2.0;
+const LARGE_RAMP: f64 = 1.3;
 /// Part of the burst from which on a request counts as large.
 const LARGE_PART: f64 = 0.002;
 /// How many times as wide it is for the most urgent requests, against others of their size.
