--- a/crates/quincevalve_forwarding/src/rollout/book.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book.rs
@@ -203,8 +203,8 @@
     }
 
     /// Where a request may go that goes to one more server.
-    pub fn regular(&self, service: &ServiceName, now: TimePoint) -> Choice {
-        self.rollouts.get(service).map_or(Choice::Any, |it| it.regular(now))
+    pub fn regular(&self, service: &ServiceName) -> Choice {
+        self.rollouts.get(service).map_or(Choice::Any, Rollout::regular)
     }
 
     /// Whether a request may still be sent to a server of that version.
--- a/crates/quincevalve_forwarding/src/rollout/book/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book/state.rs
@@ -423,7 +423,7 @@
         match (canaries, &self.old) {
             (Some(canaries), Some(old)) => Choice::Either(canaries, old.clone()),
             _ if self.stage() == Stage::Promoting => self.promoted(draw, now),
-            _ => self.regular(now),
+            _ => self.regular(),
         }
     }
 
@@ -451,7 +451,7 @@
         if draw < share { Choice::Either(new, old) } else { Choice::Either(old, new) }
     }
 
-    pub(super) fn regular(&self, _now: TimePoint) -> Choice {
+    pub(super) fn regular(&self) -> Choice {
         let scope = match self.stage() {
             Stage::Free => None,
             Stage::Canary | Stage::Halted => self.old.clone(),
--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -385,7 +385,7 @@
     let mut book = RolloutBook::new(LIMIT);
     assert!(book.is_idle());
     assert_eq!(book.choose(&service(), ROUTE, 0.0, ms(0)), Choice::Any);
-    assert_eq!(book.regular(&service(), ms(0)), Choice::Any);
+    assert_eq!(book.regular(&service()), Choice::Any);
     assert!(book.admits(&service(), &"v2".into()) && book.carries_load(&service(), &"v2".into()));
     assert!(book.shares(&versions(), ms(0)).is_empty());
 }
@@ -478,9 +478,9 @@
     let done = RolloutRecord { phase: Phase::Completed, ..record };
     book.record_listed(&service(), done, ms(4_000));
     book.refresh(&service(), &table, &AROUND, ms(4_010));
-    assert!(!goes_to(&book.regular(&service(), ms(4_010)), "v1", 0));
+    assert!(!goes_to(&book.regular(&service()), "v1", 0));
     book.refresh(&service(), &table, &AROUND, ms(20_000));
-    assert!(goes_to(&book.regular(&service(), ms(20_000)), "v1", 0));
+    assert!(goes_to(&book.regular(&service()), "v1", 0));
     assert!(book.shares(&table, ms(4_010)).is_empty());
 }
 
--- a/crates/quincevalve_forwarding/tests/rollout_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/rollout_world/world.rs
@@ -625,7 +625,7 @@
             return;
         }
         let (vm, vm_start, ends, work) = (run.vm, run.vm_start, run.ends, run.work);
-        let choice = self.vms[vm].book.regular(&self.service, at(self.now));
+        let choice = self.vms[vm].book.regular(&self.service);
         let Some(to) = self.pick(vm, &choice) else { return };
         self.forget_run(at_run);
         if self.rng.random::<f64>() > MOVE_SUCCEEDS {
--- a/crates/quincevalve_node/src/rollouts.rs
+++ b/crates/quincevalve_node/src/rollouts.rs
@@ -140,7 +140,7 @@
 
 /// Where a request may go that was sent before.
 pub(crate) fn regular(node: &Node, service: &ServiceName) -> Choice {
-    node.rollouts.borrow().regular(service, clock::now())
+    node.rollouts.borrow().regular(service)
 }
 
 /// Watches how a request is answered, where versions are compared; ends with it.
