--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -141,11 +141,6 @@
 const CALL_ACROSS_MS: f64 = 25.0;
 /// Servers that are taken to keep a shared part: one, and one that it spills over to.
 const HOMES: usize = 2;
-/// Tokens of a shared part up to which each data centre has a home of its own for it: an engine reads them in some ten
-/// milliseconds.
-const LOCAL_PART: u32 = 1_000;
-/// Servers that a data centre must have for that; with fewer its homes are too busy.
-const LEAST_HERE: usize = 3;
 /// Servers beside those that a request looks at; few, so that VMs with the same view differ.
 const RANDOM_CANDIDATES: usize = 3;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
@@ -261,22 +256,12 @@
 
 /// The servers that come first in order for a prompt's shared part, best first. A server that starts again keeps none of
 /// its prompts and takes another place in the order.
-///
-/// Load: most streams share little, and each of their shared parts had one home somewhere: three of four streams ran in
-/// another data centre. A cut between data centres takes all of those with it. To read a small part once in each data
-/// centre costs less than that.
 fn homes(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)]) -> Vec<usize> {
-    let Some((part, tokens)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
+    let Some((part, _)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
         return Vec::new();
     };
-    let is_here = |it: &Server| it.entry.data_centre == *ask.data_centre;
-    let here = usable.iter().filter(|(_, it)| is_here(it)).count();
-    let stays_here = tokens <= LOCAL_PART && here >= LEAST_HERE;
     let mut first: [Option<(u64, usize)>; HOMES] = [None; HOMES];
     for (at, (_, server)) in usable.iter().enumerate() {
-        if stays_here && !is_here(server) {
-            continue;
-        }
         let mut candidate = Some((rendezvous_score(part, server.hash), at));
         for place in &mut first {
             if candidate > *place {
