--- a/crates/quincevalve_forwarding/src/rollout/book.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book.rs
@@ -8,8 +8,11 @@
 use indexmap::IndexMap;
 use quincevalve_names::{ServerVersion, ServiceName, TimePoint};
 
-pub use self::runs::{RunToWatch, Ticket};
 use self::{runs::Runs, state::Rollout};
+pub use self::{
+    runs::{RunToWatch, Ticket},
+    state::{Judged, Told},
+};
 use crate::{
     rollout::{
         evidence::{RouteKey, Sample},
@@ -68,6 +71,24 @@
 }
 
 /// All roll-outs as one VM sees them.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use quincevalve_forwarding::{
+///     rollout::{book::{Choice, RolloutBook}, evidence::RouteKey, record::{OrderId, RolloutOrder}},
+///     shared_limit::SharedLimit,
+/// };
+/// use quincevalve_names::TimePoint;
+/// let mut book = RolloutBook::new(SharedLimit { ratio: 0.1, slack: 50.0 });
+/// let (service, now) = ("engines".into(), TimePoint::ZERO);
+/// assert_eq!(book.choose(&service, RouteKey::of("chat"), 0.5, now), Choice::Any);
+/// let order = RolloutOrder { id: OrderId(7), to: "v2".into(), duration: Duration::from_secs(60) };
+/// book.order_listed(&service, order, true, now);
+/// // Until its servers are known the new version gets nothing.
+/// assert!(matches!(book.choose(&service, RouteKey::of("chat"), 0.5, now), Choice::One(_)));
+/// ```
 #[derive(Clone, Debug)]
 pub struct RolloutBook {
     limit: SharedLimit,
@@ -281,5 +302,3 @@
         self.rollouts.get(service).map(Rollout::told)
     }
 }
-
-pub use self::state::{Judged, Told};
--- a/crates/quincevalve_forwarding/src/rollout/record.rs
+++ b/crates/quincevalve_forwarding/src/rollout/record.rs
@@ -99,6 +99,22 @@
 
     /// The record of a new order that follows this one: its version is barred unless it was completed or is ordered
     /// again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quincevalve_forwarding::rollout::record::{OrderId, RolloutOrder, RolloutRecord};
+    /// let order = |id, to: &str| RolloutOrder {
+    ///     id: OrderId(id),
+    ///     to: to.into(),
+    ///     duration: Duration::from_secs(60),
+    /// };
+    /// let first = RolloutRecord::first(&order(1, "v2"), 0);
+    /// let next = first.superseded_by(&order(2, "v3"), 5_000);
+    /// assert_eq!(next.barred, ["v2".into()]);
+    /// assert_eq!(next.deadline_ms(), 65_000);
+    /// ```
     pub fn superseded_by(&self, order: &RolloutOrder, now_ms: i64) -> Self {
         let mut barred = self.barred.clone();
         if self.phase != Phase::Completed && !barred.contains(&self.to) {
--- a/crates/quincevalve_forwarding/src/rollout/scope.rs
+++ b/crates/quincevalve_forwarding/src/rollout/scope.rs
@@ -5,6 +5,26 @@
 use crate::servers::{ServerEntry, start_hash};
 
 /// The servers that a request may go to while versions differ.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_forwarding::{rollout::scope::VersionScope, servers::{ServerEntry, ServerStart}};
+/// let entry = ServerEntry {
+///     start: ServerStart(1),
+///     service: "engines".into(),
+///     address: ([10, 0, 0, 1], 80).into(),
+///     data_centre: "north".into(),
+///     version: "v2".into(),
+///     slots: 16,
+///     is_cold: false,
+///     draining: false,
+///     reclaimable: false,
+///     leaves_in: None,
+/// };
+/// assert!(VersionScope::Only("v2".into()).admits(&"i-1".into(), &entry));
+/// assert!(!VersionScope::Except(vec!["v2".into()]).admits(&"i-1".into(), &entry));
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum VersionScope {
     /// All but those of these versions.
--- a/crates/quincevalve_forwarding/src/rollout/verdict.rs
+++ b/crates/quincevalve_forwarding/src/rollout/verdict.rs
@@ -117,6 +117,24 @@
 ///
 /// Failure: the first servers that get requests are bad ones of a good version. Symptom: it is rolled back. Where there
 /// are others, the worst server says nothing against its version.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_forwarding::rollout::{
+///     evidence::{RouteKey, Sample, Side, Witness},
+///     verdict::{Verdict, judge},
+/// };
+/// use quincevalve_names::TimePoint;
+/// let mut witness = Witness::default();
+/// for at in 0..400_u64 {
+///     witness.note(RouteKey(1), Side::Old, Sample::Succeeded, TimePoint::ZERO);
+///     let fails = at % 100 < 20;
+///     let sample = if fails { Sample::Failed } else { Sample::Succeeded };
+///     witness.note(RouteKey(1), Side::New(at % 4), sample, TimePoint::ZERO);
+/// }
+/// assert_eq!(judge(&witness.seen(TimePoint::ZERO), false, 4).verdict, Verdict::Fails);
+/// ```
 pub fn judge(seen: &Seen, is_promoting: bool, servers: usize) -> Judgement {
     let slowness = if is_promoting { LEAST_SLOWNESS_PROMOTING } else { LEAST_SLOWNESS };
     let has_others = servers > 1;
