Roll-outs: a holder pauses after a call to the store that failed

A holder whose write was refused read the record and wrote again ten times a second, for as long as the order stood; each call counts, refused ones too. It now waits 0.4 s. Found in reading the diff; the loop is in steps of its own now.

--- a/crates/quincevalve_explain/src/rollout.rs
+++ b/crates/quincevalve_explain/src/rollout.rs
@@ -10,7 +10,7 @@
     "rollout-order-removed",
     "rollout-halted",
     "rollout-step",
-    "rollout-not-written",
+    "rollout-call-failed",
 ];
 /// Columns of a bar.
 const BAR: usize = 20;
--- a/crates/quincevalve_node/src/duties/rollouts.rs
+++ b/crates/quincevalve_node/src/duties/rollouts.rs
@@ -24,6 +24,8 @@
 
 /// Time between two looks at roll-outs.
 const LOOK: Duration = Duration::from_millis(100);
+/// Pause after a call to the store that failed: each one counts, also those that are refused.
+const FAILED_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two lines that tell what was seen.
 const LINE_PERIOD: Duration = Duration::from_secs(1);
 /// The part of its time that a server of the new version may be busy when it takes over.
@@ -44,8 +46,12 @@
         sleep(LOOK).await;
         let services: Vec<_> = node.rollouts.borrow().services().cloned().collect();
         for service in services {
-            if acting(node).is_some() {
-                lead.go_on(&service).await;
+            if acting(node).is_none() {
+                continue;
+            }
+            if let Err(error) = lead.go_on(&service).await {
+                log::warn!(service = service.as_str(), error:% = error; "rollout-call-failed");
+                sleep(FAILED_PAUSE).await;
             }
         }
     }
@@ -67,69 +73,43 @@
 where
     S: PlatformStore,
 {
-    async fn go_on(&mut self, service: &ServiceName) {
-        let Some(since) = self.held_since().await else { return };
-        let stored = match self.stored.get(service) {
-            Some(stored) => stored.clone(),
-            None => match self.read(service).await {
-                Ok(stored) => {
-                    self.stored.insert(service.clone(), stored.clone());
-                    stored
-                }
-                Err(error) => {
-                    return log::debug!(service = service.as_str(), error:% = error; "rollout-not-read");
-                }
-            },
-        };
-        let (revision, known) = stored;
+    /// Writes the next record of a service's roll-out, if it is time.
+    async fn go_on(&mut self, service: &ServiceName) -> Result<(), StoreError> {
+        let Some(since) = self.held_since().await? else { return Ok(()) };
+        let (revision, known) = self.stored(service).await?;
         // An incomplete list of servers says nothing of what there is.
         if self.node.servers.borrow().may_lack_entries(clock::now()) {
-            return;
+            return Ok(());
         }
         self.tell(service, known.as_ref());
-        let Some(next) = self.next(service, known.as_ref()) else { return };
-        match self.write(service, since, revision, &next).await {
-            Ok(revision) => {
-                let cause = match next.phase {
-                    Phase::RolledBack(cause) => cause.name(),
-                    _ => "",
-                };
-                let told = self.node.rollouts.borrow().told(service).unwrap_or_default();
-                log::info!(
-                    service = service.as_str(), order = next.order.0, to:% = next.to,
-                    phase:? = next.phase, cause, old_runs = told.old_runs,
-                    left_ms = self.left_ms(&next);
-                    "rollout-step"
-                );
-                self.stored.insert(service.clone(), (revision, Some(next.clone())));
-                take_record(self.node, service, next);
-                self.node.changed.notify_waiters();
-            }
-            Err(error) => {
-                // Whether it was written is unknown, or another wrote: read it back.
-                self.stored.remove(service);
-                log::warn!(
-                    service = service.as_str(), phase:? = next.phase, error:% = error;
-                    "rollout-not-written"
-                );
-            }
-        }
+        let Some(next) = self.next(service, known.as_ref()) else { return Ok(()) };
+        // Until it is answered it is unknown whether it was written: after a failure it is read back.
+        self.stored.remove(service);
+        let revision = self.write(service, since, revision, &next).await?;
+        self.tell_step(service, &next);
+        self.stored.insert(service.clone(), (revision, Some(next.clone())));
+        take_record(self.node, service, next);
+        self.node.changed.notify_waiters();
+        Ok(())
     }
 
-    async fn held_since(&mut self) -> Option<StoreRevision> {
+    /// The revision at which this VM stands as the holder; `None` where another does.
+    async fn held_since(&mut self) -> Result<Option<StoreRevision>, StoreError> {
         if self.since.is_none() {
-            let me = self.node.settings.name.as_str();
-            let holder = match self.store.get(HOLDER_KEY).await {
-                Ok(holder) => holder,
-                Err(error) => {
-                    log::debug!(error:% = error; "rollout-not-read");
-                    return None;
-                }
-            };
-            let own = holder.filter(|it| it.value == me.as_bytes());
-            self.since = own.map(|it| it.revision);
+            let me = self.node.settings.name.as_str().as_bytes();
+            let holder = self.store.get(HOLDER_KEY).await?;
+            self.since = holder.filter(|it| it.value == me).map(|it| it.revision);
         }
-        self.since
+        Ok(self.since)
+    }
+
+    async fn stored(&mut self, service: &ServiceName) -> Result<Stored, StoreError> {
+        if let Some(stored) = self.stored.get(service) {
+            return Ok(stored.clone());
+        }
+        let stored = self.read(service).await?;
+        self.stored.insert(service.clone(), stored.clone());
+        Ok(stored)
     }
 
     async fn read(&self, service: &ServiceName) -> Result<Stored, StoreError> {
@@ -213,6 +193,19 @@
         record.deadline_ms() - now_ms.unwrap_or(record.ordered_ms)
     }
 
+    fn tell_step(&self, service: &ServiceName, next: &RolloutRecord) {
+        let cause = match next.phase {
+            Phase::RolledBack(cause) => cause.name(),
+            Phase::Canary | Phase::Promoting | Phase::Completed => "",
+        };
+        let told = self.node.rollouts.borrow().told(service).unwrap_or_default();
+        log::info!(
+            service = service.as_str(), order = next.order.0, to:% = next.to, phase:? = next.phase,
+            cause, old_runs = told.old_runs, left_ms = self.left_ms(next);
+            "rollout-step"
+        );
+    }
+
     /// Tells what was seen of both versions, now and then.
     fn tell(&mut self, service: &ServiceName, known: Option<&RolloutRecord>) {
         let now = clock::now();
