Roll-outs: a few slow servers are not a slow version

Cause: as long as the first server that answered was the only one, it was left out as an outlier, and the difference was still taken from its times; and times from two or three servers were counted as if each answer were drawn by itself.

Why the mend holds: nothing is said of slowness while only outliers answered; the error is no smaller than the jackknife's over servers, so one server that gave most of the answers can't make sure of anything; what outliers add to a route is taken off it.

--- a/crates/quincevalve_forwarding/src/rollout/verdict.rs
+++ b/crates/quincevalve_forwarding/src/rollout/verdict.rs
@@ -103,6 +103,11 @@
 }
 
 impl Difference {
+    /// The same, with no smaller an error than that.
+    fn with_error(self, least: f64) -> Self {
+        Self { error: self.error.max(least), ..self }
+    }
+
     fn is_above(self, factor: f64, errors: f64) -> bool {
         self.count >= LEAST_TIMES && self.mean - errors * self.error > factor.ln()
     }
@@ -242,46 +247,69 @@
     }
 
     /// How much later the new version's answers come, over all routes.
+    ///
+    /// What outliers answered isn't known by route: the mean is corrected by what they add to it over all routes.
     fn difference(&self, times: impl Fn(&Tally) -> LogSum) -> Difference {
         let kept = times(&self.kept);
         let all = times(&self.evidence.new_version());
-        let by_outliers = if kept.count() == 0 { 0.0 } else { all.mean() - kept.mean() };
         let compared = self.routes().map(|(_, it)| (times(&it.old), times(&it.new)));
         let compared: Vec<_> =
             compared.filter(|(old, new)| old.count() > 1 && new.count() > 0).collect();
         let count: u32 = compared.iter().map(|(_, new)| new.count()).sum();
-        if count == 0 {
+        if count == 0 || kept.count() == 0 {
             return Difference::default();
         }
+        let kept_part = part(kept.count(), all.count());
         let weighted = compared.iter().map(|(old, new)| {
             let weight = f64::from(new.count()) / f64::from(count);
-            let error = squared_error(*old) + squared_error(*new);
+            let error = squared_error(*old) + squared_error(*new) / kept_part;
             (weight * (new.mean() - old.mean()), weight * weight * error)
         });
         let (mean, error) = weighted.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
-        Difference { mean: mean - by_outliers.max(0.0), error: error.sqrt(), count }
+        let by_outliers = (all.mean() - kept.mean()).max(0.0);
+        Difference { mean: mean - by_outliers, error: error.sqrt(), count: count.min(kept.count()) }
+    }
+
+    /// The standard error of the mean over servers, which differ whatever their version, by the jackknife: how far the
+    /// mean moves without each. `None` if only one is left of several.
+    fn error_over_servers(&self, times: impl Fn(&Tally) -> LogSum) -> Option<f64> {
+        let left = self.evidence.servers.iter().filter(|(it, _)| !self.outliers.contains(it));
+        let sums: Vec<_> = left.map(|(_, it)| times(it)).filter(|it| it.count() > 0).collect();
+        if sums.len() < 2 {
+            return self.outliers.is_empty().then_some(0.0);
+        }
+        let kept = times(&self.kept);
+        let moved = sums.iter().map(|it| kept.minus(*it).mean() - kept.mean());
+        let servers = sums.len() as f64;
+        Some((moved.map(|it| it * it).sum::<f64>() * (servers - 1.0) / servers).sqrt())
     }
 
     fn is_slow(&self, factor: f64) -> bool {
-        let first = |it: &Tally| it.first;
-        let pace = |it: &Tally| it.pace;
-        self.difference(first).is_above(factor, SURE)
-            || self.difference(pace).is_above(factor, SURE)
+        let is_above = |times: fn(&Tally) -> LogSum| {
+            let difference = self.difference(times);
+            self.error_over_servers(times)
+                .is_some_and(|it| difference.with_error(it).is_above(factor, SURE))
+        };
+        is_above(|it| it.first)
+            || is_above(|it| it.pace)
             || self.routes().any(|(_, it)| self.route_is_slow(it, factor))
     }
 
     fn route_is_slow(&self, pair: &Pair, factor: f64) -> bool {
+        let (old, new, left_out) = (pair.old.first, pair.new.first, self.left_out.first);
         // Outliers may have had all of the route's requests.
-        if !self.outliers.is_empty() && self.left_out.first.count() * 2 > pair.new.first.count() {
-            return false;
-        }
-        let (old, new) = (pair.old.first, pair.new.first);
-        if old.count() < LEAST_TIMES {
+        if old.count() < LEAST_TIMES || left_out.count() * 2 > new.count() {
             return false;
         }
+        let Some(error_over_servers) = self.error_over_servers(|it| it.first) else { return false };
+        // All of the outliers' answers may have been on this route.
+        let later = (left_out.mean() - self.kept.first.mean()).max(0.0);
+        let by_outliers = later * part(left_out.count(), new.count());
         let error = (squared_error(old) + squared_error(new)).sqrt();
-        let difference = Difference { mean: new.mean() - old.mean(), error, count: new.count() };
-        difference.is_above(factor, SURE_OF_ROUTE)
+        let mean = new.mean() - by_outliers - old.mean();
+        Difference { mean, error, count: new.count() }
+            .with_error(error_over_servers)
+            .is_above(factor, SURE_OF_ROUTE)
     }
 
     /// Routes on which the new version answered.
--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -144,6 +144,21 @@
     assert_eq!(judgement.outliers, 1);
 }
 
+// Two servers of six take six times as long; of many answers their part makes a route slow beyond doubt, and a good
+// version is rolled back.
+#[test]
+fn a_few_slow_servers_are_not_a_slow_route() {
+    let mut witness = Witness::default();
+    note(&mut witness, ROUTE, Answers { new: (1_000, 0), servers: 4, ..FINE });
+    for at in 0..500_u32 {
+        let sample = Sample::First([4.2, 6.0, 7.8][at as usize % 3]);
+        witness.note(ROUTE, Side::New(98 + u64::from(at) % 2), sample, ms(0));
+    }
+    let judgement = judge(&witness.seen(ms(0)), false, 6);
+    assert_eq!(judgement.verdict, Verdict::Good, "{judgement:?}");
+    assert_eq!(judgement.outliers, 2);
+}
+
 // The first server that gets requests is a bad one of a good version. It is all that is known, and the version is rolled
 // back, though it has others.
 #[test]
@@ -156,6 +171,31 @@
     assert_eq!(judge(&seen, false, 1).verdict, Verdict::Fails);
 }
 
+// The same for a first server that is slow.
+#[test]
+fn the_first_slow_server_alone_is_no_version() {
+    let only = Answers { new: (40, 0), servers: 1, slow: 6.0, ..FINE };
+    let mut witness = Witness::default();
+    note(&mut witness, ROUTE, only);
+    let seen = witness.seen(ms(0));
+    assert_eq!(judge(&seen, false, 6).verdict, Verdict::Undecided);
+    assert_eq!(judge(&seen, false, 1).verdict, Verdict::IsSlow);
+}
+
+// Two of twelve servers are slow, and nearly all that is known of the version comes from them.
+#[test]
+fn a_few_servers_are_no_version() {
+    let mut witness = Witness::default();
+    note(&mut witness, ROUTE, Answers { new: (0, 0), ..FINE });
+    for (server, answers, slow) in [(1, 14, 6.0), (2, 1, 1.0), (3, 1, 6.0)] {
+        for _ in 0..answers {
+            witness.note(ROUTE, Side::New(server), Sample::First(slow), ms(0));
+        }
+    }
+    let judgement = judge(&witness.seen(ms(0)), false, 12);
+    assert_eq!(judgement.verdict, Verdict::Undecided, "{judgement:?}");
+}
+
 // A version fails on one route of ten only, and the others speak for it.
 #[test]
 fn one_bad_route_is_a_bad_version() {
--- a/crates/quincevalve_forwarding/tests/rollout_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/rollout_world/main.rs
@@ -128,6 +128,8 @@
     a_few_engines_are_moved => is_completed(engines(8, 30_000), 3);
     vms_that_are_cut_off_delay_nothing_else =>
         is_completed(Plan { trouble: Trouble::CutOff, ..engines(8, 30_000) }, 3);
+    servers_that_are_slow_whatever_their_version =>
+        is_completed(Plan { trouble: Trouble::SlowServers, ..engines(8, 30_000) }, 20);
     another_holder_goes_on =>
         is_completed(Plan { trouble: Trouble::HolderKilled(6_000), ..engines(8, 30_000) }, 3);
     the_store_is_away_meanwhile =>
