Roll-outs: a version that takes the traffic over is judged without the spread over servers

Cause: while the new version takes the traffic over, it has to be told in a second and a half, in which few servers have answered; the jackknife is then wide.

What outliers add is taken off each route alike, as it is over all routes: all of it on one route hid a route that is twice as slow.

--- a/crates/quincevalve_forwarding/src/rollout/verdict.rs
+++ b/crates/quincevalve_forwarding/src/rollout/verdict.rs
@@ -141,14 +141,14 @@
 /// assert_eq!(judge(&witness.seen(TimePoint::ZERO), false, 4).verdict, Verdict::Fails);
 /// ```
 pub fn judge(seen: &Seen, is_promoting: bool, servers: usize) -> Judgement {
-    let slowness = if is_promoting { LEAST_SLOWNESS_PROMOTING } else { LEAST_SLOWNESS };
     let has_others = servers > 1;
     let against = |it| View::of(it).without_worst(has_others);
     let since_begin = against(&seen.all);
     let lately = [&seen.late, &seen.recent].map(against);
     let fails =
         since_begin.fails(FALSE_ALARM) || lately.iter().any(|it| it.fails(FALSE_ALARM_LATELY));
-    let is_slow = since_begin.is_slow(slowness) || lately.iter().any(|it| it.is_slow(slowness));
+    let is_slow =
+        since_begin.is_slow(is_promoting) || lately.iter().any(|it| it.is_slow(is_promoting));
     let since_begin = View::of(&seen.all);
     let failures = since_begin.failures();
     let first = since_begin.difference(|it| it.first);
@@ -247,27 +247,27 @@
     }
 
     /// How much later the new version's answers come, over all routes.
-    ///
-    /// What outliers answered isn't known by route: the mean is corrected by what they add to it over all routes.
     fn difference(&self, times: impl Fn(&Tally) -> LogSum) -> Difference {
-        let kept = times(&self.kept);
-        let all = times(&self.evidence.new_version());
         let compared = self.routes().map(|(_, it)| (times(&it.old), times(&it.new)));
         let compared: Vec<_> =
             compared.filter(|(old, new)| old.count() > 1 && new.count() > 0).collect();
         let count: u32 = compared.iter().map(|(_, new)| new.count()).sum();
-        if count == 0 || kept.count() == 0 {
+        if count == 0 || times(&self.kept).count() == 0 {
             return Difference::default();
         }
-        let kept_part = part(kept.count(), all.count());
         let weighted = compared.iter().map(|(old, new)| {
             let weight = f64::from(new.count()) / f64::from(count);
-            let error = squared_error(*old) + squared_error(*new) / kept_part;
+            let error = squared_error(*old) + squared_error(*new);
             (weight * (new.mean() - old.mean()), weight * weight * error)
         });
         let (mean, error) = weighted.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
-        let by_outliers = (all.mean() - kept.mean()).max(0.0);
-        Difference { mean: mean - by_outliers, error: error.sqrt(), count: count.min(kept.count()) }
+        let by_outliers = self.added_by_outliers(&times);
+        Difference { mean: mean - by_outliers, error: error.sqrt(), count }
+    }
+
+    /// What outliers add to the mean. What they answered isn't known by route: they add the same to each.
+    fn added_by_outliers(&self, times: impl Fn(&Tally) -> LogSum) -> f64 {
+        (times(&self.evidence.new_version()).mean() - times(&self.kept).mean()).max(0.0)
     }
 
     /// The standard error of the mean over servers, which differ whatever their version, by the jackknife: how far the
@@ -284,32 +284,35 @@
         Some((moved.map(|it| it * it).sum::<f64>() * (servers - 1.0) / servers).sqrt())
     }
 
-    fn is_slow(&self, factor: f64) -> bool {
+    fn is_slow(&self, is_promoting: bool) -> bool {
+        // A version that takes the traffic over has to be told in moments, and the bound leaves room for a few servers.
+        let (factor, error_part) =
+            if is_promoting { (LEAST_SLOWNESS_PROMOTING, 0.0) } else { (LEAST_SLOWNESS, 1.0) };
         let is_above = |times: fn(&Tally) -> LogSum| {
-            let difference = self.difference(times);
-            self.error_over_servers(times)
-                .is_some_and(|it| difference.with_error(it).is_above(factor, SURE))
+            let Some(error) = self.error_over_servers(times) else { return false };
+            self.difference(times).with_error(error_part * error).is_above(factor, SURE)
+        };
+        let error = self.error_over_servers(|it| it.first);
+        let route_is_above = |pair: &Pair| {
+            let Some(error) = error else { return false };
+            let difference = self.difference_on_route(pair);
+            difference.with_error(error_part * error).is_above(factor, SURE_OF_ROUTE)
         };
         is_above(|it| it.first)
             || is_above(|it| it.pace)
-            || self.routes().any(|(_, it)| self.route_is_slow(it, factor))
+            || self.routes().any(|(_, it)| route_is_above(it))
     }
 
-    fn route_is_slow(&self, pair: &Pair, factor: f64) -> bool {
-        let (old, new, left_out) = (pair.old.first, pair.new.first, self.left_out.first);
+    /// How much later the first parts of the new version's answers come on one route.
+    fn difference_on_route(&self, pair: &Pair) -> Difference {
+        let (old, new) = (pair.old.first, pair.new.first);
         // Outliers may have had all of the route's requests.
-        if old.count() < LEAST_TIMES || left_out.count() * 2 > new.count() {
-            return false;
+        if old.count() < LEAST_TIMES || self.left_out.first.count() * 2 > new.count() {
+            return Difference::default();
         }
-        let Some(error_over_servers) = self.error_over_servers(|it| it.first) else { return false };
-        // All of the outliers' answers may have been on this route.
-        let later = (left_out.mean() - self.kept.first.mean()).max(0.0);
-        let by_outliers = later * part(left_out.count(), new.count());
+        let mean = new.mean() - self.added_by_outliers(|it| it.first) - old.mean();
         let error = (squared_error(old) + squared_error(new)).sqrt();
-        let mean = new.mean() - by_outliers - old.mean();
         Difference { mean, error, count: new.count() }
-            .with_error(error_over_servers)
-            .is_above(factor, SURE_OF_ROUTE)
     }
 
     /// Routes on which the new version answered.
