Roll-outs: what a VM has told of the old servers holds until the holder hears better

Cause: a VM that had told that nothing of its own goes to the old version found the new one bad, and sent to the old servers at once; the holder completed the roll-out by what it had heard 0.2 s before, and the old servers stopped.

Why the mend holds: what is found is told at once, and a VM that has told that it follows acts on it when the record says so, or a second later. The holder that hears of it never completes; one that hears nothing doesn't count the VM.

--- a/crates/quincevalve_forwarding/src/rollout/book/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book/state.rs
@@ -38,6 +38,9 @@
 const RAMP_FROM: f64 = 0.12;
 /// The part of the share that is used on once a version looks good: the rest is left for what shows late.
 const WATCH_PART: f64 = 0.75;
+/// For how long a VM that has told that it sends nothing to the old version keeps to that, where the new one is found bad:
+/// the holder hears it, and takes the roll-out back.
+const HOLDER_HEARS: Duration = Duration::from_secs(1);
 /// For how long after its completion only the new version is used, so that old servers that stop aren't met.
 const OLD_SERVERS_STOP: Duration = Duration::from_secs(10);
 
@@ -79,8 +82,12 @@
     record: Option<RolloutRecord>,
     /// Since when the record is in its phase, as seen here.
     phase_since: TimePoint,
-    /// Why, where the new version was found bad, here or elsewhere; only another order takes it back.
-    halted: Option<RollbackCause>,
+    /// Why and since when, where the new version was found bad, here or elsewhere; only another order takes it back.
+    found: Option<(RollbackCause, TimePoint)>,
+    /// Whether it gets nothing for that.
+    is_halted: bool,
+    /// Whether this VM has told that it sends nothing to the old version any more.
+    has_told_following: bool,
     /// Servers of the new version that take work.
     new_servers: usize,
     exposure: Exposure,
@@ -134,16 +141,16 @@
 
     fn stage(&self) -> Stage {
         let Some(record) = self.current_record() else {
-            return match (&self.order, self.halted) {
-                (None, _) => Stage::Free,
-                (Some(_), Some(_)) => Stage::Halted,
-                (Some(_), None) => Stage::Canary,
+            return match &self.order {
+                None => Stage::Free,
+                Some(_) if self.is_halted => Stage::Halted,
+                Some(_) => Stage::Canary,
             };
         };
         match record.phase {
             Phase::Completed => Stage::Completed,
             Phase::RolledBack(_) => Stage::Halted,
-            Phase::Canary | Phase::Promoting if self.halted.is_some() => Stage::Halted,
+            Phase::Canary | Phase::Promoting if self.is_halted => Stage::Halted,
             // A removed order is taken back as soon as it is known.
             Phase::Canary if self.order.is_none() => Stage::Halted,
             Phase::Canary => Stage::Canary,
@@ -179,7 +186,9 @@
 
     fn begin_anew(&mut self, was_running: bool, now: TimePoint) {
         self.heard_at = now;
-        self.halted = None;
+        self.found = None;
+        self.is_halted = false;
+        self.has_told_following = false;
         self.exposure = Exposure::new(was_running);
         self.own = Witness::default();
         self.others = RolloutShare::default();
@@ -227,12 +236,14 @@
             return None;
         }
         self.own_old_runs = self.old_runs(service, servers, now);
+        let is_following = self.follows(now);
+        self.has_told_following |= is_following;
         Some(RolloutShare {
             order: self.id(),
             seen: self.own.seen(now),
             old_runs: self.own_old_runs,
-            following: u32::from(self.follows(now)),
-            halted: self.halted,
+            following: u32::from(is_following),
+            halted: self.found.map(|(cause, _)| cause),
         })
     }
 
@@ -267,8 +278,8 @@
 
     pub(super) fn verdict(&self) -> Verdict {
         let found = self.judged.judgement.map_or(Verdict::Undecided, |it| it.verdict);
-        match (self.halted, found) {
-            (Some(RollbackCause::Slowness), _) => Verdict::IsSlow,
+        match (self.found, found) {
+            (Some((RollbackCause::Slowness, _)), _) => Verdict::IsSlow,
             (Some(_), _) => Verdict::Fails,
             (None, Verdict::Good) => Verdict::Good,
             (None, _) => Verdict::Undecided,
@@ -389,6 +400,10 @@
         if !matches!(self.stage(), Stage::Canary | Stage::Promoting) {
             return None;
         }
+        if let Some((_, since)) = self.found {
+            self.is_halted = now.since(since) >= HOLDER_HEARS;
+            return None;
+        }
         let mut seen = self.own.seen(now);
         seen.add(&self.others.seen);
         let judgement = judge(&seen, self.stage() == Stage::Promoting, self.new_servers);
@@ -400,11 +415,12 @@
             Verdict::Undecided | Verdict::Good => None,
         };
         let found = found.filter(|_| self.is_in_touch);
-        self.halted = found.or(self.others.halted);
-        self.halted.map(|_| match found {
-            Some(_) => FoundBad::Here(judgement),
-            None => FoundBad::Elsewhere,
-        })
+        let cause = found.or(self.others.halted)?;
+        self.found = Some((cause, now));
+        // Failure: the holder has heard from all that nothing goes to the old servers, and one sends there again as it
+        // finds the new version bad. Symptom: the old servers stop at the word, and answers are cut.
+        self.is_halted = !self.has_told_following;
+        Some(found.map_or(FoundBad::Elsewhere, |_| FoundBad::Here(judgement)))
     }
 
     pub(super) fn choose(
--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -524,6 +524,29 @@
     assert!(book.shares(&table, ms(4_010)).is_empty());
 }
 
+// A VM has told that it sends nothing to the old servers, finds the new version bad, and sends there again while the holder
+// writes that they may stop.
+#[test]
+fn what_a_vm_has_told_of_the_old_servers_holds_until_the_holder_hears_better() {
+    let table = versions();
+    let mut book = ordered(&table, &AROUND);
+    let canary = RolloutRecord::first(&order(5, "v2", 60), ORDERED_MS);
+    book.record_listed(&service(), canary, ms(50));
+    book.record_listed(&service(), promoting(&order(5, "v2", 60)), ms(100));
+    book.refresh(&service(), &table, &AROUND, ms(110));
+    let told = |book: &mut RolloutBook, at| book.shares(&table, ms(at))[&service()].clone();
+    assert_eq!(told(&mut book, 3_000).following, 1);
+    answer(&mut book, true, ms(3_000));
+    book.refresh(&service(), &table, &AROUND, ms(3_010)).expect("it was found bad");
+    assert!(told(&mut book, 3_020).halted.is_some());
+    assert_eq!(book.verdict(&service()), Verdict::Fails);
+    assert!(!goes_to(&book.choose(&service(), ROUTE, 0.99, ms(3_020)), "v1", 0));
+
+    assert!(book.refresh(&service(), &table, &AROUND, ms(4_020)).is_none(), "it is said once");
+    assert!(goes_to(&book.choose(&service(), ROUTE, 0.99, ms(4_020)), "v1", 0));
+    assert_eq!(told(&mut book, 4_020).following, 0);
+}
+
 // A VM whose process is started in a promotion must not send a share to the old servers again.
 #[test]
 fn a_vm_that_starts_in_a_promotion_is_where_the_others_are() {
--- a/crates/quincevalve_forwarding/tests/rollout_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/rollout_world/main.rs
@@ -160,6 +160,13 @@
     is_rolled_back(Plan { badness: Some(bad(Way::Later, 0.0, 4.0)), ..engines(64, 12_000) }, 2);
 }
 
+// A VM finds the new version bad as the holder completes the roll-out: old servers stop with its answers.
+#[test]
+fn what_turns_bad_at_the_end_cuts_no_answers() {
+    let plan = Plan { badness: Some(bad(Way::Later, 0.0, 4.0)), ..engines(8, 12_000) };
+    assert_eq!(World::new(plan, 25).play().broken, 0);
+}
+
 // Few requests may go to the new version of a plain service in a short order: a good one can't be told from a bad one.
 #[test]
 fn plain_services_in_a_short_order() {
