--- a/crates/quincevalve_forwarding/src/rollout/book/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book/state.rs
@@ -75,6 +75,30 @@
     Completed,
 }
 
+/// What is done here about a version that was found bad, here or elsewhere; only another order takes it back.
+#[derive(Clone, Copy, Debug, Default)]
+enum HaltState {
+    #[default]
+    NotFoundBad,
+    /// It is told why, since then.
+    Told(RollbackCause, TimePoint),
+    /// And the version gets nothing.
+    Halted(RollbackCause),
+}
+
+impl HaltState {
+    fn cause(self) -> Option<RollbackCause> {
+        match self {
+            Self::NotFoundBad => None,
+            Self::Told(cause, _) | Self::Halted(cause) => Some(cause),
+        }
+    }
+
+    fn is_halted(self) -> bool {
+        matches!(self, Self::Halted(_))
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rollout {
     order: Option<RolloutOrder>,
@@ -82,10 +106,7 @@
     record: Option<RolloutRecord>,
     /// Since when the record is in its phase, as seen here.
     phase_since: TimePoint,
-    /// Why and since when, where the new version was found bad, here or elsewhere; only another order takes it back.
-    found: Option<(RollbackCause, TimePoint)>,
-    /// Whether it gets nothing for that.
-    is_halted: bool,
+    halt: HaltState,
     /// Whether this VM has told that it sends nothing to the old version any more.
     has_told_following: bool,
     /// Servers of the new version that take work.
@@ -143,14 +164,14 @@
         let Some(record) = self.current_record() else {
             return match &self.order {
                 None => Stage::Free,
-                Some(_) if self.is_halted => Stage::Halted,
+                Some(_) if self.halt.is_halted() => Stage::Halted,
                 Some(_) => Stage::Canary,
             };
         };
         match record.phase {
             Phase::Completed => Stage::Completed,
             Phase::RolledBack(_) => Stage::Halted,
-            Phase::Canary | Phase::Promoting if self.is_halted => Stage::Halted,
+            Phase::Canary | Phase::Promoting if self.halt.is_halted() => Stage::Halted,
             // A removed order is taken back as soon as it is known.
             Phase::Canary if self.order.is_none() => Stage::Halted,
             Phase::Canary => Stage::Canary,
@@ -186,8 +207,7 @@
 
     fn begin_anew(&mut self, was_running: bool, now: TimePoint) {
         self.heard_at = now;
-        self.found = None;
-        self.is_halted = false;
+        self.halt = HaltState::NotFoundBad;
         self.has_told_following = false;
         self.exposure = Exposure::new(was_running);
         self.own = Witness::default();
@@ -243,7 +263,7 @@
             seen: self.own.seen(now),
             old_runs: self.own_old_runs,
             following: u32::from(is_following),
-            halted: self.found.map(|(cause, _)| cause),
+            halted: self.halt.cause(),
         })
     }
 
@@ -278,8 +298,8 @@
 
     pub(super) fn verdict(&self) -> Verdict {
         let found = self.judged.judgement.map_or(Verdict::Undecided, |it| it.verdict);
-        match (self.found, found) {
-            (Some((RollbackCause::Slowness, _)), _) => Verdict::IsSlow,
+        match (self.halt.cause(), found) {
+            (Some(RollbackCause::Slowness), _) => Verdict::IsSlow,
             (Some(_), _) => Verdict::Fails,
             (None, Verdict::Good) => Verdict::Good,
             (None, _) => Verdict::Undecided,
@@ -400,8 +420,10 @@
         if !matches!(self.stage(), Stage::Canary | Stage::Promoting) {
             return None;
         }
-        if let Some((_, since)) = self.found {
-            self.is_halted = now.since(since) >= HOLDER_HEARS;
+        if let HaltState::Told(cause, since) = self.halt {
+            if now.since(since) >= HOLDER_HEARS {
+                self.halt = HaltState::Halted(cause);
+            }
             return None;
         }
         let mut seen = self.own.seen(now);
@@ -416,10 +438,13 @@
         };
         let found = found.filter(|_| self.is_in_touch);
         let cause = found.or(self.others.halted)?;
-        self.found = Some((cause, now));
         // Failure: the holder has heard from all that nothing goes to the old servers, and one sends there again as it
         // finds the new version bad. Symptom: the old servers stop at the word, and answers are cut.
-        self.is_halted = !self.has_told_following;
+        self.halt = if self.has_told_following {
+            HaltState::Told(cause, now)
+        } else {
+            HaltState::Halted(cause)
+        };
         Some(found.map_or(FoundBad::Elsewhere, |_| FoundBad::Here(judgement)))
     }
 
