--- a/crates/quincevalve_forwarding/src/rollout/book.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book.rs
@@ -1,5 +1,6 @@
 //! One VM's part in all roll-outs: where its requests go, what it sees, and what it tells.
 
+mod halt;
 mod runs;
 mod state;
 
--- a/crates/quincevalve_forwarding/src/rollout/book/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book/state.rs
@@ -6,7 +6,7 @@
     BackendServerName, ServerVersion, ServiceName, TimePoint, rendezvous_score,
 };
 
-use super::{Choice, FoundBad, Halt, Surroundings};
+use super::{Choice, FoundBad, Halt, Surroundings, halt::HaltState};
 use crate::{
     rollout::{
         evidence::{Evidence, RouteKey, Sample, Side, Witness},
@@ -38,9 +38,6 @@
 const RAMP_FROM: f64 = 0.12;
 /// The part of the share that is used on once a version looks good: the rest is left for what shows late.
 const WATCH_PART: f64 = 0.75;
-/// For how long a VM that has told that it sends nothing to the old version keeps to that, where the new one is found bad:
-/// the holder hears it, and takes the roll-out back.
-const HOLDER_HEARS: Duration = Duration::from_secs(1);
 /// For how long after its completion only the new version is used, so that old servers that stop aren't met.
 const OLD_SERVERS_STOP: Duration = Duration::from_secs(10);
 
@@ -75,30 +72,6 @@
     Completed,
 }
 
-/// What is done here about a version that was found bad, here or elsewhere; only another order takes it back.
-#[derive(Clone, Copy, Debug, Default)]
-enum HaltState {
-    #[default]
-    NotFoundBad,
-    /// It is told why, since then.
-    Told(RollbackCause, TimePoint),
-    /// And the version gets nothing.
-    Halted(RollbackCause),
-}
-
-impl HaltState {
-    fn cause(self) -> Option<RollbackCause> {
-        match self {
-            Self::NotFoundBad => None,
-            Self::Told(cause, _) | Self::Halted(cause) => Some(cause),
-        }
-    }
-
-    fn is_halted(self) -> bool {
-        matches!(self, Self::Halted(_))
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rollout {
     order: Option<RolloutOrder>,
@@ -420,10 +393,8 @@
         if !matches!(self.stage(), Stage::Canary | Stage::Promoting) {
             return None;
         }
-        if let HaltState::Told(cause, since) = self.halt {
-            if now.since(since) >= HOLDER_HEARS {
-                self.halt = HaltState::Halted(cause);
-            }
+        self.halt = self.halt.at(now);
+        if self.halt.cause().is_some() {
             return None;
         }
         let mut seen = self.own.seen(now);
@@ -438,13 +409,7 @@
         };
         let found = found.filter(|_| self.is_in_touch);
         let cause = found.or(self.others.halted)?;
-        // Failure: the holder has heard from all that nothing goes to the old servers, and one sends there again as it
-        // finds the new version bad. Symptom: the old servers stop at the word, and answers are cut.
-        self.halt = if self.has_told_following {
-            HaltState::Told(cause, now)
-        } else {
-            HaltState::Halted(cause)
-        };
+        self.halt = HaltState::begin(cause, self.has_told_following, now);
         Some(found.map_or(FoundBad::Elsewhere, |_| FoundBad::Here(judgement)))
     }
 
