--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -269,6 +269,21 @@
     assert_eq!(at(100, Verdict::IsSlow), Some(rolled_back(RollbackCause::Slowness)));
 }
 
+fn begins(new_servers: usize, has_old_servers: bool, seconds: u64, expected: Phase) {
+    let order = order(5, "v2", seconds);
+    let at = Situation { new_servers, has_old_servers, ..situation(Some(&order), None, 0) };
+    assert_eq!(phase(&at), Some(expected));
+}
+
+crate::cases! { begins:
+    with_servers_of_both_versions => 1, true, 60, Phase::Canary;
+    with_none_of_either => 0, false, 60, Phase::Canary;
+    with_none_of_the_new_version => 0, true, 60, Phase::Canary;
+    with_nothing_to_move => 1, false, 60, Phase::Completed;
+    with_nothing_to_move_and_no_time => 1, false, 0, Phase::Completed;
+    without_time => 1, true, 0, rolled_back(RollbackCause::NoTime);
+}
+
 #[test]
 fn too_few_servers_are_not_given_the_traffic() {
     let order = order(5, "v2", 60);
