--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -11,10 +11,11 @@
         book::{Choice, FoundBad, RolloutBook, RunToWatch, Surroundings},
         evidence::{LogSum, RouteKey, Sample, Side, Witness},
         exposure::{Exposure, Seat},
+        promotion::Promotion,
         record::{OrderId, Phase, RollbackCause, RolloutOrder, RolloutRecord},
         scope::VersionScope,
         share::RolloutShares,
-        steps::{Following, Situation, next_step},
+        steps::{Following, Situation, canary_ends_ms, next_step},
         verdict::{Judgement, Verdict, judge},
     },
     servers::{ServerEntry, ServerTable, start_hash},
@@ -269,6 +270,13 @@
     assert_eq!(at(100, Verdict::IsSlow), Some(rolled_back(RollbackCause::Slowness)));
 }
 
+#[test]
+fn the_canary_ends_when_the_promotion_may_begin() {
+    let record = RolloutRecord::first(&order(5, "v2", 60), ORDERED_MS);
+    let before = Promotion::of(record.duration, true).begins_before();
+    assert_eq!(canary_ends_ms(&record, true), ORDERED_MS + 60_000 - before.as_millis() as i64);
+}
+
 fn begins(new_servers: usize, has_old_servers: bool, seconds: u64, expected: Phase) {
     let order = order(5, "v2", seconds);
     let at = Situation { new_servers, has_old_servers, ..situation(Some(&order), None, 0) };
@@ -555,9 +563,10 @@
     book.refresh(&service(), &table, &AROUND, ms(3_010)).expect("it was found bad");
     assert!(told(&mut book, 3_020).halted.is_some());
     assert_eq!(book.verdict(&service()), Verdict::Fails);
-    assert!(!goes_to(&book.choose(&service(), ROUTE, 0.99, ms(3_020)), "v1", 0));
+    assert!(book.refresh(&service(), &table, &AROUND, ms(3_500)).is_none(), "it is said once");
+    assert!(!goes_to(&book.choose(&service(), ROUTE, 0.99, ms(3_500)), "v1", 0));
 
-    assert!(book.refresh(&service(), &table, &AROUND, ms(4_020)).is_none(), "it is said once");
+    assert!(book.refresh(&service(), &table, &AROUND, ms(4_020)).is_none());
     assert!(goes_to(&book.choose(&service(), ROUTE, 0.99, ms(4_020)), "v1", 0));
     assert_eq!(told(&mut book, 4_020).following, 0);
 }
