--- a/crates/quincevalve_forwarding/src/rollout/verdict.rs
+++ b/crates/quincevalve_forwarding/src/rollout/verdict.rs
@@ -1,12 +1,12 @@
 //! Whether a new version is worse than the old one.
 //!
 //! *Failures*: a sequential likelihood ratio test by route, of the old version's rate against that rate and
-//! [`LEAST_EXCESS`] more; the logarithms of all routes add up. By Ville's inequality the chance that a version which
+//! `LEAST_EXCESS` more; the logarithms of all routes add up. By Ville's inequality the chance that a version which
 //! fails no more often than the old one ever passes the bound `ln(1/α)` is at most `α`, however often one looks; and
 //! likewise for a version that is worse by the excess and the bound `ln(β)`.
 //!
 //! *Slowness*: the difference of the mean logarithms of measured over expected times, by route, against its standard
-//! error.
+//! error, over answers and, before the new version takes the traffic over, over servers too.
 //!
 //! A few servers may be bad whatever their version: one that stands out from the others of its version is left out.
 
--- a/crates/quincevalve_node/src/store/state_copy.rs
+++ b/crates/quincevalve_node/src/store/state_copy.rs
@@ -1,7 +1,8 @@
 //! What a VM that starts gets from others of its data centre instead of the store.
 //!
 //! Load: hundreds of VMs lose power together and start together. Each would read everything, and the store's link carries
-//! the whole list once for each VM; until that is done every caller is refused. So a VM reads the entries of its own data centre only, and asks one of the strongest for the rest.
+//! the whole list once for each VM; until that is done every caller is refused. So a VM reads the entries of its own data
+//! centre only, and asks one of the strongest for the rest.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
