Servers' limits: an answer's header is decoded and logged

Callers saw nothing yet: no decision depends on it. The logs of the incident could not tell which servers had named a limit, when, and what it was. The adapter decodes the header into a typed rate; what can't be read is logged with its name and 64 characters, and counts as not said. A VM writes `server-limit` when a server's limit changes; `quincevalve_limited_servers` counts them.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod request_digest;
 pub mod retry_window;
 pub mod rollout;
+pub mod server_signals;
 pub mod servers;
 pub mod shared_limit;
 pub mod store_contact;
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -8,7 +8,11 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{load::ServerLoad, store_contact::LAPSE_AFTER};
+use crate::{
+    load::ServerLoad,
+    server_signals::{RequestRate, ServerSignals},
+    store_contact::LAPSE_AFTER,
+};
 
 /// When a server's process started, in Unix milliseconds by its own clock: tells starts under one name apart.
 #[derive(
@@ -78,6 +82,7 @@
     pub load: ServerLoad,
     listing: Listing,
     leaving: Option<Leaving>,
+    limit: Option<RequestRate>,
     /// When it will be gone, as far as known.
     goes_at: Option<TimePoint>,
     /// When it was first seen.
@@ -100,6 +105,16 @@
         self.leaving.is_some() || matches!(self.listing, Listing::Removed(_))
     }
 
+    /// The requests that it takes from all entry VMs together, where it names a limit.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit
+    }
+
+    /// Takes what its answer says of it; `true` if that is news.
+    pub fn signalled(&mut self, signals: &ServerSignals) -> bool {
+        std::mem::replace(&mut self.limit, signals.limit) != signals.limit
+    }
+
     /// Expects the end of a server whose entry is gone without an announcement.
     fn leaves_silently(&mut self, now: TimePoint) {
         let left = if self.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
@@ -192,6 +207,7 @@
             load: ServerLoad::default(),
             listing: Listing::Listed,
             leaving: None,
+            limit: None,
             goes_at: None,
             since: now,
             hash: start_hash(name, entry.start),
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -58,6 +58,7 @@
     sendings_by_version: Family<ToVersion, Counter>,
     in_flight: Gauge,
     servers: Gauge,
+    limited_servers: Gauge,
     vms: Gauge,
     config_version: Gauge,
     proof_age_ms: Gauge,
@@ -76,7 +77,7 @@
         });
         let sendings = Family::default();
         let sendings_by_version = Family::default();
-        let [in_flight, servers, vms, config_version, proof_age_ms, quarantined] =
+        let [in_flight, servers, limited_servers, vms, config_version, proof_age_ms, quarantined] =
             std::array::from_fn(|_| Gauge::default());
         let lines_left_out = Counter::default();
         registry.register("requests", "Requests by route and outcome", requests.clone());
@@ -98,6 +99,11 @@
         );
         registry.register("in_flight", "Requests and streams at present", in_flight.clone());
         registry.register("servers", "Servers that take new work", servers.clone());
+        registry.register(
+            "limited_servers",
+            "Servers that name a limit of requests",
+            limited_servers.clone(),
+        );
         registry.register("vms", "Entry VMs that are known", vms.clone());
         registry.register("config_version", "Configuration in force", config_version.clone());
         registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
@@ -112,6 +118,7 @@
             sendings_by_version,
             in_flight,
             servers,
+            limited_servers,
             vms,
             config_version,
             proof_age_ms,
@@ -164,6 +171,8 @@
         let age = node.freshness.get().age(now).unwrap_or(Duration::MAX);
         self.in_flight.set(gauge(node.in_flight.get()));
         self.servers.set(gauge(usable));
+        self.limited_servers
+            .set(gauge(servers.all().filter(|(_, it)| it.limit().is_some()).count()));
         self.vms.set(gauge(node.vms()));
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -250,6 +250,16 @@
         may
     }
 
+    /// Whether one more line may be written; one that may not is counted.
+    pub(crate) fn may_write_line(&self) -> bool {
+        let mut lines = self.lines.borrow_mut();
+        let may = lines.take(clock::now());
+        if !may {
+            lines.leave_out(1);
+        }
+        may
+    }
+
     /// The entry VMs that are known, this one included.
     pub(crate) fn vms(&self) -> usize {
         self.peers.borrow().book.vms()
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -2,10 +2,11 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
-use http::{HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
-    config::ForwardingConfig, rollout::record::RolloutOrder, servers::ServerEntry,
+    config::ForwardingConfig, rollout::record::RolloutOrder, server_signals::ServerSignals,
+    servers::ServerEntry,
 };
 use quincevalve_names::{
     BackendServerName, ClientAccountName, DataCentreName, FencingNumber, ServerVersion, ServiceName,
@@ -286,7 +287,25 @@
     ) -> impl Future<Output = Result<MovedRun, MoveError>>;
 }
 
-/// The names of the headers that callers, servers and the system exchange.
+/// A header by which a server says something of itself, and which can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableSignal {
+    /// Its name.
+    pub name: HeaderName,
+    /// Its value, the first where there are several.
+    pub value: String,
+}
+
+/// What the headers of a server's answer say of the server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DecodedSignals {
+    /// What can be read.
+    pub signals: ServerSignals,
+    /// What can't.
+    pub unreadable: Vec<UnreadableSignal>,
+}
+
+/// The headers that callers, servers and the system exchange.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
     /// Names one attempt of a caller; servers echo it.
@@ -317,6 +336,8 @@
     pub last_event: HeaderName,
     /// Where the memory is from which a moved run goes on.
     pub moved_from: HeaderName,
+    /// Decodes what the headers of a server's answer say of the server.
+    pub signals: fn(&HeaderMap) -> DecodedSignals,
     /// Headers that only the system may set; a caller's are removed.
     pub internal: Vec<HeaderName>,
 }
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -13,4 +13,5 @@
 pub(crate) mod placing;
 pub(crate) mod refusal;
 pub(crate) mod relay;
+mod signals;
 pub(crate) mod story;
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -22,6 +22,7 @@
         body::AnswerBody,
         exit_check::connection_broke,
         identify::{Identified, is_hop_by_hop, text},
+        signals::take_signals,
         story::note,
     },
 };
@@ -133,6 +134,10 @@
         );
         return Err(Failed::MayHaveRun);
     }
+    let sealed = response.headers().contains_key(&names.seal);
+    if sealed || not_run {
+        take_signals(node, place, status, response.headers());
+    }
     if not_run {
         note!(
             node, req, server = place.server.as_str(), status = status.as_u16();
@@ -149,7 +154,6 @@
     }
     node.metrics.sending(req.service.as_str(), "answered");
     let keep_alive = KeepAlive::of(response.headers());
-    let sealed = response.headers().contains_key(&names.seal);
     Ok(ServerAnswer { response, connection, keep_alive, sealed })
 }
 
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     node::Node,
-    ports::{EngineApi, HeaderNames, MoveError, MovedRun},
+    ports::{DecodedSignals, EngineApi, HeaderNames, MoveError, MovedRun},
     quarantine::QuarantineStore,
     request::mover::Mover,
     settings::{Bounds, Duties, NodeSettings},
@@ -50,6 +50,7 @@
         urgency: name("x-urgency"),
         last_event: name("last-event-id"),
         moved_from: name("x-moved-from"),
+        signals: |_| DecodedSignals::default(),
         internal: Vec::new(),
     }
 }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -6,10 +6,10 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{Account, CallerLimits, Engine, ForwardingConfig, Repeat, Route, Service, Target},
@@ -17,6 +17,7 @@
     quota::QuotaLimits,
     retry_window::RetryLimits,
     rollout::record::{OrderId, RolloutOrder},
+    server_signals::{RequestRate, ServerSignals},
     servers::ServerEntry,
     shared_limit::SharedLimit,
 };
@@ -24,9 +25,9 @@
 use quincevalve_node::{
     Listeners,
     ports::{
-        ActingHolder, Change, Changes, CloudApi, CloudError, Commit, EngineApi, HeaderNames,
-        LeaseId, MoveError, MovedRun, OwnItem, PlatformStore, ReadAge, RolloutStatus, ServerOrder,
-        Snapshot, StoreError, StoreRevision,
+        ActingHolder, Change, Changes, CloudApi, CloudError, Commit, DecodedSignals, EngineApi,
+        HeaderNames, LeaseId, MoveError, MovedRun, OwnItem, PlatformStore, ReadAge, RolloutStatus,
+        ServerOrder, Snapshot, StoreError, StoreRevision,
     },
     settings::{Bounds, Duties, NodeSettings},
 };
@@ -383,6 +384,13 @@
     }
 }
 
+/// Decodes the scripted servers' own header for a limit.
+fn signals(headers: &HeaderMap) -> DecodedSignals {
+    let text = headers.get("x-limit").and_then(|it| it.to_str().ok());
+    let limit = text.and_then(|it| it.parse().ok()).and_then(RequestRate::new);
+    DecodedSignals { signals: ServerSignals { limit }, unreadable: Vec::new() }
+}
+
 pub fn headers() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
@@ -400,6 +408,7 @@
         urgency: name("x-urgency"),
         last_event: name("last-event-id"),
         moved_from: name("x-moved-from"),
+        signals,
         internal: vec![name("x-moved-from"), name("x-urgency"), name("x-internal")],
     }
 }
@@ -512,6 +521,7 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub server: usize,
+    pub at: Instant,
     pub head: String,
     pub body: String,
 }
@@ -783,14 +793,19 @@
         }
     }
     let body = String::from_utf8_lossy(&bytes[end..end + length]).into_owned();
-    Some(Arrival { server, head, body })
+    Some(Arrival { server, at: Instant::now(), head, body })
 }
 
 /// A sealed answer to an arrival.
 pub fn sealed(arrival: &Arrival, status: &str, body: &str) -> String {
+    sealed_with(arrival, status, "", body)
+}
+
+/// A sealed answer with more headers, each with its line end.
+pub fn sealed_with(arrival: &Arrival, status: &str, more: &str, body: &str) -> String {
     let id = arrival.header("x-attempt").unwrap_or_default();
     format!(
-        "HTTP/1.1 {status}\r\nx-attempt: {id}\r\nx-seal: s-1\r\ncontent-length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status}\r\nx-attempt: {id}\r\nx-seal: s-1\r\n{more}content-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
