Servers' limits: each VM keeps to its part of what a server takes

Cause: an answer's header that names a limit was passed on and ignored; servers were picked by work, memory and slots alone.

Change: true time is cut into frames of 250 ms. All VMs reckon the same whole number of requests for each frame and whose they are, by their place among the VMs that are listed, rotated with server and frame. What isn't sent within a second is lost. So the sum over all VMs holds without a word between them, with a fraction of a request for each VM too, and VMs don't save up. Placement leaves out servers of which this VM has nothing left; the request goes to another server, or is refused as `limited` with a Retry-After when all of a service are limited. The part is taken where a server is picked, so first sendings, repeats, resumed and moved streams count alike. A server gets a request in 5 s whatever it names: only an answer tells that its limit ended. `Seat`, a VM's place among all, is shared with the roll-outs' allowance now.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is a plain state machine without I/O and without a clock of its own, so that a test
 //! drives each decision in virtual time. `quincevalve_node` wraps these cores in HTTP.
 
+pub mod allowance;
 pub mod change_log;
 pub mod config;
 pub mod demand;
--- a/crates/quincevalve_forwarding/src/peer_book.rs
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -8,10 +8,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
-use quincevalve_names::{DataCentreName, TimePoint, hash_text};
+use quincevalve_names::{DataCentreName, TimePoint, hash_text, rendezvous_score};
 use serde::{Deserialize, Serialize};
 
-use crate::store_pacing::ReadingPart;
+use crate::{shared_limit::Seat, store_pacing::ReadingPart};
 
 /// Up to this many VMs everyone tells everyone: a dozen datagrams a period are cheap, and there is no
 /// collector to lose.
@@ -171,6 +171,14 @@
         listed.chain([&self.me])
     }
 
+    /// This VM's place among all that are listed, in an order of `key`'s own.
+    pub fn seat(&self, key: u64) -> Seat {
+        let score = |name: &str| rendezvous_score(key, hash_text(name));
+        let me = score(&self.me.name);
+        let rank = self.listed_cards().filter(|it| score(&it.name) > me).count();
+        Seat { rank, of: self.listed_cards().count() }
+    }
+
     /// The other VMs that may still have something to tell.
     ///
     /// Failure: a VM is gone for good, and what it would tell is waited for. Symptom: reports come seconds late,
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -106,6 +106,11 @@
         /// The predicted first answer.
         predicted: Duration,
     },
+    /// All that could take it name limits, and have had what this VM may send them.
+    Limited {
+        /// Until this VM may send one of them the next request, on average.
+        wait: Duration,
+    },
 }
 
 /// Milliseconds to a first token of an idle engine beyond reading the prompt.
@@ -157,7 +162,12 @@
         R: Rng,
     {
         let usable = self.usable(ask.service, now).filter(|(name, it)| ask.admits(name, it));
-        let usable: Vec<_> = usable.collect();
+        let (usable, limited): (Vec<_>, Vec<_>) =
+            usable.partition(|(_, it)| self.limit_allows(it, now));
+        if usable.is_empty() && !limited.is_empty() {
+            let rates = limited.iter().filter_map(|(_, it)| it.limit());
+            return Err(NoPlace::Limited { wait: self.wait_for_allowance(rates) });
+        }
         let some = candidates(ask, &usable, rng);
         if let Ok(placement) = best_of(ask, &usable, &some, rng, now) {
             return Ok(placement);
--- a/crates/quincevalve_forwarding/src/rollout/book.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book.rs
@@ -17,14 +17,13 @@
 use crate::{
     rollout::{
         evidence::{RouteKey, Sample},
-        exposure::Seat,
         record::{OrderId, RolloutOrder, RolloutRecord},
         scope::VersionScope,
         share::RolloutShares,
         verdict::{Judgement, Verdict},
     },
     servers::ServerTable,
-    shared_limit::SharedLimit,
+    shared_limit::{Seat, SharedLimit},
 };
 
 /// Where a request may go.
--- a/crates/quincevalve_forwarding/src/rollout/book/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/book/state.rs
@@ -10,7 +10,7 @@
 use crate::{
     rollout::{
         evidence::{Evidence, RouteKey, Sample, Side, Witness},
-        exposure::{Exposure, Seat},
+        exposure::Exposure,
         promotion::Promotion,
         record::{OrderId, Phase, RollbackCause, RolloutOrder, RolloutRecord},
         scope::VersionScope,
@@ -19,7 +19,7 @@
         verdict::{Judgement, Verdict, judge},
     },
     servers::{Server, ServerTable, start_hash},
-    shared_limit::SharedLimit,
+    shared_limit::{Seat, SharedLimit},
 };
 
 /// The part of what the limit allows that may be used when the first server of the new version is there; it rises to
--- a/crates/quincevalve_forwarding/src/rollout/exposure.rs
+++ b/crates/quincevalve_forwarding/src/rollout/exposure.rs
@@ -1,20 +1,11 @@
 //! How many requests this VM may send to a version that isn't known to be good.
 
-use crate::shared_limit::SharedLimit;
+use crate::shared_limit::{Seat, SharedLimit};
 
 /// Part of the promised limit that is used; the rest covers VMs that aren't known to each other yet, streams that are
 /// moved, and what shows while a version takes the traffic over.
 const USED_PART: f64 = 0.9;
 
-/// This VM's place among all VMs, in the same order everywhere.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Seat {
-    /// From 0.
-    pub rank: usize,
-    /// All VMs.
-    pub of: usize,
-}
-
 /// One VM's part of the requests that a new version may get.
 ///
 /// Failure: many VMs have a fraction of a request each to send, and all round alike. Symptom: with 295 VMs the version
@@ -27,7 +18,7 @@
 /// # Examples
 ///
 /// ```
-/// use quincevalve_forwarding::{rollout::exposure::{Exposure, Seat}, shared_limit::SharedLimit};
+/// use quincevalve_forwarding::{rollout::exposure::Exposure, shared_limit::{Seat, SharedLimit}};
 /// let limit = SharedLimit { ratio: 0.1, slack: 0.0 };
 /// let mut exposure = Exposure::new(true);
 /// (0..100).for_each(|_| exposure.request());
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -9,8 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    allowance::Allowance,
     load::ServerLoad,
     server_signals::{RequestRate, ServerSignals},
+    shared_limit::Seat,
     store_contact::LAPSE_AFTER,
 };
 
@@ -83,6 +85,7 @@
     listing: Listing,
     leaving: Option<Leaving>,
     limit: Option<RequestRate>,
+    allowance: Allowance,
     /// When it will be gone, as far as known.
     goes_at: Option<TimePoint>,
     /// When it was first seen.
@@ -171,6 +174,10 @@
     store_away: Option<TimePoint>,
     /// The last time that it was away.
     outage: Option<Outage>,
+    /// This VM's place among all VMs, by which limits that servers name are divided.
+    seat: Seat,
+    /// Milliseconds of true time at the origin of this VM's clock.
+    true_origin_ms: i64,
     /// Servers that could not be reached lately, by data centre.
     unreached: IndexMap<DataCentreName, Vec<(TimePoint, BackendServerName)>>,
 }
@@ -182,6 +189,10 @@
 /// How long a data centre that is out of reach is left alone before a request tries it again.
 const CENTRE_PAUSE: Duration = Duration::from_millis(1_500);
 
+fn millis(at: TimePoint) -> i64 {
+    (at.as_micros() / 1_000).cast_signed()
+}
+
 /// Stands for one start of a server, the same on all entry VMs.
 pub fn start_hash(name: &BackendServerName, start: ServerStart) -> u64 {
     mix(hash_text(name.as_str()), start.0)
@@ -208,6 +219,7 @@
             listing: Listing::Listed,
             leaving: None,
             limit: None,
+            allowance: Allowance::default(),
             goes_at: None,
             since: now,
             hash: start_hash(name, entry.start),
@@ -374,6 +386,43 @@
         }
     }
 
+    /// Takes this VM's place among all VMs, and true time. Without them a VM keeps a server's limit as if it were alone.
+    pub fn set_seat(&mut self, seat: Seat, true_ms: i64, now: TimePoint) {
+        self.seat = seat;
+        self.true_origin_ms = true_ms - millis(now);
+    }
+
+    /// Whether a server's limit leaves room for one more request of this VM.
+    pub fn limit_allows(&self, server: &Server, now: TimePoint) -> bool {
+        server.limit.is_none_or(|limit| {
+            server.allowance.has_left(limit, server.hash, self.seat, self.true_ms(now))
+        })
+    }
+
+    /// Takes one request out of what a server's limit leaves to this VM.
+    pub fn spend_allowance(
+        &mut self,
+        name: &BackendServerName,
+        start: ServerStart,
+        now: TimePoint,
+    ) -> bool {
+        let (seat, true_ms) = (self.seat, self.true_ms(now));
+        let Some(server) = self.get_mut(name, start) else { return false };
+        let Some(limit) = server.limit else { return true };
+        server.allowance.spend(limit, server.hash, seat, true_ms)
+    }
+
+    /// Until servers of these limits leave room for this VM's next request, on average.
+    pub(crate) fn wait_for_allowance(&self, limits: impl Iterator<Item = RequestRate>) -> Duration {
+        let per_second: f64 = limits.map(RequestRate::per_second).sum();
+        let seconds = self.seat.of as f64 / per_second;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    fn true_ms(&self, now: TimePoint) -> i64 {
+        self.true_origin_ms + millis(now)
+    }
+
     /// Whether a server may get new work.
     ///
     /// Failure: the store was away, entries lapsed meanwhile, and all servers look gone at its return.
--- a/crates/quincevalve_forwarding/src/shared_limit.rs
+++ b/crates/quincevalve_forwarding/src/shared_limit.rs
@@ -37,3 +37,41 @@
         self.slack / vms.max(1) as f64
     }
 }
+
+/// This VM's place among all VMs, in the same order everywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// From 0.
+    pub rank: usize,
+    /// All VMs.
+    pub of: usize,
+}
+
+impl Default for Seat {
+    fn default() -> Self {
+        Self::ALONE
+    }
+}
+
+impl Seat {
+    /// That of a VM that knows no other.
+    pub const ALONE: Self = Self { rank: 0, of: 1 };
+
+    /// This VM's part of a whole number of requests; the parts of all VMs add up to it. What can't be divided evenly
+    /// goes to other VMs with each `turn`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use quincevalve_forwarding::shared_limit::Seat;
+    /// let parts = |turn| (0..3).map(move |rank| Seat { rank, of: 3 }.part_of(7, turn));
+    /// assert_eq!(parts(0).collect::<Vec<_>>(), [3, 2, 2]);
+    /// assert_eq!(parts(u64::MAX / 2).collect::<Vec<_>>(), [2, 2, 3]);
+    /// ```
+    pub fn part_of(self, requests: u64, turn: u64) -> u64 {
+        let of = self.of.max(1) as u64;
+        let first = ((u128::from(turn) * u128::from(of)) >> u64::BITS) as u64;
+        let place = (self.rank as u64 + first) % of;
+        requests / of + u64::from(place < requests % of)
+    }
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/allowance.rs
@@ -0,0 +1,137 @@
+//! Limits that servers name, kept by many VMs without a word between them.
+
+mod support;
+
+use proptest::prelude::*;
+use quincevalve_forwarding::{
+    allowance::Allowance,
+    placement::NoPlace,
+    server_signals::{RequestRate, ServerSignals},
+    servers::{Server, ServerTable},
+    shared_limit::Seat,
+};
+use quincevalve_names::TimePoint;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use support::{Asking, START, entry, millis, ms, server, table};
+
+/// Milliseconds over which a server counts what it gets, and what it bears beyond its limit: a factor and a number.
+const SPAN_MS: i64 = 4_000;
+const FACTOR: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// Milliseconds between two requests that each VM would like to send.
+const STEP_MS: usize = 20;
+
+fn rate(per_second: f64) -> RequestRate {
+    RequestRate::new(per_second).expect("a rate")
+}
+
+/// The times at which VMs send that always want to, each by a clock that is wrong by so many milliseconds.
+fn sendings(limit: f64, vms: usize, clocks: &[i64], length_ms: i64) -> Vec<i64> {
+    let mut times = Vec::new();
+    for rank in 0..vms {
+        let mut allowance = Allowance::default();
+        let wrong = clocks[rank % clocks.len()];
+        for now in (0..length_ms).step_by(STEP_MS) {
+            while allowance.spend(rate(limit), 77, Seat { rank, of: vms }, 1_000_000 + now + wrong)
+            {
+                times.push(now);
+            }
+        }
+    }
+    times.sort_unstable();
+    times
+}
+
+fn most_in_span(times: &[i64]) -> usize {
+    let within = |at: usize| times[at..].partition_point(|it| *it < times[at] + SPAN_MS);
+    (0..times.len()).map(within).max().unwrap_or_default()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_server_gets_what_it_named_from_all_vms_together(
+        limit in prop_oneof![0.0..3.0, 3.0..60.0, 60.0..900.0],
+        vms in prop_oneof![Just(1_usize), Just(8), Just(64), Just(295)],
+        clocks in prop::collection::vec(-100_i64..100, 1..9),
+    ) {
+        let times = sendings(limit, vms, &clocks, 12_000);
+        let most = most_in_span(&times);
+        prop_assert!(most as f64 <= FACTOR * limit * SPAN_MS as f64 / 1_000.0 + SLACK, "{most}");
+        // VMs that always want to send use all of it.
+        prop_assert!(times.len() as f64 >= limit * 11.0 - 1.0, "{}", times.len());
+    }
+
+    #[test]
+    fn parts_of_all_vms_add_up(requests in 0_u64..5_000, of in 1_usize..400, turn: u64) {
+        let sum: u64 = (0..of).map(|rank| Seat { rank, of }.part_of(requests, turn)).sum();
+        prop_assert_eq!(sum, requests);
+    }
+}
+
+#[test]
+fn what_a_vm_has_not_sent_is_lost_after_a_second() {
+    let mut allowance = Allowance::default();
+    let seat = Seat { rank: 0, of: 1 };
+    let sent = (0..100).filter(|_| allowance.spend(rate(4.0), 7, seat, 60_000)).count();
+    assert_eq!(sent, 4);
+}
+
+#[test]
+fn a_limit_of_nothing_leaves_a_probe_in_five_seconds() {
+    let probes = sendings(0.0, 64, &[0], 50_000).len();
+    assert!((10..=11).contains(&probes), "{probes}");
+}
+
+fn named(limit: Option<f64>) -> ServerSignals {
+    ServerSignals { limit: limit.map(rate) }
+}
+
+fn server_0_names(table: &mut ServerTable, limit: Option<f64>) {
+    table.get_mut(&server(0), START).expect("listed").signalled(&named(limit));
+}
+
+/// Requests of those that server 0 gets.
+fn placed_on_0(table: &mut ServerTable, requests: usize, now: TimePoint) -> usize {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut placed = 0;
+    for _ in 0..requests {
+        if let Ok(place) = table.place(&Asking::default().ask(), &mut rng, now) {
+            table.spend_allowance(&place.server, place.start, now);
+            placed += usize::from(place.server == server(0));
+        }
+    }
+    placed
+}
+
+#[test]
+fn requests_beyond_a_limit_go_to_other_servers() {
+    let mut table = table(2);
+    table.set_seat(Seat::ALONE, 1_000_000, ms(0));
+    server_0_names(&mut table, Some(4.0));
+    assert!(placed_on_0(&mut table, 100, ms(0)) <= 4);
+    server_0_names(&mut table, None);
+    assert!(placed_on_0(&mut table, 100, ms(0)) > 20);
+}
+
+#[test]
+fn requests_that_no_limit_leaves_room_for_are_refused_at_once() {
+    let mut table = table(1);
+    table.set_seat(Seat { rank: 0, of: 2 }, 1_000_000, ms(0));
+    server_0_names(&mut table, Some(4.0));
+    assert!(placed_on_0(&mut table, 100, ms(0)) <= 4);
+    let refused = table.place(&Asking::default().ask(), &mut Pcg64Mcg::seed_from_u64(1), ms(0));
+    assert_eq!(refused, Err(NoPlace::Limited { wait: millis(500) }));
+}
+
+#[test]
+fn a_limit_ends_with_the_start_of_the_server_that_named_it() {
+    let mut table = table(1);
+    server_0_names(&mut table, Some(0.0));
+    let mut entry = entry("a");
+    entry.start.0 += 1;
+    table.listed(&server(0), entry, ms(10));
+    assert_eq!(table.get(&server(0)).and_then(Server::limit), None);
+}
--- a/crates/quincevalve_forwarding/tests/rollout.rs
+++ b/crates/quincevalve_forwarding/tests/rollout.rs
@@ -10,7 +10,7 @@
     rollout::{
         book::{Choice, FoundBad, RolloutBook, RunToWatch, Surroundings},
         evidence::{LogSum, RouteKey, Sample, Side, Witness},
-        exposure::{Exposure, Seat},
+        exposure::Exposure,
         promotion::Promotion,
         record::{OrderId, Phase, RollbackCause, RolloutOrder, RolloutRecord},
         scope::VersionScope,
@@ -19,7 +19,7 @@
         verdict::{Judgement, Verdict, judge},
     },
     servers::{ServerEntry, ServerTable, start_hash},
-    shared_limit::SharedLimit,
+    shared_limit::{Seat, SharedLimit},
 };
 use quincevalve_names::{ServiceName, TimePoint};
 use support::{START, entry, ms, server};
--- a/crates/quincevalve_forwarding/tests/rollout_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/rollout_world/world.rs
@@ -8,14 +8,13 @@
     rollout::{
         book::{Choice, RolloutBook, RunToWatch, Surroundings, Ticket},
         evidence::{RouteKey, Sample},
-        exposure::Seat,
         record::{OrderId, Phase, RolloutOrder, RolloutRecord},
         scope::VersionScope,
         share::{RolloutShares, add_shares, shares_without},
         steps::{Following, Situation, next_step},
     },
     servers::{ServerEntry, ServerStart, ServerTable, start_hash},
-    shared_limit::SharedLimit,
+    shared_limit::{Seat, SharedLimit},
 };
 use quincevalve_names::{BackendServerName, ServiceName, TimePoint};
 use rand::{RngExt, SeedableRng};
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -23,6 +23,9 @@
 /// Periods between two tellings of when the store answered: an eighth of the gap that counts as an outage.
 const CONTACT_PERIODS: u32 = 4;
 
+/// The key of the order of VMs by which limits that servers name are divided.
+const LIMITS_KEY: u64 = 0;
+
 /// Periods between two tellings of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 12;
 
@@ -76,6 +79,9 @@
         let mut quota = node.quota.borrow_mut();
         quota.set_others(&others.spending, reachable_part, &config, now);
     }
+    let seat = node.peers.borrow().book.seat(LIMITS_KEY);
+    let true_ms = node.wall.borrow().true_ms(now).unwrap_or_else(clock::wall_ms);
+    node.servers.borrow_mut().set_seat(seat, true_ms, now);
     measure_demand(node, now);
     if !node.rollouts.borrow().is_idle() {
         node.rollouts.borrow_mut().set_others(&others.rollouts);
--- a/crates/quincevalve_node/src/request/placing.rs
+++ b/crates/quincevalve_node/src/request/placing.rs
@@ -154,16 +154,18 @@
 
 /// The best server among those that a request may go to.
 fn place(node: &Node, ask: &Ask<'_>, choice: &Choice) -> Result<Placement, NoPlace> {
-    let servers = node.servers.borrow();
+    let now = clock::now();
+    let mut servers = node.servers.borrow_mut();
     let mut rng = node.rng.borrow_mut();
-    let mut place_in = |scope: Option<&VersionScope>| {
-        servers.place(&Ask { scope, ..*ask }, &mut *rng, clock::now())
-    };
-    match choice {
+    let mut place_in =
+        |scope: Option<&VersionScope>| servers.place(&Ask { scope, ..*ask }, &mut *rng, now);
+    let place = match choice {
         Choice::Any => place_in(None),
         Choice::One(scope) => place_in(Some(scope)),
         Choice::Either(first, second) => place_in(Some(first)).or_else(|_| place_in(Some(second))),
-    }
+    }?;
+    servers.spend_allowance(&place.server, place.start, now);
+    Ok(place)
 }
 
 fn no_place(ask: &Ask<'_>, lacking: NoPlace) -> Refused {
@@ -171,6 +173,10 @@
         NoPlace::NoServer => {
             Refused { refusal: Refusal::NoServer, retry_after: Some(RETRY_AFTER.1) }
         }
+        NoPlace::Limited { wait } => {
+            let after = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+            Refused { refusal: Refusal::Limited, retry_after: Some(after) }
+        }
         NoPlace::Busy { predicted } => {
             let excess = predicted.saturating_sub(ask.within);
             let after = excess.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -28,6 +28,8 @@
     NoServer,
     /// All servers are too busy for it to be in time.
     Busy,
+    /// All servers name limits, and this VM has sent them its part.
+    Limited,
     /// Servers refused it, and it may not be sent on.
     ServersRefused,
     /// Servers exit under it.
@@ -53,6 +55,7 @@
             | Self::Stopping
             | Self::NoServer
             | Self::Busy
+            | Self::Limited
             | Self::ServersRefused
             | Self::Quarantined
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -80,6 +83,7 @@
             Self::Stopping => "stopping",
             Self::NoServer => "no-server",
             Self::Busy => "busy",
+            Self::Limited => "limited",
             Self::ServersRefused => "servers-refused",
             Self::Quarantined => "quarantined",
             Self::LateNotRun => "late-not-run",
--- a/crates/quincevalve_node/src/rollouts.rs
+++ b/crates/quincevalve_node/src/rollouts.rs
@@ -8,12 +8,11 @@
     rollout::{
         book::{Choice, Halt, RunToWatch, Surroundings, Ticket},
         evidence::{RouteKey, Sample},
-        exposure::Seat,
-        record::{OrderId, RolloutOrder, RolloutRecord},
+        record::{RolloutOrder, RolloutRecord},
     },
     servers::start_hash,
 };
-use quincevalve_names::{ServiceName, hash_text, rendezvous_score};
+use quincevalve_names::ServiceName;
 use rand::RngExt;
 
 use crate::{clock, node::Node, ports::OwnItem, request::identify::Identified};
@@ -98,7 +97,7 @@
     let around = Surroundings {
         true_ms: node.wall.borrow().true_ms(now),
         has_engines: engine.is_some(),
-        seat: seat(node, order),
+        seat: node.peers.borrow().book.seat(order.0),
         is_in_touch: is_in_touch(node),
     };
     let mut book = node.rollouts.borrow_mut();
@@ -113,15 +112,6 @@
     }
 }
 
-/// This VM's place among all VMs in an order of the roll-out's own.
-fn seat(node: &Node, order: OrderId) -> Seat {
-    let peers = node.peers.borrow();
-    let score = |name: &str| rendezvous_score(order.0, hash_text(name));
-    let me = score(&peers.book.me().name);
-    let rank = peers.book.listed_cards().filter(|it| score(&it.name) > me).count();
-    Seat { rank, of: peers.book.listed_cards().count() }
-}
-
 fn is_in_touch(node: &Node) -> bool {
     let limit = node.settings.bounds.change_in_force.mul_f64(NEW_PART);
     let is_new = node.freshness.get().is_within(limit, clock::now());
