Servers' limits: VMs tell each other what a server named

Change: news of a server goes the way that loads go: to the collector, to the other collectors, to all members, two datagrams each, and ends there, so no news goes round. The newer word holds, by its age. The end of a limit is told the same way: a VM that sends nothing there would not hear of it.

Tests: signals_world; a_limit_is_known_to_vms_that_the_server_did_not_answer.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod server_signals;
 pub mod servers;
 pub mod shared_limit;
+pub mod signal_outbox;
 pub mod store_contact;
 pub mod store_pacing;
 pub mod sums;
--- a/crates/quincevalve_forwarding/src/server_signals.rs
+++ b/crates/quincevalve_forwarding/src/server_signals.rs
@@ -1,5 +1,7 @@
 //! What a server says of itself in its answers.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Requests a second.
@@ -37,3 +39,12 @@
     /// What it takes from all entry VMs together, where it names a limit.
     pub limit: Option<RequestRate>,
 }
+
+/// What a server said of itself to another VM.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldSignals {
+    /// What it takes from all entry VMs together, where it names a limit.
+    pub limit: Option<RequestRate>,
+    /// How long ago it said so.
+    pub age: Duration,
+}
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -11,7 +11,7 @@
 use crate::{
     allowance::Allowance,
     load::ServerLoad,
-    server_signals::{RequestRate, ServerSignals},
+    server_signals::{RequestRate, ServerSignals, ToldSignals},
     shared_limit::Seat,
     store_contact::LAPSE_AFTER,
 };
@@ -85,6 +85,8 @@
     listing: Listing,
     leaving: Option<Leaving>,
     limit: Option<RequestRate>,
+    /// When the answer came that names the limit, or none.
+    limit_named_at: Option<TimePoint>,
     allowance: Allowance,
     /// When it will be gone, as far as known.
     goes_at: Option<TimePoint>,
@@ -114,10 +116,26 @@
     }
 
     /// Takes what its answer says of it; `true` if that is news.
-    pub fn signalled(&mut self, signals: &ServerSignals) -> bool {
+    pub fn signalled(&mut self, signals: &ServerSignals, now: TimePoint) -> bool {
+        self.limit_named_at = Some(now);
         std::mem::replace(&mut self.limit, signals.limit) != signals.limit
     }
 
+    /// What it said of itself, for other VMs.
+    pub fn to_tell(&self, now: TimePoint) -> Option<ToldSignals> {
+        Some(ToldSignals { limit: self.limit, age: now.since(self.limit_named_at?) })
+    }
+
+    /// Takes what it said to another VM, unless this one knows something newer; `true` if that is news.
+    pub fn told(&mut self, told: &ToldSignals, now: TimePoint) -> bool {
+        let is_older = |at: TimePoint| now.since(at) <= told.age;
+        if self.limit_named_at.is_some_and(is_older) {
+            return false;
+        }
+        self.limit_named_at = Some(now.earlier_by(told.age));
+        std::mem::replace(&mut self.limit, told.limit) != told.limit
+    }
+
     /// Expects the end of a server whose entry is gone without an announcement.
     fn leaves_silently(&mut self, now: TimePoint) {
         let left = if self.entry.reclaimable { SILENT_LEAVE } else { USUAL_LEAVE };
@@ -219,6 +237,7 @@
             listing: Listing::Listed,
             leaving: None,
             limit: None,
+            limit_named_at: None,
             allowance: Allowance::default(),
             goes_at: None,
             since: now,
--- a/crates/quincevalve_forwarding/tests/allowance.rs
+++ b/crates/quincevalve_forwarding/tests/allowance.rs
@@ -90,7 +90,7 @@
 }
 
 fn server_0_names(table: &mut ServerTable, limit: Option<f64>) {
-    table.get_mut(&server(0), START).expect("listed").signalled(&named(limit));
+    table.get_mut(&server(0), START).expect("listed").signalled(&named(limit), ms(0));
 }
 
 /// Requests of those that server 0 gets.
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/signals_world/main.rs
@@ -0,0 +1,113 @@
+//! Servers that say things of themselves, at 8, 64 and 295 VMs, with the VMs' real decision cores.
+//!
+//! `cargo test -p quincevalve_forwarding --test signals_world -- --nocapture` prints the figures of a few seeds,
+//! with `--ignored` those of fifty.
+
+mod world;
+
+use std::ops::Range;
+
+use world::{ALL, Outcome, Plan, Safeguards, play};
+
+/// Seeds of the short run.
+const FEW: Range<u64> = 0..3;
+/// Seeds of the long run.
+const FIFTY: Range<u64> = 0..50;
+/// VMs and servers.
+const SIZES: [(usize, usize); 3] = [(8, 12), (64, 24), (295, 60)];
+
+fn print(name: &str, plan: &Plan, seed: u64, outcome: &Outcome) {
+    println!("{name} {:3} VMs seed {seed:2}: {outcome}", plan.vms);
+}
+
+fn check(name: &str, seeds: &Range<u64>, plan: impl Fn(Plan) -> Plan) {
+    for (vms, servers) in SIZES {
+        let plan = plan(Plan::new(vms, servers));
+        for seed in seeds.clone() {
+            let outcome = play(&plan, seed);
+            print(name, &plan, seed, &outcome);
+            assert_eq!(outcome.broken, 0, "{name}, {vms} VMs, seed {seed}: limits broken");
+        }
+    }
+}
+
+/// Each situation under its name, for a few seeds and for fifty.
+macro_rules! situations {
+    ($($name:ident: $plan:expr;)+) => {
+        $(
+            mod $name {
+                use super::*;
+
+                #[test]
+                fn few_seeds() {
+                    check(stringify!($name), &FEW, $plan);
+                }
+
+                #[test]
+                #[ignore = "the long run, by hand"]
+                fn fifty_seeds() {
+                    check(stringify!($name), &FIFTY, $plan);
+                }
+            }
+        )+
+    };
+}
+
+/// Another limit each second, and none for the last seconds.
+fn changing() -> Vec<(u64, Option<f64>)> {
+    let each = (3..18).map(|at| (at * 1_000, Some([1.2, 6.0, 2.4, 20.0, 0.4][at as usize % 5])));
+    each.chain([(18_000, None)]).collect()
+}
+
+situations! {
+    one_server_in_need: |plan| plan;
+    all_servers_in_need: |plan| Plan { limited: plan.servers, limits: vec![(3_000, Some(2.1))], ..plan };
+    a_limit_of_nothing: |plan| Plan { limits: vec![(3_000, Some(0.0))], ..plan };
+    a_large_limit: |plan| Plan { limits: vec![(3_000, Some(40.0))], limited: plan.servers, ..plan };
+    limits_that_change: |plan| Plan { limits: changing(), limited: plan.servers / 2, ..plan };
+    a_limit_that_falls_tenfold: |plan| {
+        Plan { limits: vec![(3_000, Some(20.0)), (12_000, Some(2.0))], limited: plan.servers / 2, ..plan }
+    };
+    lost_datagrams: |plan| Plan { loss: 0.3, ..plan };
+    vms_cut_off: |plan| Plan { cut: Some((plan.vms / 3, 5_000..12_000)), ..plan };
+    vms_frozen: |plan| Plan { frozen: Some((plan.vms / 4, 8_000..10_000)), ..plan };
+    vms_killed: |plan| Plan { killed: Some((plan.vms / 2, 9_000)), ..plan };
+    all_vms_killed: |plan| Plan { killed: Some((plan.vms, 9_000)), ..plan };
+    vms_added: |plan| Plan { added: Some((plan.vms / 4, 10_000)), ..plan };
+}
+
+// Without its part of the limit each VM sends a server in need what it would send anyway.
+#[test]
+fn without_parts_a_limit_is_broken() {
+    for (vms, servers) in SIZES {
+        let safeguards = Safeguards { parts: false, ..ALL };
+        let plan = Plan { limited: servers, safeguards, ..Plan::new(vms, servers) };
+        let outcome = play(&plan, 0);
+        print("without parts", &plan, 0, &outcome);
+        assert!(outcome.broken > 0);
+    }
+}
+
+// VMs that each keep a limit as if they were alone send its multiple together.
+#[test]
+fn without_seats_a_limit_is_broken() {
+    for (vms, servers) in SIZES {
+        let safeguards = Safeguards { seats: false, ..ALL };
+        let plan = Plan { limited: servers, safeguards, ..Plan::new(vms, servers) };
+        let outcome = play(&plan, 0);
+        print("without seats", &plan, 0, &outcome);
+        assert!(outcome.broken > 0);
+    }
+}
+
+// Without telling each other, VMs learn one after the other that a server is in need.
+#[test]
+fn without_telling_a_limit_is_known_late() {
+    let (vms, servers) = SIZES[2];
+    let told = play(&Plan::new(vms, servers), 0);
+    let safeguards = Safeguards { told: false, ..ALL };
+    let untold = play(&Plan { safeguards, ..Plan::new(vms, servers) }, 0);
+    println!("told: {told}\nuntold: {untold}");
+    assert!(told.known_after.is_some_and(|it| it <= 1_000), "{told}");
+    assert!(untold.known_after.is_none_or(|it| it > 2_000), "{untold}");
+}
--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -0,0 +1,520 @@
+//! Many VMs with their real decision cores, and servers that say things of themselves, in virtual time.
+
+use std::{fmt, ops::Range, time::Duration};
+
+use quincevalve_forwarding::{
+    config::Engine,
+    placement::{Ask, NoPlace, Prompt},
+    server_signals::{RequestRate, ServerSignals, ToldSignals},
+    servers::{ServerEntry, ServerStart, ServerTable},
+    shared_limit::Seat,
+    signal_outbox::{ServerKey, SignalOutbox, Source},
+};
+use quincevalve_names::{BackendServerName, DataCentreName, ServiceName, TimePoint};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Milliseconds of a step.
+const STEP: u64 = 10;
+/// Milliseconds between two turns in which a VM tells others.
+const PERIOD: u64 = 60;
+/// Milliseconds that a datagram takes, from and to.
+const DATAGRAM_DELAY: Range<u64> = 1..8;
+/// Milliseconds that a request takes to a server, from and to.
+const REQUEST_DELAY: Range<u64> = 1..15;
+/// Milliseconds from a request's arrival to the head of its answer, from and to.
+const ANSWER_TIME: Range<u64> = 20..300;
+/// Milliseconds that a VM's time of day may be wrong by, either way.
+const CLOCK_ERROR: i64 = 50;
+/// Up to this many VMs everyone tells everyone; else one of each group collects.
+const SMALL: usize = 16;
+/// VMs of a group.
+const GROUP: usize = 50;
+/// Milliseconds of contact for which a VM must have run undisturbed to be held to a limit.
+const CONTACT: u64 = 3_000;
+/// Milliseconds from an answer that a VM passed on until it is held to what that says.
+const HEARD: u64 = 500;
+/// Milliseconds over which a server counts what it gets, and what it bears beyond its limit: a factor and a number.
+const SPAN: u64 = 4_000;
+const FACTOR: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// Requests a second that come to a VM on average.
+const REQUESTS_OF_VM: f64 = 6.0;
+/// Shared beginnings of prompts.
+const SHARED: u64 = 2_000;
+
+/// A span of time, in milliseconds.
+pub(crate) type Span = Range<u64>;
+
+/// Which safeguards are at work.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Safeguards {
+    /// VMs keep to their part of a limit.
+    pub(crate) parts: bool,
+    /// What VMs don't send is lost, and whose a request is changes by frame: false divides as if each VM were alone.
+    pub(crate) seats: bool,
+    /// VMs tell each other what servers said.
+    pub(crate) told: bool,
+}
+
+pub(crate) const ALL: Safeguards = Safeguards { parts: true, seats: true, told: true };
+
+/// What happens in a world.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) vms: usize,
+    pub(crate) servers: usize,
+    /// Requests a second of all callers together.
+    pub(crate) rate: f64,
+    /// The limits that the first `limited` servers name, each from a time in milliseconds on.
+    pub(crate) limited: usize,
+    pub(crate) limits: Vec<(u64, Option<f64>)>,
+    pub(crate) safeguards: Safeguards,
+    /// The part of datagrams that is lost.
+    pub(crate) loss: f64,
+    /// VMs that hear no other VM meanwhile.
+    pub(crate) cut: Option<(usize, Span)>,
+    /// VMs that stand still meanwhile.
+    pub(crate) frozen: Option<(usize, Span)>,
+    /// Each of these is killed at that time, and knows nothing when it is back.
+    pub(crate) killed: Option<(usize, u64)>,
+    /// VMs that come at that time; others learn of them up to a second later.
+    pub(crate) added: Option<(usize, u64)>,
+    /// Milliseconds until the end.
+    pub(crate) length: u64,
+}
+
+impl Plan {
+    pub(crate) fn new(vms: usize, servers: usize) -> Self {
+        Self {
+            vms,
+            servers,
+            rate: vms as f64 * REQUESTS_OF_VM,
+            limited: 1,
+            limits: vec![(3_000, Some(1.2))],
+            safeguards: ALL,
+            loss: 0.02,
+            cut: None,
+            frozen: None,
+            killed: None,
+            added: None,
+            length: 24_000,
+        }
+    }
+
+    fn limit_at(&self, server: usize, at: u64) -> Option<f64> {
+        if server >= self.limited {
+            return None;
+        }
+        self.limits.iter().rev().find(|(from, _)| *from <= at)?.1
+    }
+
+    /// Requests that a server's limits allow in a span of time.
+    fn allowed_in(&self, server: usize, span: Span) -> f64 {
+        let steps = span.step_by(STEP as usize);
+        steps.filter_map(|at| self.limit_at(server, at)).sum::<f64>() * STEP as f64 / 1_000.0
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Outcome {
+    /// Spans in which a server got more than its limit allows.
+    pub(crate) broken: usize,
+    /// The largest part of what a limit allows that a server got.
+    pub(crate) worst: f64,
+    /// Requests that limited servers got of those that their limits name.
+    pub(crate) used: f64,
+    /// Milliseconds until all VMs knew the first limit of the first server.
+    pub(crate) known_after: Option<u64>,
+    /// Requests that were placed, and that were refused.
+    pub(crate) placed: usize,
+    pub(crate) refused: usize,
+    pub(crate) bytes_told: usize,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "broken {:4}  worst {:4.2} of the bound  used {:4.2} of the limits  known to all after {:>5} ms  \
+             placed {:5}  refused {:5}  told {} kB",
+            self.broken,
+            self.worst,
+            self.used,
+            self.known_after.map_or("-".to_owned(), |it| it.to_string()),
+            self.placed,
+            self.refused,
+            self.bytes_told / 1_000,
+        )
+    }
+}
+
+struct Vm {
+    table: ServerTable,
+    outbox: SignalOutbox,
+    clock_error: i64,
+    /// Its part of the callers.
+    weight: f64,
+    starts: u32,
+    /// Until when it is excused, and until when it does nothing.
+    excused_until: u64,
+    still_until: u64,
+    /// When it passed on the first answer with a limit, by server.
+    told_at: Vec<Option<u64>>,
+    present: bool,
+}
+
+struct Arrival {
+    at: u64,
+    /// Whether its VM is held to what the server said.
+    counts: bool,
+}
+
+enum Event {
+    Request { vm: usize, start: u32, server: usize },
+    Answer { vm: usize, start: u32, server: usize, limit: Option<f64> },
+    News { to: usize, from: Source, news: Vec<(ServerKey, ToldSignals)> },
+}
+
+struct World {
+    plan: Plan,
+    rng: Pcg64Mcg,
+    now: u64,
+    vms: Vec<Vm>,
+    events: Vec<(u64, Event)>,
+    arrivals: Vec<Vec<Arrival>>,
+    outcome: Outcome,
+}
+
+fn at(millis: u64) -> TimePoint {
+    // Far from the origin, as a VM's clock is.
+    TimePoint::from_millis(1_000_000 + millis)
+}
+
+fn name(server: usize) -> BackendServerName {
+    format!("server-{server}").as_str().into()
+}
+
+const START: ServerStart = ServerStart(1);
+
+fn table(servers: usize, now: u64) -> ServerTable {
+    let mut table = ServerTable::default();
+    for server in 0..servers {
+        let entry = ServerEntry {
+            start: START,
+            service: "engines".into(),
+            address: ([10, 0, 0, 1], 80).into(),
+            data_centre: "a".into(),
+            version: "v1".into(),
+            slots: 128,
+            is_cold: false,
+            draining: false,
+            reclaimable: false,
+            leaves_in: None,
+        };
+        table.listed(&name(server), entry, at(now));
+    }
+    table
+}
+
+/// Plays a plan.
+pub(crate) fn play(plan: &Plan, seed: u64) -> Outcome {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let added = plan.added.map_or(0, |(count, _)| count);
+    let vms = (0..plan.vms).map(|vm| Vm {
+        table: table(plan.servers, 0),
+        outbox: SignalOutbox::default(),
+        clock_error: rng.random_range(-CLOCK_ERROR..=CLOCK_ERROR),
+        weight: rng.random_range(0.3..2.5),
+        starts: 0,
+        excused_until: 0,
+        still_until: 0,
+        told_at: vec![None; plan.servers],
+        present: vm + added < plan.vms,
+    });
+    let vms = vms.collect();
+    let arrivals = (0..plan.servers).map(|_| Vec::new()).collect();
+    let mut world = World {
+        plan: plan.clone(),
+        rng,
+        now: 0,
+        vms,
+        events: Vec::new(),
+        arrivals,
+        outcome: Outcome::default(),
+    };
+    while world.now < plan.length {
+        world.step();
+        world.now += STEP;
+    }
+    world.judge();
+    world.outcome
+}
+
+impl World {
+    fn step(&mut self) {
+        self.disturb();
+        self.deliver();
+        for vm in 0..self.vms.len() {
+            if self.is_active(vm) {
+                self.ask(vm);
+                if (self.now / STEP + vm as u64).is_multiple_of(PERIOD / STEP) {
+                    self.turn(vm);
+                }
+            }
+        }
+        self.look_who_knows();
+    }
+
+    fn is_active(&self, vm: usize) -> bool {
+        self.vms[vm].present && self.vms[vm].still_until <= self.now
+    }
+
+    fn is_cut(&self, vm: usize) -> bool {
+        let cut = self.plan.cut.as_ref();
+        cut.is_some_and(|(count, span)| vm < *count && span.contains(&self.now))
+    }
+
+    fn disturb(&mut self) {
+        if let Some((count, span)) = self.plan.cut.clone()
+            && span.contains(&self.now)
+        {
+            self.vms[..count].iter_mut().for_each(|it| it.excused_until = span.end + CONTACT);
+        }
+        if let Some((count, span)) = self.plan.frozen.clone()
+            && span.contains(&self.now)
+        {
+            for vm in &mut self.vms[..count] {
+                vm.still_until = span.end;
+                vm.excused_until = span.end + CONTACT;
+            }
+        }
+        if let Some((count, when)) = self.plan.killed
+            && when == self.now
+        {
+            let (servers, now) = (self.plan.servers, self.now);
+            for vm in &mut self.vms[..count] {
+                vm.starts += 1;
+                vm.table = table(servers, now);
+                vm.outbox = SignalOutbox::default();
+                vm.still_until = now + 800;
+                vm.excused_until = now + 800 + CONTACT;
+                vm.told_at.fill(None);
+            }
+        }
+        if let Some((_, when)) = self.plan.added
+            && when == self.now
+        {
+            self.vms.iter_mut().for_each(|it| it.present = true);
+        }
+    }
+
+    /// The place of a VM among all that it knows. VMs hear of new ones one after the other within a second.
+    fn seat(&self, vm: usize) -> Seat {
+        if !self.plan.safeguards.seats {
+            return Seat::ALONE;
+        }
+        let Some((count, when)) = self.plan.added else {
+            return Seat { rank: vm, of: self.plan.vms };
+        };
+        let old = self.plan.vms - count;
+        let knows = self.now >= when + 1_000 * vm as u64 / self.plan.vms as u64;
+        Seat { rank: vm, of: if knows || vm >= old { self.plan.vms } else { old } }
+    }
+
+    /// A VM's periodic turn: its seat, its clock, and news for others.
+    fn turn(&mut self, vm: usize) {
+        let (seat, now) = (self.seat(vm), self.now);
+        let true_ms = 1_700_000_000_000 + now.cast_signed() + self.vms[vm].clock_error;
+        self.vms[vm].table.set_seat(seat, true_ms, at(now));
+        if !self.plan.safeguards.told {
+            return;
+        }
+        let wide = self.vms[vm].outbox.for_collectors();
+        let near = self.vms[vm].outbox.for_members();
+        let (collectors, members, scope) = self.audience(vm);
+        self.tell(vm, wide, &collectors, scope);
+        self.tell(vm, near, &members, Source::OwnCollector);
+    }
+
+    /// Whom a VM tells: its collector or the other collectors, and its members; and what it is to the former.
+    fn audience(&self, vm: usize) -> (Vec<usize>, Vec<usize>, Source) {
+        let all = self.plan.vms;
+        if all <= SMALL {
+            let others = (0..all).filter(|it| *it != vm).collect();
+            return (others, Vec::new(), Source::Collector);
+        }
+        let collector = vm / GROUP * GROUP;
+        if collector != vm {
+            return (vec![collector], Vec::new(), Source::Member);
+        }
+        let others = (0..all).step_by(GROUP).filter(|it| *it != vm).collect();
+        let members = (vm + 1..all.min(vm + GROUP)).collect();
+        (others, members, Source::Collector)
+    }
+
+    fn tell(&mut self, vm: usize, keys: Vec<ServerKey>, to: &[usize], from: Source) {
+        let now = at(self.now);
+        let table = &self.vms[vm].table;
+        let news = keys.into_iter().filter_map(|key| {
+            let told = table.get(&key.0)?.to_tell(now)?;
+            Some((key, told))
+        });
+        let news: Vec<_> = news.collect();
+        if news.is_empty() {
+            return;
+        }
+        for to in to {
+            let lost = self.rng.random::<f64>() < self.plan.loss;
+            if lost || self.is_cut(vm) != self.is_cut(*to) {
+                continue;
+            }
+            self.outcome.bytes_told += 100 + 30 * news.len();
+            let delay = self.rng.random_range(DATAGRAM_DELAY);
+            let news = news.clone();
+            self.events.push((self.now + delay, Event::News { to: *to, from, news }));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.events).into_iter().partition(|(when, _)| *when <= now);
+        self.events = later;
+        for (_, event) in due {
+            match event {
+                Event::Request { vm, start, server } => self.arrive(vm, start, server),
+                Event::Answer { vm, start, server, limit } => self.hear(vm, start, server, limit),
+                Event::News { to, from, news } if self.is_active(to) => {
+                    let vm = &mut self.vms[to];
+                    for (key, told) in news {
+                        let Some(server) = vm.table.get_mut(&key.0, key.1) else { continue };
+                        if server.told(&told, at(now)) {
+                            vm.outbox.push(key, from);
+                        }
+                    }
+                }
+                Event::News { .. } => {}
+            }
+        }
+    }
+
+    fn arrive(&mut self, vm: usize, start: u32, server: usize) {
+        let told = self.vms[vm].told_at[server];
+        let counts = told.is_some_and(|it| self.now >= it + HEARD)
+            && self.vms[vm].excused_until <= self.now
+            && self.vms[vm].starts == start;
+        self.arrivals[server].push(Arrival { at: self.now, counts });
+        let when = self.now + self.rng.random_range(ANSWER_TIME);
+        let limit = self.plan.limit_at(server, when);
+        self.events.push((when, Event::Answer { vm, start, server, limit }));
+    }
+
+    fn hear(&mut self, vm: usize, start: u32, server: usize, limit: Option<f64>) {
+        let now = self.now;
+        if self.vms[vm].starts != start {
+            return;
+        }
+        if !self.is_active(vm) {
+            let when = self.vms[vm].still_until;
+            return self.events.push((when, Event::Answer { vm, start, server, limit }));
+        }
+        let vm = &mut self.vms[vm];
+        if limit.is_some() {
+            vm.told_at[server].get_or_insert(now);
+        }
+        let signals = ServerSignals { limit: limit.and_then(RequestRate::new) };
+        let key = (name(server), START);
+        if vm.table.get_mut(&key.0, key.1).is_some_and(|it| it.signalled(&signals, at(now))) {
+            vm.outbox.push(key, Source::Server);
+        }
+    }
+
+    /// Callers of a VM ask.
+    fn ask(&mut self, vm: usize) {
+        let weights: f64 = self.vms.iter().map(|it| it.weight).sum();
+        let rate = self.plan.rate * self.vms[vm].weight / weights * STEP as f64 / 1_000.0;
+        let mut left = rate;
+        while left > 0.0 && self.rng.random::<f64>() < left.min(1.0) {
+            self.place(vm);
+            left -= 1.0;
+        }
+    }
+
+    fn place(&mut self, vm: usize) {
+        let service: ServiceName = "engines".into();
+        let data_centre: DataCentreName = "a".into();
+        let shared = Some((self.rng.random_range(0..SHARED), 800));
+        let prompt = Prompt { input: 1_000, output: 100, expected_output: None, shared };
+        let engine = Engine { slots: 128, kv_tokens: 800_000, moves: true };
+        let ask = Ask {
+            service: &service,
+            prompt: Some((prompt, engine)),
+            urgency: 1,
+            within: Duration::from_millis(800),
+            data_centre: &data_centre,
+            had: &[],
+            scope: None,
+        };
+        let now = at(self.now);
+        let start = self.vms[vm].starts;
+        let table = &mut self.vms[vm].table;
+        let place = match table.place(&ask, &mut self.rng, now) {
+            Ok(place) => place,
+            Err(NoPlace::Limited { .. } | NoPlace::Busy { .. }) => {
+                self.outcome.refused += 1;
+                return;
+            }
+            Err(NoPlace::NoServer) => panic!("all servers are listed"),
+        };
+        if self.plan.safeguards.parts {
+            table.spend_allowance(&place.server, place.start, now);
+        }
+        self.outcome.placed += 1;
+        let server = place.server.as_str().trim_start_matches("server-");
+        let server = server.parse().expect("a number");
+        let when = self.now + self.rng.random_range(REQUEST_DELAY);
+        self.events.push((when, Event::Request { vm, start, server }));
+    }
+
+    fn look_who_knows(&mut self) {
+        let Some((named, Some(_))) = self.plan.limits.first().copied() else { return };
+        let knows = |it: &Vm| it.table.get(&name(0)).is_some_and(|it| it.limit().is_some());
+        let all = || self.vms.iter().filter(|it| it.present).all(knows);
+        if self.outcome.known_after.is_none() && self.now > named && all() {
+            self.outcome.known_after = Some(self.now - named);
+        }
+    }
+
+    /// Holds what servers got against their limits.
+    fn judge(&mut self) {
+        let plan = &self.plan;
+        let mut used = (0.0, 0.0);
+        for (server, arrivals) in self.arrivals.iter().enumerate().take(plan.limited) {
+            let first = plan.limits[0].0;
+            let counted: Vec<_> = arrivals.iter().filter(|it| it.counts).map(|it| it.at).collect();
+            for (index, end) in counted.iter().enumerate() {
+                let span = end.saturating_sub(SPAN)..*end;
+                let is_limited = |at: &u64| plan.limit_at(server, *at).is_some();
+                let binds = span.start >= first + CONTACT
+                    && is_limited(&span.start)
+                    && is_limited(&span.end);
+                if !binds {
+                    continue;
+                }
+                let got = index + 1 - counted.partition_point(|it| *it < span.start);
+                let shifted = span.start - HEARD..span.end - HEARD;
+                let sum = plan.allowed_in(server, span).max(plan.allowed_in(server, shifted));
+                let allowed = FACTOR * sum + SLACK;
+                self.outcome.worst = self.outcome.worst.max(got as f64 / allowed);
+                self.outcome.broken += usize::from(got as f64 > allowed);
+            }
+            let binding = first + CONTACT..plan.length;
+            used.0 += arrivals.iter().filter(|it| binding.contains(&it.at)).count() as f64;
+            used.1 += plan.allowed_in(server, binding);
+        }
+        self.outcome.used = if used.1 > 0.0 { used.0 / used.1 } else { 0.0 };
+    }
+}
--- a/crates/quincevalve_names/src/time_point.rs
+++ b/crates/quincevalve_names/src/time_point.rs
@@ -40,6 +40,20 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The moment so long before it, or the origin where that is later.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quincevalve_names::TimePoint;
+    /// let at = TimePoint::from_millis(5);
+    /// assert_eq!(at.earlier_by(Duration::from_millis(2)), TimePoint::from_millis(3));
+    /// assert_eq!(at.earlier_by(Duration::from_millis(9)), TimePoint::ZERO);
+    /// ```
+    #[must_use]
+    pub const fn earlier_by(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration.as_micros() as u64))
+    }
 }
 
 impl Add<Duration> for TimePoint {
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod request;
 mod rollouts;
+mod server_news;
 pub mod settings;
 mod start;
 mod store;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -24,6 +24,7 @@
     retry_window::RetryWindow,
     rollout::book::RolloutBook,
     servers::{ServerTable, start_hash},
+    signal_outbox::SignalOutbox,
     store_contact::StoreContact,
     store_pacing::ReadingPart,
     usage::Usage,
@@ -109,6 +110,8 @@
     pub(crate) config_copy: RefCell<ConfigCopy>,
     /// What comes of the store from other VMs while this one starts, and who asked for it.
     pub(crate) state_copy: RefCell<StateCopy>,
+    /// What servers said of themselves that other VMs haven't been told yet.
+    pub(crate) signal_outbox: RefCell<SignalOutbox>,
     /// Wakes those who wait for changes of servers or VMs.
     pub(crate) changed: Notify,
 }
@@ -151,6 +154,7 @@
             told_version: Cell::new(0),
             config_copy: RefCell::default(),
             state_copy: RefCell::default(),
+            signal_outbox: RefCell::default(),
             changed: Notify::new(),
             settings,
             headers,
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -9,7 +9,7 @@
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use crate::store::view::Passed;
+use crate::{server_news::ServerNews, store::view::Passed};
 
 /// The largest datagram that is taken, in bytes.
 pub(super) const MAX_DATAGRAM: usize = 60 << 10;
@@ -84,6 +84,11 @@
     },
     /// About a request under which servers exit.
     Poison(PoisonMessage),
+    /// What servers said of themselves.
+    Signals {
+        scope: Scope,
+        servers: Vec<ServerNews>,
+    },
 }
 
 /// One datagram.
--- a/crates/quincevalve_node/src/peers/hear.rs
+++ b/crates/quincevalve_node/src/peers/hear.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bincode::Options;
-use quincevalve_forwarding::{change_log::Excerpt, store_contact::Contact};
+use quincevalve_forwarding::{change_log::Excerpt, signal_outbox::Source, store_contact::Contact};
 use quincevalve_names::TimePoint;
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -15,6 +15,7 @@
 use crate::{
     clock,
     node::Node,
+    server_news::take_news,
     store::{
         config_copy, state_copy,
         sync::{heard_of_store, prove},
@@ -108,6 +109,14 @@
             state_copy::take_part(node, part, proved, telling.from.address);
         }
         Content::Poison(message) => node.poison.borrow_mut().hear(&name, message, now),
+        Content::Signals { scope, servers } => {
+            let from = match scope {
+                Scope::Own => Source::Member,
+                Scope::Members => Source::Collector,
+                Scope::Rest => Source::OwnCollector,
+            };
+            take_news(node, servers, from);
+        }
         Content::Usage { counts } => {
             let sent_ms = telling.true_ms.unwrap_or(telling.wall_ms);
             node.usage.borrow_mut().heard(&name, telling.incarnation, &counts, sent_ms);
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -4,13 +4,14 @@
 
 use bincode::Options;
 use quincevalve_forwarding::{
-    change_log::Excerpt, peer_book::Role, servers::start_hash, sums::Share,
+    change_log::Excerpt, peer_book::Role, servers::start_hash, signal_outbox::ServerKey,
+    sums::Share,
 };
 use quincevalve_names::TimePoint;
 use tokio::{net::UdpSocket, time::sleep};
 
 use super::datagram::{Content, Echo, Relayed, Scope, Telling, ToldContact, encoding};
-use crate::{clock, node::Node, ports::StoreRevision, rollouts};
+use crate::{clock, node::Node, ports::StoreRevision, rollouts, server_news::news_of};
 
 /// Time between two tellings. Loads and quotas are known everywhere after three of them at most.
 pub(super) const PERIOD: Duration = Duration::from_millis(60);
@@ -23,6 +24,9 @@
 /// Periods between two tellings of when the store answered: an eighth of the gap that counts as an outage.
 const CONTACT_PERIODS: u32 = 4;
 
+/// Servers of which one datagram has news at most: with names of forty bytes it stays below half of the largest.
+const NEWS_IN_DATAGRAM: usize = 400;
+
 /// The key of the order of VMs by which limits that servers name are divided.
 const LIMITS_KEY: u64 = 0;
 
@@ -46,6 +50,7 @@
         take_over_sums(&node, now);
         tell_shares(&node, &socket, turn, now);
         tell_poison(&node, &socket, now);
+        tell_signals(&node, &socket, now);
         if turn % BETTER_PERIODS == 0 {
             ask_better_collector(&node, &socket, now);
         }
@@ -234,6 +239,47 @@
     }
 }
 
+/// Tells what servers said of themselves and others don't know yet.
+fn tell_signals(node: &Node, socket: &UdpSocket, now: TimePoint) {
+    let (wide, near) = {
+        let mut outbox = node.signal_outbox.borrow_mut();
+        (outbox.for_collectors(), outbox.for_members())
+    };
+    if wide.is_empty() && near.is_empty() {
+        return;
+    }
+    let (role, members): (_, Vec<_>) = {
+        let peers = node.peers.borrow();
+        let members = peers.members.fresh_tellers(now);
+        let members = members.filter_map(|it| peers.member_addresses.get(it).copied()).collect();
+        (peers.book.role(peers.has_members(now), now), members)
+    };
+    let (scope, collectors) = match role {
+        Role::Member { address, .. } => (Scope::Own, vec![address]),
+        Role::Collector { others } => (Scope::Members, others),
+    };
+    tell_news(node, socket, scope, wide, &collectors);
+    tell_news(node, socket, Scope::Rest, near, &members);
+}
+
+fn tell_news(
+    node: &Node,
+    socket: &UdpSocket,
+    scope: Scope,
+    keys: Vec<ServerKey>,
+    to: &[SocketAddr],
+) {
+    if to.is_empty() {
+        return;
+    }
+    let news = news_of(node, keys);
+    for servers in news.chunks(NEWS_IN_DATAGRAM) {
+        for address in to {
+            send(node, socket, *address, Content::Signals { scope, servers: servers.to_vec() });
+        }
+    }
+}
+
 /// Asks a VM for what it knows of the store.
 pub(crate) fn ask_for_state(node: &Node, socket: &UdpSocket, address: SocketAddr) {
     send(node, socket, address, Content::StateWanted);
--- a/crates/quincevalve_node/src/request/signals.rs
+++ b/crates/quincevalve_node/src/request/signals.rs
@@ -1,9 +1,9 @@
 //! What servers say of themselves in answers, as this VM takes it.
 
 use http::{HeaderMap, StatusCode};
-use quincevalve_forwarding::{placement::Placement, server_signals::RequestRate};
+use quincevalve_forwarding::{placement::Placement, signal_outbox::Source};
 
-use crate::{node::Node, request::exchange::about};
+use crate::{clock, node::Node, server_news::note_limit};
 
 /// Takes what an answer's headers say of the server that gave it.
 pub(super) fn take_signals(
@@ -25,13 +25,10 @@
             );
         }
     }
-    about(node, place, |server, _| {
-        if server.signalled(&decoded.signals) && node.may_write_line() {
-            log::info!(
-                server = place.server.as_str(), start = place.start.0,
-                per_second = server.limit().map_or(-1.0, RequestRate::per_second);
-                "server-limit"
-            );
-        }
-    });
+    let mut servers = node.servers.borrow_mut();
+    let Some(server) = servers.get_mut(&place.server, place.start) else { return };
+    if server.signalled(&decoded.signals, clock::now()) {
+        let key = (place.server.clone(), place.start);
+        note_limit(node, key, server, Source::Server);
+    }
 }
--- /dev/null
+++ b/crates/quincevalve_node/src/server_news.rs
@@ -0,0 +1,49 @@
+//! What servers say of themselves, on its way between VMs.
+
+use quincevalve_forwarding::{
+    server_signals::{RequestRate, ToldSignals},
+    servers::{Server, ServerStart},
+    signal_outbox::{ServerKey, Source},
+};
+use quincevalve_names::BackendServerName;
+
+use crate::{clock, node::Node};
+
+/// What one start of a server said of itself.
+pub(crate) type ServerNews = (BackendServerName, ServerStart, ToldSignals);
+
+/// Notes that a server named another limit, and has other VMs told.
+pub(crate) fn note_limit(node: &Node, key: ServerKey, server: &Server, from: Source) {
+    if node.may_write_line() {
+        log::info!(
+            server = key.0.as_str(), start = key.1.0,
+            per_second = server.limit().map_or(-1.0, RequestRate::per_second), from:? = from;
+            "server-limit"
+        );
+    }
+    node.signal_outbox.borrow_mut().push(key, from);
+}
+
+/// Takes what servers said to other VMs.
+pub(crate) fn take_news(node: &Node, news: Vec<ServerNews>, from: Source) {
+    let now = clock::now();
+    let mut servers = node.servers.borrow_mut();
+    for (name, start, told) in news {
+        let Some(server) = servers.get_mut(&name, start) else { continue };
+        if server.told(&told, now) {
+            note_limit(node, (name, start), server, from);
+        }
+    }
+}
+
+/// What is known of servers now, to tell others.
+pub(crate) fn news_of(node: &Node, keys: Vec<ServerKey>) -> Vec<ServerNews> {
+    let now = clock::now();
+    let servers = node.servers.borrow();
+    let news = |(name, start): ServerKey| {
+        let server = servers.get(&name).filter(|it| it.entry.start == start)?;
+        let told = server.to_tell(now)?;
+        Some((name, start, told))
+    };
+    keys.into_iter().filter_map(news).collect()
+}
--- a/crates/quincevalve_node/tests/server_signals.rs
+++ b/crates/quincevalve_node/tests/server_signals.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -12,6 +12,8 @@
 use support::{Arrival, Reply, Vm, World, exchange, metric, request, run, sealed_with};
 use tokio::{task::spawn_local, time::sleep};
 
+/// The metric that counts servers that name a limit.
+const LIMITED: &str = "quincevalve_limited_servers";
 /// Pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(5);
 /// Pause between two requests of a caller.
@@ -113,3 +115,29 @@
         assert_eq!(served, answers.borrow().len(), "the other server has room for all");
     });
 }
+
+// A VM that no caller asked goes on as if a server were well, until its own requests have made matters worse there.
+#[test]
+fn a_limit_is_known_to_vms_that_the_server_did_not_answer() {
+    run(async {
+        let limit = Rc::new(Cell::new("x-limit: 1.2\r\n"));
+        let named = limit.clone();
+        let script =
+            move |_, it: &Arrival| Reply::Send(sealed_with(it, "200 OK", named.get(), "done"));
+        let world = World::start(1, script).await;
+        let others = two_more_vms(&world).await;
+        let all = [world.metrics, others[0].metrics, others[1].metrics];
+        for (header, limited) in [("x-limit: 1.2\r\n", 1), ("", 0)] {
+            limit.set(header);
+            while metric(world.metrics, LIMITED).await != Some(limited) {
+                world.ask("/once/7", "id-1", "").await;
+                sleep(LOOK).await;
+            }
+            for metrics in all {
+                while metric(metrics, LIMITED).await != Some(limited) {
+                    sleep(LOOK).await;
+                }
+            }
+        }
+    });
+}
