Servers' limits: the fleet's plan doesn't count on a server in need

What callers saw: with servers that take a tenth of the usual, the plan saw a whole fleet and ordered nothing; what they didn't take was refused.

Change: a server whose limit leaves it less than half of a wanted server's work isn't counted as present; an order's number holds it beside the plan's, as it does servers of another version, so that it isn't given back, up to the most that the service may have in a data centre. The work of a request is measured by each VM (`WorkRate`).

Tests: duties/orders/tests.rs (not counted and not given back; counted where the limit leaves enough).

--- a/crates/quincevalve_forwarding/src/demand.rs
+++ b/crates/quincevalve_forwarding/src/demand.rs
@@ -4,6 +4,8 @@
 
 use quincevalve_names::TimePoint;
 
+use crate::rate::Rate;
+
 /// Weight of a new second in the running mean of the demand when it is above the mean.
 const RISING: f64 = 0.5;
 /// The same when it is below: callers come in waves of some ten seconds.
@@ -63,3 +65,53 @@
         if self.looks < LOOKS_BEFORE_BELIEF { self.busy.max(expected) } else { self.busy }
     }
 }
+
+/// Time over which the work that comes to a VM is taken before it is told: the plan of the fleet looks at it each
+/// second.
+const WORK_TIME: Duration = Duration::from_secs(1);
+
+/// The work that one VM takes on for a service.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_forwarding::demand::WorkRate;
+/// use quincevalve_names::TimePoint;
+/// let mut work = WorkRate::new(TimePoint::ZERO);
+/// assert_eq!(work.busy_each(TimePoint::ZERO), None);
+/// (0..8).for_each(|_| work.add(0.5, TimePoint::ZERO));
+/// assert_eq!(work.busy(TimePoint::ZERO), 4.0);
+/// assert_eq!(work.busy_each(TimePoint::ZERO), Some(0.5));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct WorkRate {
+    busy: Rate,
+    requests: Rate,
+}
+
+impl WorkRate {
+    /// Without any work.
+    pub const fn new(now: TimePoint) -> Self {
+        Self { busy: Rate::new(WORK_TIME, now), requests: Rate::new(WORK_TIME, now) }
+    }
+
+    /// Takes a request that would keep a server busy for so many seconds.
+    pub fn add(&mut self, busy_seconds: f64, now: TimePoint) {
+        self.busy.add(busy_seconds, now);
+        self.requests.add(1.0, now);
+    }
+
+    /// Busy servers, as of now.
+    pub fn busy(&self, now: TimePoint) -> f64 {
+        self.busy.per_second(now)
+    }
+
+    /// Seconds for which a request keeps a server busy; `None` where none came lately.
+    pub fn busy_each(&self, now: TimePoint) -> Option<f64> {
+        let requests = self.requests.per_second(now);
+        (requests > RECENT_REQUESTS).then(|| self.busy(now) / requests)
+    }
+}
+
+/// Requests a second below which none came lately.
+const RECENT_REQUESTS: f64 = 0.1;
--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -8,6 +8,7 @@
 use crate::{
     config::{ForwardingConfig, QuotaUnit, Scaling},
     demand::MeasuredDemand,
+    server_signals::RequestRate,
 };
 
 /// Servers in a data centre at present.
@@ -105,6 +106,24 @@
     outcome: OrderOutcome,
 }
 
+/// The part of a wanted server's work that a server must be able to do to count as one.
+const LEAST_CARRIED: f64 = 0.5;
+
+/// Whether a server counts that takes no more than `limit`, where a request keeps a server busy for `busy_each` seconds.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_forwarding::{fleet_size::counts_with, server_signals::RequestRate};
+/// assert!(counts_with(RequestRate::new(8.0), Some(0.05)));
+/// assert!(!counts_with(RequestRate::new(1.2), Some(0.05)));
+/// assert!(counts_with(None, Some(0.05)));
+/// ```
+pub fn counts_with(limit: Option<RequestRate>, busy_each: Option<f64>) -> bool {
+    let carried = limit.zip(busy_each).map(|(limit, each)| limit.per_second() * each);
+    carried.is_none_or(|it| it >= WANTED_BUSY * LEAST_CARRIED)
+}
+
 /// The demand that accounts' quotas let expect, in busy servers.
 pub fn expected_busy(config: &ForwardingConfig) -> f64 {
     let quotas = config.accounts.values().filter_map(|it| it.quota);
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -3,8 +3,11 @@
 use std::{cell::Cell, time::Duration};
 
 use indexmap::IndexMap;
-use quincevalve_forwarding::fleet_size::{
-    FleetPlanner, Order, OrderOutcome, Present, ServerKind, expected_busy,
+use quincevalve_forwarding::{
+    fleet_size::{
+        FleetPlanner, Order, OrderOutcome, Present, ServerKind, counts_with, expected_busy,
+    },
+    servers::Server,
 };
 use quincevalve_names::{DataCentreName, ServiceName};
 use tokio::time::{Instant, sleep};
@@ -64,7 +67,7 @@
             let busy = planner.observe(node.demand_of(name), part, promised, &present, now);
             for _ in 0..KINDS {
                 for order in planner.due(scaling, busy, &present, clock::now()) {
-                    let sent = send_order(node, cloud, name, &order, busy).await;
+                    let sent = send_order(node, cloud, name, &order, busy, scaling.max).await;
                     let Some(outcome) = sent else { break };
                     planner.sent(&order, outcome, clock::now());
                 }
@@ -99,9 +102,8 @@
 ) -> IndexMap<DataCentreName, Present> {
     let mut present: IndexMap<_, _> = centres.map(|it| (it.clone(), Present::default())).collect();
     let servers = node.servers.borrow();
-    let book = node.rollouts.borrow();
     let usable = servers.usable(service, clock::now());
-    for (_, server) in usable.filter(|(_, it)| book.carries_load(service, &it.entry.version)) {
+    for (_, server) in usable.filter(|(_, it)| planned(node, service, it) == Planned::Counted) {
         let centre = present.entry(server.entry.data_centre.clone()).or_default();
         if server.entry.reclaimable {
             centre.reclaimable += 1;
@@ -112,18 +114,49 @@
     present
 }
 
-/// Servers of a version that isn't planned with, of the kind and in the data centre of an order.
+/// What the plan makes of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Planned {
+    Counted,
+    /// It is of a version that doesn't carry the traffic.
+    OtherVersion,
+    /// It names a limit that leaves it little to do.
+    Limited,
+}
+
+fn planned(node: &Node, service: &ServiceName, server: &Server) -> Planned {
+    if !node.rollouts.borrow().carries_load(service, &server.entry.version) {
+        return Planned::OtherVersion;
+    }
+    if counts_with(server.limit(), node.busy_each(service)) {
+        Planned::Counted
+    } else {
+        Planned::Limited
+    }
+}
+
+/// The number that an order names: what the plan wants, and what is there beside it.
 ///
 /// Failure: an order names all servers of a kind, and the plan knows the old version's only. Symptom: while both versions
-/// serve, an order for one more server gives back those of the new version.
-fn uncounted(node: &Node, service: &ServiceName, order: &Order) -> u32 {
-    let is_reclaimable = order.kind == ServerKind::Reclaimable;
+/// serve, an order for one more server gives back those of the new version. Servers in need count as far as the service
+/// may have so many in a data centre, for an order beyond that is refused.
+fn count_ordered(node: &Node, service: &ServiceName, order: &Order, most: u32) -> u32 {
     let servers = node.servers.borrow();
-    let book = node.rollouts.borrow();
-    let of_kind = servers.usable(service, clock::now()).filter(|(_, it)| {
-        it.entry.data_centre == order.data_centre && it.entry.reclaimable == is_reclaimable
-    });
-    of_kind.filter(|(_, it)| !book.carries_load(service, &it.entry.version)).count() as u32
+    let is_reclaimable = order.kind == ServerKind::Reclaimable;
+    let (mut other_version, mut limited, mut other_kind) = (0, 0, 0);
+    let there = servers.usable(service, clock::now());
+    for (_, server) in there.filter(|(_, it)| it.entry.data_centre == order.data_centre) {
+        let planned = planned(node, service, server);
+        if server.entry.reclaimable != is_reclaimable {
+            other_kind += 1;
+        } else if planned == Planned::OtherVersion {
+            other_version += 1;
+        } else if planned == Planned::Limited {
+            limited += 1;
+        }
+    }
+    let room = most.saturating_sub(other_kind + order.count);
+    order.count + other_version + limited.min(room)
 }
 
 /// Sends an order; `None` where this VM may no longer act.
@@ -133,6 +166,7 @@
     service: &ServiceName,
     order: &Order,
     busy: f64,
+    most: u32,
 ) -> Option<OrderOutcome>
 where
     C: CloudApi,
@@ -141,7 +175,7 @@
     let wanted = ServerOrder {
         service: service.clone(),
         data_centre: order.data_centre.clone(),
-        count: order.count + uncounted(node, service, order),
+        count: count_ordered(node, service, order, most),
         reclaimable: order.kind == ServerKind::Reclaimable,
     };
     let result = cloud.order(&holder, &wanted).await;
@@ -160,3 +194,6 @@
     }
     Some(outcome)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quincevalve_node/src/duties/orders/tests.rs
@@ -0,0 +1,72 @@
+use quincevalve_forwarding::{
+    fleet_size::{Order, ServerKind},
+    load::Work,
+    server_signals::{RequestRate, ServerSignals},
+    servers::{ServerEntry, ServerStart},
+};
+use quincevalve_names::DataCentreName;
+
+use super::{count_ordered, present};
+use crate::{
+    clock,
+    node::Node,
+    test_node::{any, node, run},
+};
+
+const START: ServerStart = ServerStart(1);
+
+/// A VM that knows three servers of a service, of which the first takes that many requests a second.
+fn node_with_servers(limit: f64) -> Node {
+    let node = node("vm-1");
+    for name in ["s-1", "s-2", "s-3"] {
+        let entry = ServerEntry {
+            start: START,
+            service: "engines".into(),
+            address: any(),
+            data_centre: "a".into(),
+            version: "v1".into(),
+            slots: 8,
+            is_cold: false,
+            draining: false,
+            reclaimable: true,
+            leaves_in: None,
+        };
+        node.servers.borrow_mut().listed(&name.into(), entry, clock::now());
+    }
+    let signals = ServerSignals { limit: RequestRate::new(limit) };
+    if let Some(server) = node.servers.borrow_mut().get_mut(&"s-1".into(), START) {
+        server.signalled(&signals, clock::now());
+    }
+    node.note_demand(&"engines".into(), Work { prefill: 10_000, ..Work::default() }, true);
+    node
+}
+
+fn order(count: u32) -> Order {
+    Order { data_centre: "a".into(), kind: ServerKind::Reclaimable, count }
+}
+
+fn counted(node: &Node) -> u32 {
+    let centre: DataCentreName = "a".into();
+    present(node, &"engines".into(), [&centre].into_iter())[&centre].reclaimable
+}
+
+// The plan takes a server that does next to nothing for a whole one, and callers are refused meanwhile.
+#[test]
+fn a_server_in_need_is_replaced_and_not_given_back() {
+    run(|| {
+        let node = node_with_servers(0.5);
+        assert_eq!(counted(&node), 2);
+        assert_eq!(count_ordered(&node, &"engines".into(), &order(3), 6), 4);
+        // No more than the service may have in a data centre.
+        assert_eq!(count_ordered(&node, &"engines".into(), &order(3), 3), 3);
+    });
+}
+
+#[test]
+fn a_server_whose_limit_leaves_it_enough_to_do_counts() {
+    run(|| {
+        let node = node_with_servers(100.0);
+        assert_eq!(counted(&node), 3);
+        assert_eq!(count_ordered(&node, &"engines".into(), &order(3), 6), 3);
+    });
+}
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{ForwardingConfig, Route},
-    demand::MeasuredDemand,
+    demand::{MeasuredDemand, WorkRate},
     duty::Duty,
     freshness::{Freshness, Touch},
     line_budget::LineBudget,
@@ -20,7 +20,6 @@
     placement::Placement,
     poison::PoisonGuard,
     quota::QuotaBook,
-    rate::Rate,
     retry_window::RetryWindow,
     rollout::book::RolloutBook,
     servers::{ServerTable, start_hash},
@@ -64,10 +63,6 @@
 /// Part of the time from a change to its being in force within which "unknown" may be said for sure.
 const CHANGE_PROOF_PART: f64 = 0.9;
 
-/// Time over which the work that comes here is taken before it is told: the plan of the fleet looks at it each
-/// second.
-const DEMAND_TIME: Duration = Duration::from_secs(1);
-
 /// The shared state. The process has one thread: borrows never cross an `await`.
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
@@ -85,8 +80,8 @@
     pub(crate) wall: RefCell<WallClock<String>>,
     pub(crate) duty: RefCell<Duty>,
     pub(crate) peers: RefCell<Peers>,
-    /// Work that is taken on here, in busy servers, by service.
-    pub(crate) demand: RefCell<IndexMap<ServiceName, Rate>>,
+    /// Work that is taken on here, by service.
+    pub(crate) demand: RefCell<IndexMap<ServiceName, WorkRate>>,
     /// The work that callers ask of services whose servers are ordered, as measured here.
     pub(crate) measured: RefCell<IndexMap<ServiceName, MeasuredDemand>>,
     pub(crate) backends: Backends,
@@ -301,16 +296,21 @@
         let slots = engine.map_or(1, |it| it.slots);
         let now = clock::now();
         let mut demand = self.demand.borrow_mut();
-        let rate = demand.entry(service.clone()).or_insert(Rate::new(DEMAND_TIME, now));
+        let rate = demand.entry(service.clone()).or_insert(WorkRate::new(now));
         rate.add(load::demand(work.busy_seconds(slots), was_placed), now);
     }
 
     /// The work that all entry VMs take on for a service at present, in busy servers.
     pub(crate) fn demand_of(&self, service: &ServiceName) -> f64 {
-        let own = self.demand.borrow().get(service).map_or(0.0, |it| it.per_second(clock::now()));
+        let own = self.demand.borrow().get(service).map_or(0.0, |it| it.busy(clock::now()));
         own + self.peers.borrow().others_demand(service)
     }
 
+    /// Seconds for which a request of a service keeps a server busy, as seen here lately.
+    pub(crate) fn busy_each(&self, service: &ServiceName) -> Option<f64> {
+        self.demand.borrow().get(service)?.busy_each(clock::now())
+    }
+
     /// This VM's own work at each server, for its peers.
     pub(crate) fn own_work(&self) -> HashMap<u64, WorkSum> {
         let now = clock::now();
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -112,7 +112,7 @@
 fn own_share(node: &Node) -> Share {
     let now = clock::now();
     let demand = node.demand.borrow();
-    let demand = demand.iter().map(|(service, it)| (service.clone(), it.per_second(now)));
+    let demand = demand.iter().map(|(service, it)| (service.clone(), it.busy(now)));
     let spending = node.quota.borrow().spending(now).collect();
     Share {
         vms: 1,
