--- a/crates/quincevalve_forwarding/src/server_signals.rs
+++ b/crates/quincevalve_forwarding/src/server_signals.rs
@@ -38,6 +38,10 @@
 pub struct ServerSignals {
     /// What it takes from all entry VMs together, where it names a limit.
     pub limit: Option<RequestRate>,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// For how long it wants nothing from the VM that it turns away, where it says so.
+    pub rest: Option<Duration>,
 }
 
 /// What a server said of itself to another VM.
--- a/crates/quincevalve_forwarding/tests/allowance.rs
+++ b/crates/quincevalve_forwarding/tests/allowance.rs
@@ -86,7 +86,7 @@
 }
 
 fn named(limit: Option<f64>) -> ServerSignals {
-    ServerSignals { limit: limit.map(rate) }
+    ServerSignals { limit: limit.map(rate), ..ServerSignals::default() }
 }
 
 fn server_0_names(table: &mut ServerTable, limit: Option<f64>) {
--- a/crates/quincevalve_forwarding/tests/signals_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -425,7 +425,8 @@
         if limit.is_some() {
             vm.told_at[server].get_or_insert(now);
         }
-        let signals = ServerSignals { limit: limit.and_then(RequestRate::new) };
+        let signals =
+            ServerSignals { limit: limit.and_then(RequestRate::new), ..ServerSignals::default() };
         let key = (name(server), START);
         if vm.table.get_mut(&key.0, key.1).is_some_and(|it| it.signalled(&signals, at(now))) {
             vm.outbox.push(key, Source::Server);
--- a/crates/quincevalve_node/src/duties/orders/tests.rs
+++ b/crates/quincevalve_node/src/duties/orders/tests.rs
@@ -33,7 +33,7 @@
         };
         node.servers.borrow_mut().listed(&name.into(), entry, clock::now());
     }
-    let signals = ServerSignals { limit: RequestRate::new(limit) };
+    let signals = ServerSignals { limit: RequestRate::new(limit), ..ServerSignals::default() };
     if let Some(server) = node.servers.borrow_mut().get_mut(&"s-1".into(), START) {
         server.signalled(&signals, clock::now());
     }
--- a/crates/quincevalve_node/src/request/signals.rs
+++ b/crates/quincevalve_node/src/request/signals.rs
@@ -25,9 +25,18 @@
             );
         }
     }
+    let signals = decoded.signals;
+    if signals.leaving && node.may_write_line() {
+        log::info!(server = place.server.as_str(), start = place.start.0; "server-leaving");
+    }
+    if let Some(rest) = signals.rest.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+        && node.may_write_line()
+    {
+        log::info!(server = place.server.as_str(), rest_ms = rest.as_millis() as u64; "server-rests");
+    }
     let mut servers = node.servers.borrow_mut();
     let Some(server) = servers.get_mut(&place.server, place.start) else { return };
-    if server.signalled(&decoded.signals, clock::now()) {
+    if server.signalled(&signals, clock::now()) {
         let key = (place.server.clone(), place.start);
         note_limit(node, key, server, Source::Server);
     }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -384,11 +384,15 @@
     }
 }
 
-/// Decodes the scripted servers' own header for a limit.
+/// Decodes the headers in which scripted servers say something of themselves.
 fn signals(headers: &HeaderMap) -> DecodedSignals {
-    let text = headers.get("x-limit").and_then(|it| it.to_str().ok());
-    let limit = text.and_then(|it| it.parse().ok()).and_then(RequestRate::new);
-    DecodedSignals { signals: ServerSignals { limit }, unreadable: Vec::new() }
+    let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
+    let signals = ServerSignals {
+        limit: number("x-limit").and_then(RequestRate::new),
+        leaving: headers.contains_key("x-leaving"),
+        rest: number("x-rest").map(Duration::from_secs_f64),
+    };
+    DecodedSignals { signals, unreadable: Vec::new() }
 }
 
 pub fn headers() -> HeaderNames {
