--- a/crates/quincevalve_node/tests/server_signals.rs
+++ b/crates/quincevalve_node/tests/server_signals.rs
@@ -9,7 +9,8 @@
     time::{Duration, Instant},
 };
 
-use support::{Arrival, Reply, Vm, World, exchange, metric, request, run, sealed_with};
+use quincevalve_forwarding::servers::ServerEntry;
+use support::{Arrival, Reply, Vm, World, entry, exchange, metric, request, run, sealed_with};
 use tokio::{task::spawn_local, time::sleep};
 
 /// The metric that counts servers that name a limit.
@@ -27,6 +28,9 @@
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
+/// From an answer that a VM passes on until its callers' requests no longer reach a server that leaves by it.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+
 /// Two more VMs, once all three know each other.
 async fn two_more_vms(world: &World) -> [Vm; 2] {
     let others = [
@@ -141,3 +145,34 @@
         }
     });
 }
+
+// Requests go on to a server that has said in its answers that it leaves, for as long as its entry stands in the list.
+#[test]
+fn a_server_that_says_that_it_leaves_gets_nothing_more() {
+    run(async {
+        let script = |_, it: &Arrival| {
+            let more = if it.server == 0 { "x-leaving: 1\r\n" } else { "" };
+            Reply::Send(sealed_with(it, "200 OK", more, "done"))
+        };
+        let mut world = World::start(2, script).await;
+        let others = two_more_vms(&world).await;
+        let (store, stale) = (world.store.clone(), entry(world.servers[0]));
+        spawn_local(async move {
+            sleep(ASKING / 2).await;
+            store.change("server-0", ServerEntry { slots: 32, ..stale });
+        });
+        let answers = ask_all(&[world.front, others[0].front, others[1].front], "/once/7").await;
+        let told = first_passed_on(&answers, "x-leaving");
+        let late = |it: &&Arrival| {
+            let vm = it.header("x-attempt").map(vm_of).unwrap_or_default();
+            it.server == 0 && told.get(vm).is_some_and(|told| it.at > *told + LEAVING_TIME)
+        };
+        assert_eq!(
+            world.arrived().iter().filter(late).count(),
+            0,
+            "requests to a server that leaves"
+        );
+        let served = answers.borrow().values().filter(|(_, it)| it.contains(" 200 OK")).count();
+        assert_eq!(served, answers.borrow().len(), "the other server has room for all");
+    });
+}
