Leaving: a server's own word that it leaves holds, and is told to all VMs

Cause: only the platform's list said that a server leaves. The word in the answer was passed on to the caller and read by nobody.

Change: the word marks the server's start as leaving for good, as a draining entry does. An older entry, a whole list, a copy of another VM, an answer without the word, a lapse of the entry and the store's return don't take it back; another start of the server owes nothing of it. VMs tell each other at once, and a VM that starts gets it with the copy of the list. When its streams have to be moved is still reckoned from its entry: a server leaves only after the store has taken its word.

--- a/crates/quincevalve_forwarding/src/server_signals.rs
+++ b/crates/quincevalve_forwarding/src/server_signals.rs
@@ -51,4 +51,22 @@
     pub limit: Option<RequestRate>,
     /// How long ago it said so.
     pub age: Duration,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// What of a server's signals wasn't known before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SignalNews {
+    /// It names another limit, or none any more.
+    pub limit: bool,
+    /// It leaves.
+    pub leaving: bool,
+}
+
+impl SignalNews {
+    /// Whether all of it was known.
+    pub const fn is_none(self) -> bool {
+        !self.limit && !self.leaving
+    }
 }
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -11,7 +11,7 @@
 use crate::{
     allowance::Allowance,
     load::ServerLoad,
-    server_signals::{RequestRate, ServerSignals, ToldSignals},
+    server_signals::{RequestRate, ServerSignals, SignalNews, ToldSignals},
     shared_limit::Seat,
     store_contact::LAPSE_AFTER,
 };
@@ -115,25 +115,40 @@
         self.limit
     }
 
-    /// Takes what its answer says of it; `true` if that is news.
-    pub fn signalled(&mut self, signals: &ServerSignals, now: TimePoint) -> bool {
-        self.limit_named_at = Some(now);
-        std::mem::replace(&mut self.limit, signals.limit) != signals.limit
+    /// Takes what its answer says of it, and returns what of that is news.
+    pub fn signalled(&mut self, signals: &ServerSignals, now: TimePoint) -> SignalNews {
+        let leaving = self.take_leaving(signals.leaving);
+        SignalNews { leaving, limit: self.take_limit(signals.limit, now) }
     }
 
     /// What it said of itself, for other VMs.
     pub fn to_tell(&self, now: TimePoint) -> Option<ToldSignals> {
-        Some(ToldSignals { limit: self.limit, age: now.since(self.limit_named_at?) })
+        let age = now.since(self.limit_named_at?);
+        let leaving = self.leaving == Some(Leaving::Announced);
+        Some(ToldSignals { limit: self.limit, age, leaving })
     }
 
-    /// Takes what it said to another VM, unless this one knows something newer; `true` if that is news.
-    pub fn told(&mut self, told: &ToldSignals, now: TimePoint) -> bool {
+    /// Takes what it said to another VM, and returns what of that is news. Of two limits the newer one holds.
+    pub fn told(&mut self, told: &ToldSignals, now: TimePoint) -> SignalNews {
+        let leaving = self.take_leaving(told.leaving);
         let is_older = |at: TimePoint| now.since(at) <= told.age;
-        if self.limit_named_at.is_some_and(is_older) {
-            return false;
+        let limit = !self.limit_named_at.is_some_and(is_older)
+            && self.take_limit(told.limit, now.earlier_by(told.age));
+        SignalNews { limit, leaving }
+    }
+
+    fn take_limit(&mut self, limit: Option<RequestRate>, named_at: TimePoint) -> bool {
+        self.limit_named_at = Some(named_at);
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
+    /// That a server leaves is never taken back: an entry or an answer that says nothing of it may be older.
+    fn take_leaving(&mut self, leaving: bool) -> bool {
+        let is_news = leaving && self.leaving.is_none();
+        if is_news {
+            self.leaving = Some(Leaving::Announced);
         }
-        self.limit_named_at = Some(now.earlier_by(told.age));
-        std::mem::replace(&mut self.limit, told.limit) != told.limit
+        is_news
     }
 
     /// Expects the end of a server whose entry is gone without an announcement.
@@ -515,10 +530,14 @@
         self.servers.get_mut(name).filter(|it| it.entry.start == start)
     }
 
-    /// The entries that stand in the list.
-    pub fn listed_entries(&self) -> impl Iterator<Item = (&BackendServerName, &ServerEntry)> {
+    /// The entries that stand in the list, as other VMs should know them: a server may have said that it leaves before
+    /// its entry does.
+    pub fn listed_entries(&self) -> impl Iterator<Item = (BackendServerName, ServerEntry)> {
         let listed = self.servers.iter().filter(|(_, it)| it.listing == Listing::Listed);
-        listed.map(|(name, it)| (name, &it.entry))
+        listed.map(|(name, it)| {
+            let draining = it.entry.draining || it.leaving == Some(Leaving::Announced);
+            (name.clone(), ServerEntry { draining, ..it.entry.clone() })
+        })
     }
 
     /// All servers that are remembered.
--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -5,10 +5,11 @@
 use proptest::prelude::*;
 use quincevalve_forwarding::{
     load::Work,
+    server_signals::{ServerSignals, ToldSignals},
     servers::{Leaving, ServerEntry, ServerStart, ServerTable, start_hash},
 };
 use quincevalve_names::TimePoint;
-use support::{START, draining, entry, ms, server, table};
+use support::{START, draining, entry, millis, ms, server, table};
 
 fn usable(table: &ServerTable, now: TimePoint) -> bool {
     table.usable(&"engines".into(), now).any(|(name, _)| *name == server(0))
@@ -25,6 +26,84 @@
     assert!(!usable(&table, ms(200)));
 }
 
+const LEAVES: ServerSignals = ServerSignals { limit: None, leaving: true, rest: None };
+
+/// Server 0, that has said in an answer that it leaves.
+fn leaves_by_answer() -> ServerTable {
+    let mut table = table(1);
+    let server = table.get_mut(&server(0), START).expect("listed");
+    assert!(server.signalled(&LEAVES, ms(100)).leaving);
+    table
+}
+
+/// What a VM knows afterwards that has heard from a server itself that it leaves.
+macro_rules! not_taken_back {
+    ($($name:ident: $later:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut table = leaves_by_answer();
+                let later: fn(&mut ServerTable) = $later;
+                later(&mut table);
+                assert!(!usable(&table, ms(10_000)));
+                assert!(!table.may_take(table.get(&server(0)).expect("known"), ms(10_000)));
+            }
+        )+
+    };
+}
+
+not_taken_back! {
+    an_entry_does_not_take_a_servers_own_word_back: |it| { it.listed(&server(0), entry("a"), ms(200)); };
+    a_whole_list_does_not_take_a_servers_own_word_back: |it| {
+        it.replace_all(vec![(server(0), entry("a"))], &[], ms(200));
+    };
+    an_answer_that_says_nothing_does_not_take_it_back: |it| {
+        it.get_mut(&server(0), START).expect("known").signalled(&ServerSignals::default(), ms(200));
+    };
+    another_vm_that_knows_less_does_not_take_it_back: |it| {
+        let told = ToldSignals { limit: None, age: millis(0), leaving: false };
+        it.get_mut(&server(0), START).expect("known").told(&told, ms(200));
+    };
+    an_entry_that_lapses_and_returns_does_not_take_it_back: |it| {
+        it.store_lost(ms(200));
+        it.removed(&server(0), ms(2_000));
+        it.store_found(ms(9_000));
+        it.listed(&server(0), entry("a"), ms(9_500));
+    };
+    an_outage_of_the_store_does_not_take_it_back: |it| {
+        it.store_lost(ms(200));
+        it.removed(&server(0), ms(2_000));
+        it.store_found(ms(9_000));
+    };
+    an_unreadable_entry_does_not_take_it_back: |it| {
+        it.unreadable(&server(0));
+        it.listed(&server(0), entry("a"), ms(300));
+    };
+}
+
+#[test]
+fn a_vm_that_is_told_knows_that_a_server_leaves() {
+    let told = leaves_by_answer().get(&server(0)).and_then(|it| it.to_tell(ms(150)));
+    let mut table = table(1);
+    let server_0 = table.get_mut(&server(0), START).expect("listed");
+    assert!(server_0.told(&told.expect("something to tell"), ms(200)).leaving);
+    assert!(!usable(&table, ms(200)));
+}
+
+// A VM that starts while the store is away gets an entry that is older than what others heard from the server.
+#[test]
+fn a_copy_of_the_list_says_that_a_server_leaves() {
+    let table = leaves_by_answer();
+    assert!(table.listed_entries().all(|(_, entry)| entry.draining));
+}
+
+#[test]
+fn another_start_of_a_server_that_left_is_used() {
+    let mut table = leaves_by_answer();
+    table.listed(&server(0), started_again("a", 2), ms(200));
+    assert!(usable(&table, ms(200)));
+}
+
 // The caller is answered by a server of another service. The address was given to a new server, which said
 // so with its refusal; the entry of the old one is still listed.
 #[test]
--- a/crates/quincevalve_forwarding/tests/signals_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -391,7 +391,7 @@
                     let vm = &mut self.vms[to];
                     for (key, told) in news {
                         let Some(server) = vm.table.get_mut(&key.0, key.1) else { continue };
-                        if server.told(&told, at(now)) {
+                        if !server.told(&told, at(now)).is_none() {
                             vm.outbox.push(key, from);
                         }
                     }
@@ -428,7 +428,8 @@
         let signals =
             ServerSignals { limit: limit.and_then(RequestRate::new), ..ServerSignals::default() };
         let key = (name(server), START);
-        if vm.table.get_mut(&key.0, key.1).is_some_and(|it| it.signalled(&signals, at(now))) {
+        let server = vm.table.get_mut(&key.0, key.1);
+        if server.is_some_and(|it| !it.signalled(&signals, at(now)).is_none()) {
             vm.outbox.push(key, Source::Server);
         }
     }
--- a/crates/quincevalve_node/src/request/signals.rs
+++ b/crates/quincevalve_node/src/request/signals.rs
@@ -3,7 +3,7 @@
 use http::{HeaderMap, StatusCode};
 use quincevalve_forwarding::{placement::Placement, signal_outbox::Source};
 
-use crate::{clock, node::Node, server_news::note_limit};
+use crate::{clock, node::Node, server_news::note_news};
 
 /// Takes what an answer's headers say of the server that gave it.
 pub(super) fn take_signals(
@@ -26,9 +26,6 @@
         }
     }
     let signals = decoded.signals;
-    if signals.leaving && node.may_write_line() {
-        log::info!(server = place.server.as_str(), start = place.start.0; "server-leaving");
-    }
     if let Some(rest) = signals.rest.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
         && node.may_write_line()
     {
@@ -36,8 +33,6 @@
     }
     let mut servers = node.servers.borrow_mut();
     let Some(server) = servers.get_mut(&place.server, place.start) else { return };
-    if server.signalled(&signals, clock::now()) {
-        let key = (place.server.clone(), place.start);
-        note_limit(node, key, server, Source::Server);
-    }
+    let news = server.signalled(&signals, clock::now());
+    note_news(node, (place.server.clone(), place.start), server, news, Source::Server);
 }
--- a/crates/quincevalve_node/src/server_news.rs
+++ b/crates/quincevalve_node/src/server_news.rs
@@ -1,7 +1,7 @@
 //! What servers say of themselves, on its way between VMs.
 
 use quincevalve_forwarding::{
-    server_signals::{RequestRate, ToldSignals},
+    server_signals::{RequestRate, SignalNews, ToldSignals},
     servers::{Server, ServerStart},
     signal_outbox::{ServerKey, Source},
 };
@@ -12,14 +12,25 @@
 /// What one start of a server said of itself.
 pub(crate) type ServerNews = (BackendServerName, ServerStart, ToldSignals);
 
-/// Notes that a server named another limit, and has other VMs told.
-pub(crate) fn note_limit(node: &Node, key: ServerKey, server: &Server, from: Source) {
-    if node.may_write_line() {
-        log::info!(
-            server = key.0.as_str(), start = key.1.0,
-            per_second = server.limit().map_or(-1.0, RequestRate::per_second), from:? = from;
-            "server-limit"
-        );
+/// Notes what a server said that wasn't known here, and has other VMs told.
+pub(crate) fn note_news(
+    node: &Node,
+    key: ServerKey,
+    server: &Server,
+    news: SignalNews,
+    from: Source,
+) {
+    if news.is_none() {
+        return;
+    }
+    let (name, start) = (key.0.as_str(), key.1.0);
+    if news.limit && node.may_write_line() {
+        let per_second = server.limit().map_or(-1.0, RequestRate::per_second);
+        log::info!(server = name, start, per_second, from:? = from; "server-limit");
+    }
+    if news.leaving {
+        log::info!(server = name, start, from:? = from; "server-leaving");
+        node.changed.notify_waiters();
     }
     node.signal_outbox.borrow_mut().push(key, from);
 }
@@ -30,9 +41,8 @@
     let mut servers = node.servers.borrow_mut();
     for (name, start, told) in news {
         let Some(server) = servers.get_mut(&name, start) else { continue };
-        if server.told(&told, now) {
-            note_limit(node, (name, start), server, from);
-        }
+        let news = server.told(&told, now);
+        note_news(node, (name, start), server, news, from);
     }
 }
 
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -221,13 +221,12 @@
     let at = node.store_view.borrow().reached()?.0;
     let config = node.config()?;
     let servers = node.servers.borrow();
-    let named = |(name, entry): (&BackendServerName, &ServerEntry)| (name.clone(), entry.clone());
     let peers = node.peers.borrow();
     Some(Whole {
         at,
         newest: at,
         config: Some((*config).clone()),
-        servers: servers.listed_entries().map(named).collect(),
+        servers: servers.listed_entries().collect(),
         unreadable: Vec::new(),
         vms: peers.book.listed_cards().cloned().collect(),
         holder: peers.holder().map(str::to_owned),
