Rest: a failing test of three VMs and a server that turns requests away, listed

Three whole processes, two servers, one of which answers every request with 503, not run, and asks for 3 s of rest. Up to 15 requests of one VM reach it between half a second after such an answer and the end of the time; the rule allows two. The VM stays away for 150 ms, whatever the server asks: hypothesis 1.

--- a/crates/quincevalve_node/tests/server_signals.rs
+++ b/crates/quincevalve_node/tests/server_signals.rs
@@ -10,7 +10,9 @@
 };
 
 use quincevalve_forwarding::servers::ServerEntry;
-use support::{Arrival, Reply, Vm, World, entry, exchange, metric, request, run, sealed_with};
+use support::{
+    Arrival, Reply, Vm, World, entry, exchange, metric, request, run, sealed, sealed_with,
+};
 use tokio::{task::spawn_local, time::sleep};
 
 /// The metric that counts servers that name a limit.
@@ -30,6 +32,9 @@
 
 /// From an answer that a VM passes on until its callers' requests no longer reach a server that leaves by it.
 const LEAVING_TIME: Duration = Duration::from_secs(2);
+/// The rest for which the server of a test asks, and the requests that it may get from one VM in it.
+const REST: Duration = Duration::from_secs(3);
+const IN_REST: usize = 2;
 
 /// Two more VMs, once all three know each other.
 async fn two_more_vms(world: &World) -> [Vm; 2] {
@@ -176,3 +181,31 @@
         assert_eq!(served, answers.borrow().len(), "the other server has room for all");
     });
 }
+
+// A server that turns a request away and asks for some seconds of rest gets the next one of the same VM at once.
+#[test]
+fn a_server_that_wants_rest_gets_it() {
+    run(async {
+        let script = |_, it: &Arrival| {
+            if it.server == 0 {
+                let id = it.header("x-attempt").unwrap_or_default();
+                let head = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-rest: 3\r\n";
+                return Reply::Send(format!("{head}x-attempt: {id}\r\ncontent-length: 0\r\n\r\n"));
+            }
+            Reply::Send(sealed(it, "200 OK", "done"))
+        };
+        let mut world = World::start(2, script).await;
+        let others = two_more_vms(&world).await;
+        let answers = ask_all(&[world.front, others[0].front, others[1].front], "/once/7").await;
+        let turned_away: Vec<_> = world.arrived().into_iter().filter(|it| it.server == 0).collect();
+        let in_rest = |first: &Arrival| {
+            let vm = |it: &Arrival| vm_of(it.header("x-attempt").unwrap_or_default()).to_owned();
+            let rest = first.at + HEARD..first.at + REST;
+            turned_away.iter().filter(|it| vm(it) == vm(first) && rest.contains(&it.at)).count()
+        };
+        let most = turned_away.iter().map(in_rest).max().unwrap_or_default();
+        assert!(!turned_away.is_empty() && most <= IN_REST, "{most} requests in a rest");
+        let served = answers.borrow().values().filter(|(_, it)| it.contains(" 200 OK")).count();
+        assert_eq!(served, answers.borrow().len(), "the other server has room for all");
+    });
+}
