Rest: a server that turns a VM away gets the rest that it asks for

Cause: a 503 that says that it wasn't run kept the VM away for 150 ms, whatever time it named; nothing read the time.

Change: the server's start gets nothing from this VM until the end of the time, on any way of sending; of rests that overlap the later end holds. A request that waited for a connection meanwhile goes elsewhere. Where all servers of a service want rest, callers are told at once (`resting`, with a Retry-After) unless the first rest ends while they may wait.

Peers aren't told of a rest: it is meant for the VM that was turned away.

--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -11,7 +11,7 @@
     config::Engine,
     load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
     rollout::scope::VersionScope,
-    servers::{Server, ServerStart, ServerTable},
+    servers::{Restraint, Server, ServerStart, ServerTable},
 };
 
 /// What a request asks of a model engine.
@@ -111,6 +111,11 @@
         /// Until this VM may send one of them the next request, on average.
         wait: Duration,
     },
+    /// All that could take it want rest from this VM.
+    Resting {
+        /// Until the first of them has had it.
+        wait: Duration,
+    },
 }
 
 /// Milliseconds to a first token of an idle engine beyond reading the prompt.
@@ -162,11 +167,11 @@
         R: Rng,
     {
         let usable = self.usable(ask.service, now).filter(|(name, it)| ask.admits(name, it));
-        let (usable, limited): (Vec<_>, Vec<_>) =
-            usable.partition(|(_, it)| self.limit_allows(it, now));
-        if usable.is_empty() && !limited.is_empty() {
-            let rates = limited.iter().filter_map(|(_, it)| it.limit());
-            return Err(NoPlace::Limited { wait: self.wait_for_allowance(rates) });
+        let (usable, held_back): (Vec<_>, Vec<_>) =
+            usable.partition(|(_, it)| self.restraint(it, now).is_none());
+        if usable.is_empty() && !held_back.is_empty() {
+            let restraints = held_back.iter().filter_map(|(_, it)| self.restraint(it, now));
+            return Err(self.held_back(restraints));
         }
         let some = candidates(ask, &usable, rng);
         if let Ok(placement) = best_of(ask, &usable, &some, rng, now) {
@@ -178,6 +183,24 @@
     }
 }
 
+impl ServerTable {
+    /// Why there is no server where each of them is under a restraint.
+    fn held_back(&self, restraints: impl Iterator<Item = Restraint>) -> NoPlace {
+        let (mut limits, mut rest) = (Vec::new(), Duration::MAX);
+        for restraint in restraints {
+            match restraint {
+                Restraint::Limited { limit } => limits.push(limit),
+                Restraint::Resting { left } => rest = rest.min(left),
+            }
+        }
+        if limits.is_empty() {
+            NoPlace::Resting { wait: rest }
+        } else {
+            NoPlace::Limited { wait: self.wait_for_allowance(&limits) }
+        }
+    }
+}
+
 fn best_of<R>(
     ask: &Ask<'_>,
     usable: &[(&BackendServerName, &Server)],
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -56,6 +56,21 @@
     Replaced,
 }
 
+/// Why a server gets nothing from this VM for a while.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Restraint {
+    /// It turned this VM away and wants rest.
+    Resting {
+        /// For so long.
+        left: Duration,
+    },
+    /// It names a limit, of which this VM has used its part.
+    Limited {
+        /// The limit.
+        limit: RequestRate,
+    },
+}
+
 /// What the removal of a server's entry is taken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Removal {
@@ -88,6 +103,8 @@
     /// When the answer came that names the limit, or none.
     limit_named_at: Option<TimePoint>,
     allowance: Allowance,
+    /// Until when it wants nothing from this VM.
+    rests_until: TimePoint,
     /// When it will be gone, as far as known.
     goes_at: Option<TimePoint>,
     /// When it was first seen.
@@ -142,6 +159,17 @@
         std::mem::replace(&mut self.limit, limit) != limit
     }
 
+    /// Takes it that it turned a request away and wants nothing from this VM for a while. Where it said so before, the
+    /// later end holds.
+    pub fn rests(&mut self, rest: Duration, now: TimePoint) {
+        self.rests_until = self.rests_until.max(now + rest);
+    }
+
+    /// Whether it wants nothing from this VM at present.
+    pub fn is_resting(&self, now: TimePoint) -> bool {
+        now < self.rests_until
+    }
+
     /// That a server leaves is never taken back: an entry or an answer that says nothing of it may be older.
     fn take_leaving(&mut self, leaving: bool) -> bool {
         let is_news = leaving && self.leaving.is_none();
@@ -253,6 +281,7 @@
             leaving: None,
             limit: None,
             limit_named_at: None,
+            rests_until: TimePoint::ZERO,
             allowance: Allowance::default(),
             goes_at: None,
             since: now,
@@ -426,11 +455,15 @@
         self.true_origin_ms = true_ms - millis(now);
     }
 
-    /// Whether a server's limit leaves room for one more request of this VM.
-    pub fn limit_allows(&self, server: &Server, now: TimePoint) -> bool {
-        server.limit.is_none_or(|limit| {
-            server.allowance.has_left(limit, server.hash, self.seat, self.true_ms(now))
-        })
+    /// Why a server gets nothing from this VM at present though it may get new work, for what it said of itself.
+    pub fn restraint(&self, server: &Server, now: TimePoint) -> Option<Restraint> {
+        if server.is_resting(now) {
+            return Some(Restraint::Resting { left: server.rests_until.since(now) });
+        }
+        let limit = server.limit?;
+        let (seat, true_ms) = (self.seat, self.true_ms(now));
+        let has_left = server.allowance.has_left(limit, server.hash, seat, true_ms);
+        (!has_left).then_some(Restraint::Limited { limit })
     }
 
     /// Takes one request out of what a server's limit leaves to this VM.
@@ -447,8 +480,8 @@
     }
 
     /// Until servers of these limits leave room for this VM's next request, on average.
-    pub(crate) fn wait_for_allowance(&self, limits: impl Iterator<Item = RequestRate>) -> Duration {
-        let per_second: f64 = limits.map(RequestRate::per_second).sum();
+    pub(crate) fn wait_for_allowance(&self, limits: &[RequestRate]) -> Duration {
+        let per_second: f64 = limits.iter().map(|it| it.per_second()).sum();
         let seconds = self.seat.of as f64 / per_second;
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
--- a/crates/quincevalve_forwarding/src/shared_limit.rs
+++ b/crates/quincevalve_forwarding/src/shared_limit.rs
@@ -69,9 +69,14 @@
     /// assert_eq!(parts(u64::MAX / 2).collect::<Vec<_>>(), [2, 2, 3]);
     /// ```
     pub fn part_of(self, requests: u64, turn: u64) -> u64 {
+        let of = self.of.max(1) as u64;
+        requests / of + u64::from(self.place(turn) < requests % of)
+    }
+
+    /// This VM's place where the order begins with another VM each `turn`.
+    fn place(self, turn: u64) -> u64 {
         let of = self.of.max(1) as u64;
         let first = ((u128::from(turn) * u128::from(of)) >> u64::BITS) as u64;
-        let place = (self.rank as u64 + first) % of;
-        requests / of + u64::from(place < requests % of)
+        (self.rank as u64 + first) % of
     }
 }
--- a/crates/quincevalve_forwarding/tests/allowance.rs
+++ b/crates/quincevalve_forwarding/tests/restraints.rs
@@ -1,4 +1,4 @@
-//! Limits that servers name, kept by many VMs without a word between them.
+//! What servers take less of by their own word: limits, kept by many VMs without a word between them, and rest.
 
 mod support;
 
@@ -135,3 +135,50 @@
     table.listed(&server(0), entry, ms(10));
     assert_eq!(table.get(&server(0)).and_then(Server::limit), None);
 }
+
+fn rests(table: &mut ServerTable, at: usize, rest: u64, now: u64) {
+    table.get_mut(&server(at), START).expect("listed").rests(millis(rest), ms(now));
+}
+
+fn place(table: &ServerTable, now: u64) -> Result<usize, NoPlace> {
+    let place = table.place(&Asking::default().ask(), &mut Pcg64Mcg::seed_from_u64(1), ms(now));
+    place.map(|it| usize::from(it.server != server(0)))
+}
+
+#[test]
+fn a_server_that_wants_rest_gets_nothing_until_it_has_had_it() {
+    let mut table = table(2);
+    rests(&mut table, 0, 3_000, 100);
+    for now in (100..3_100).step_by(100) {
+        assert_eq!(place(&table, now), Ok(1));
+    }
+    rests(&mut table, 1, 60_000, 3_100);
+    assert_eq!(place(&table, 3_100), Ok(0));
+}
+
+// The rest that was asked for first still counts.
+#[test]
+fn a_shorter_rest_does_not_end_a_longer_one() {
+    let mut table = table(1);
+    rests(&mut table, 0, 3_000, 0);
+    rests(&mut table, 0, 200, 1_000);
+    assert_eq!(place(&table, 2_000), Err(NoPlace::Resting { wait: millis(1_000) }));
+}
+
+#[test]
+fn where_all_want_rest_the_first_to_have_had_it_is_waited_for() {
+    let mut table = table(2);
+    rests(&mut table, 0, 3_000, 0);
+    rests(&mut table, 1, 1_000, 0);
+    assert_eq!(place(&table, 400), Err(NoPlace::Resting { wait: millis(600) }));
+}
+
+#[test]
+fn a_rest_ends_with_the_start_of_the_server_that_wants_it() {
+    let mut table = table(1);
+    rests(&mut table, 0, 60_000, 0);
+    let mut entry = entry("a");
+    entry.start.0 += 1;
+    table.listed(&server(0), entry, ms(10));
+    assert_eq!(place(&table, 20), Ok(0));
+}
--- a/crates/quincevalve_forwarding/tests/signals_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/main.rs
@@ -26,7 +26,10 @@
         for seed in seeds.clone() {
             let outcome = play(&plan, seed);
             print(name, &plan, seed, &outcome);
-            assert_eq!(outcome.broken, 0, "{name}, {vms} VMs, seed {seed}: limits broken");
+            let at = format!("{name}, {vms} VMs, seed {seed}");
+            assert_eq!(outcome.broken, 0, "{at}: limits broken");
+            assert_eq!(outcome.to_leaving, 0, "{at}: sent to servers that leave");
+            assert_eq!(outcome.rests_broken, 0, "{at}: rests broken");
         }
     }
 }
@@ -73,6 +76,28 @@
     vms_frozen: |plan| Plan { frozen: Some((plan.vms / 4, 8_000..10_000)), ..plan };
     vms_killed: |plan| Plan { killed: Some((plan.vms / 2, 9_000)), ..plan };
     all_vms_killed: |plan| Plan { killed: Some((plan.vms, 9_000)), ..plan };
+    servers_leave: |plan| Plan { leaving: Some((plan.servers / 3, 4_000)), ..plan };
+    all_servers_leave: |plan| Plan { leaving: Some((plan.servers, 12_000)), ..plan };
+    servers_leave_while_vms_are_cut_off: |plan| {
+        Plan { leaving: Some((2, 4_000)), cut: Some((plan.vms / 3, 3_500..12_000)), ..plan }
+    };
+    servers_want_rest: |plan| Plan { resting: Some((plan.servers / 3, 6_000..12_000, 3_000)), ..plan };
+    all_servers_want_rest: |plan| Plan { resting: Some((plan.servers, 6_000..9_000, 3_000)), ..plan };
+    short_rests: |plan| Plan { resting: Some((2, 6_000..12_000, 200)), ..plan };
+    a_long_rest: |plan| Plan { resting: Some((2, 6_000..7_000, 60_000)), ..plan };
+    rest_while_vms_are_killed: |plan| {
+        Plan { resting: Some((2, 6_000..12_000, 3_000)), killed: Some((plan.vms / 2, 8_000)), ..plan }
+    };
+    rest_while_vms_are_frozen: |plan| {
+        Plan { resting: Some((2, 6_000..12_000, 3_000)), frozen: Some((plan.vms / 4, 7_000..8_000)), ..plan }
+    };
+    all_three_at_once: |plan| Plan {
+        limited: 3,
+        limits: changing(),
+        leaving: Some((1, 9_000)),
+        resting: Some((2, 5_000..14_000, 1_500)),
+        ..plan
+    };
     vms_added: |plan| Plan { added: Some((plan.vms / 4, 10_000)), ..plan };
 }
 
@@ -111,3 +136,24 @@
     assert!(told.known_after.is_some_and(|it| it <= 1_000), "{told}");
     assert!(untold.known_after.is_none_or(|it| it > 2_000), "{untold}");
 }
+
+// Requests go on to servers that say that they leave, for as long as the list doesn't say it.
+#[test]
+fn without_belief_servers_that_leave_get_requests() {
+    for (vms, servers) in SIZES {
+        let safeguards = Safeguards { leaving: false, ..ALL };
+        let plan = Plan { safeguards, leaving: Some((2, 4_000)), ..Plan::new(vms, servers) };
+        assert!(play(&plan, 0).to_leaving > 0);
+    }
+}
+
+// Servers that turn requests away get the next ones at once.
+#[test]
+fn without_rest_servers_that_want_it_get_requests() {
+    for (vms, servers) in SIZES {
+        let safeguards = Safeguards { rest: false, ..ALL };
+        let resting = Some((servers, 6_000..12_000, 3_000));
+        let plan = Plan { safeguards, resting, ..Plan::new(vms, servers) };
+        assert!(play(&plan, 0).rests_broken > 0);
+    }
+}
--- a/crates/quincevalve_forwarding/tests/signals_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -4,7 +4,7 @@
 
 use quincevalve_forwarding::{
     config::Engine,
-    placement::{Ask, NoPlace, Prompt},
+    placement::{Ask, Prompt},
     server_signals::{RequestRate, ServerSignals, ToldSignals},
     servers::{ServerEntry, ServerStart, ServerTable},
     shared_limit::Seat,
@@ -44,10 +44,20 @@
 /// Shared beginnings of prompts.
 const SHARED: u64 = 2_000;
 
+/// Milliseconds from an answer that a VM passed on until no request that a caller sends then reaches a server that leaves.
+const LEAVING_TIME: u64 = 2_000;
+/// Requests that a VM may send a server in the time for which that wants rest.
+const IN_REST: usize = 2;
+/// Milliseconds between two readings of a list that knows nothing of what servers say.
+const STALE_LIST: u64 = 1_000;
+/// Milliseconds until a request is turned away.
+const TURN_AWAY_TIME: u64 = 5;
+
 /// A span of time, in milliseconds.
 pub(crate) type Span = Range<u64>;
 
 /// Which safeguards are at work.
+#[expect(clippy::struct_excessive_bools, reason = "a test takes out each of them by itself")]
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Safeguards {
     /// VMs keep to their part of a limit.
@@ -56,9 +66,14 @@
     pub(crate) seats: bool,
     /// VMs tell each other what servers said.
     pub(crate) told: bool,
+    /// VMs believe a server that says that it leaves.
+    pub(crate) leaving: bool,
+    /// VMs leave a server alone that wants rest.
+    pub(crate) rest: bool,
 }
 
-pub(crate) const ALL: Safeguards = Safeguards { parts: true, seats: true, told: true };
+pub(crate) const ALL: Safeguards =
+    Safeguards { parts: true, seats: true, told: true, leaving: true, rest: true };
 
 /// What happens in a world.
 #[derive(Clone, Debug)]
@@ -71,6 +86,10 @@
     pub(crate) limited: usize,
     pub(crate) limits: Vec<(u64, Option<f64>)>,
     pub(crate) safeguards: Safeguards,
+    /// The first servers, so many, say from that time on that they leave.
+    pub(crate) leaving: Option<(usize, u64)>,
+    /// The first servers, so many, turn everything away in that time and want so many milliseconds of rest.
+    pub(crate) resting: Option<(usize, Span, u64)>,
     /// The part of datagrams that is lost.
     pub(crate) loss: f64,
     /// VMs that hear no other VM meanwhile.
@@ -94,6 +113,8 @@
             limited: 1,
             limits: vec![(3_000, Some(1.2))],
             safeguards: ALL,
+            leaving: None,
+            resting: None,
             loss: 0.02,
             cut: None,
             frozen: None,
@@ -110,6 +131,16 @@
         self.limits.iter().rev().find(|(from, _)| *from <= at)?.1
     }
 
+    fn says_it_leaves(&self, server: usize, at: u64) -> bool {
+        self.leaving.is_some_and(|(count, from)| server < count && at >= from)
+    }
+
+    /// The milliseconds for which a server wants rest that turns a request away at that time.
+    fn rest_at(&self, server: usize, at: u64) -> Option<u64> {
+        let (count, span, rest) = self.resting.as_ref()?;
+        (server < *count && span.contains(&at)).then_some(*rest)
+    }
+
     /// Requests that a server's limits allow in a span of time.
     fn allowed_in(&self, server: usize, span: Span) -> f64 {
         let steps = span.step_by(STEP as usize);
@@ -126,6 +157,12 @@
     pub(crate) worst: f64,
     /// Requests that limited servers got of those that their limits name.
     pub(crate) used: f64,
+    /// Requests that callers sent too late to a server that leaves.
+    pub(crate) to_leaving: usize,
+    /// Rests in which a VM sent more than it may.
+    pub(crate) rests_broken: usize,
+    /// The most requests that a server that had rested got in a second, of what it got in any second before.
+    pub(crate) after_rest: f64,
     /// Milliseconds until all VMs knew the first limit of the first server.
     pub(crate) known_after: Option<u64>,
     /// Requests that were placed, and that were refused.
@@ -138,9 +175,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "broken {:4}  worst {:4.2} of the bound  used {:4.2} of the limits  known to all after {:>5} ms  \
+            "broken {:4}  to leaving {:3}  rests broken {:3}  after rest {:4.2}  worst {:4.2} of the bound  used {:4.2} of the limits  known to all after {:>5} ms  \
              placed {:5}  refused {:5}  told {} kB",
             self.broken,
+            self.to_leaving,
+            self.rests_broken,
+            self.after_rest,
             self.worst,
             self.used,
             self.known_after.map_or("-".to_owned(), |it| it.to_string()),
@@ -163,18 +203,23 @@
     still_until: u64,
     /// When it passed on the first answer with a limit, by server.
     told_at: Vec<Option<u64>>,
+    /// When it passed on the first answer that says that a server leaves, by server.
+    leaving_at: Vec<Option<u64>>,
     present: bool,
 }
 
 struct Arrival {
     at: u64,
+    vm: usize,
+    /// For how long the server then wanted rest, if it turned the request away.
+    rest: Option<u64>,
     /// Whether its VM is held to what the server said.
     counts: bool,
 }
 
 enum Event {
-    Request { vm: usize, start: u32, server: usize },
-    Answer { vm: usize, start: u32, server: usize, limit: Option<f64> },
+    Request { vm: usize, start: u32, server: usize, sent: u64 },
+    Answer { vm: usize, start: u32, server: usize, signals: ServerSignals },
     News { to: usize, from: Source, news: Vec<(ServerKey, ToldSignals)> },
 }
 
@@ -201,6 +246,12 @@
 
 fn table(servers: usize, now: u64) -> ServerTable {
     let mut table = ServerTable::default();
+    list_servers(&mut table, servers, now);
+    table
+}
+
+/// Takes a list in which no server leaves.
+fn list_servers(table: &mut ServerTable, servers: usize, now: u64) {
     for server in 0..servers {
         let entry = ServerEntry {
             start: START,
@@ -216,7 +267,6 @@
         };
         table.listed(&name(server), entry, at(now));
     }
-    table
 }
 
 /// Plays a plan.
@@ -232,6 +282,7 @@
         excused_until: 0,
         still_until: 0,
         told_at: vec![None; plan.servers],
+        leaving_at: vec![None; plan.servers],
         present: vm + added < plan.vms,
     });
     let vms = vms.collect();
@@ -256,6 +307,11 @@
 impl World {
     fn step(&mut self) {
         self.disturb();
+        if self.now.is_multiple_of(STALE_LIST) {
+            let now = self.now;
+            let servers = self.plan.servers;
+            self.vms.iter_mut().for_each(|it| list_servers(&mut it.table, servers, now));
+        }
         self.deliver();
         for vm in 0..self.vms.len() {
             if self.is_active(vm) {
@@ -302,6 +358,7 @@
                 vm.still_until = now + 800;
                 vm.excused_until = now + 800 + CONTACT;
                 vm.told_at.fill(None);
+                vm.leaving_at.fill(None);
             }
         }
         if let Some((_, when)) = self.plan.added
@@ -385,8 +442,10 @@
         self.events = later;
         for (_, event) in due {
             match event {
-                Event::Request { vm, start, server } => self.arrive(vm, start, server),
-                Event::Answer { vm, start, server, limit } => self.hear(vm, start, server, limit),
+                Event::Request { vm, start, server, sent } => self.arrive(vm, start, server, sent),
+                Event::Answer { vm, start, server, signals } => {
+                    self.hear(vm, start, server, signals);
+                }
                 Event::News { to, from, news } if self.is_active(to) => {
                     let vm = &mut self.vms[to];
                     for (key, told) in news {
@@ -401,35 +460,52 @@
         }
     }
 
-    fn arrive(&mut self, vm: usize, start: u32, server: usize) {
+    fn arrive(&mut self, vm: usize, start: u32, server: usize, sent: u64) {
+        let now = self.now;
+        let is_held = self.vms[vm].excused_until <= now && self.vms[vm].starts == start;
         let told = self.vms[vm].told_at[server];
-        let counts = told.is_some_and(|it| self.now >= it + HEARD)
-            && self.vms[vm].excused_until <= self.now
-            && self.vms[vm].starts == start;
-        self.arrivals[server].push(Arrival { at: self.now, counts });
-        let when = self.now + self.rng.random_range(ANSWER_TIME);
-        let limit = self.plan.limit_at(server, when);
-        self.events.push((when, Event::Answer { vm, start, server, limit }));
+        let counts = is_held && told.is_some_and(|it| now >= it + HEARD);
+        let left = self.vms[vm].leaving_at[server];
+        if self.vms[vm].starts == start && left.is_some_and(|it| sent > it + LEAVING_TIME) {
+            self.outcome.to_leaving += 1;
+        }
+        let rest = self.plan.rest_at(server, now);
+        self.arrivals[server].push(Arrival { at: now, vm, rest, counts });
+        let when = match rest {
+            Some(_) => now + TURN_AWAY_TIME,
+            None => now + self.rng.random_range(ANSWER_TIME),
+        };
+        let signals = ServerSignals {
+            limit: self.plan.limit_at(server, when).and_then(RequestRate::new),
+            leaving: self.plan.says_it_leaves(server, when),
+            rest: rest.map(Duration::from_millis),
+        };
+        self.events.push((when, Event::Answer { vm, start, server, signals }));
     }
 
-    fn hear(&mut self, vm: usize, start: u32, server: usize, limit: Option<f64>) {
+    fn hear(&mut self, vm: usize, start: u32, server: usize, mut signals: ServerSignals) {
         let now = self.now;
         if self.vms[vm].starts != start {
             return;
         }
         if !self.is_active(vm) {
             let when = self.vms[vm].still_until;
-            return self.events.push((when, Event::Answer { vm, start, server, limit }));
+            return self.events.push((when, Event::Answer { vm, start, server, signals }));
         }
         let vm = &mut self.vms[vm];
-        if limit.is_some() {
+        if signals.limit.is_some() {
             vm.told_at[server].get_or_insert(now);
         }
-        let signals =
-            ServerSignals { limit: limit.and_then(RequestRate::new), ..ServerSignals::default() };
+        if signals.leaving {
+            vm.leaving_at[server].get_or_insert(now);
+        }
+        signals.leaving &= self.plan.safeguards.leaving;
         let key = (name(server), START);
-        let server = vm.table.get_mut(&key.0, key.1);
-        if server.is_some_and(|it| !it.signalled(&signals, at(now)).is_none()) {
+        let Some(server) = vm.table.get_mut(&key.0, key.1) else { return };
+        if let Some(rest) = signals.rest.filter(|_| self.plan.safeguards.rest) {
+            server.rests(rest, at(now));
+        }
+        if !server.signalled(&signals, at(now)).is_none() {
             vm.outbox.push(key, Source::Server);
         }
     }
@@ -463,13 +539,9 @@
         let now = at(self.now);
         let start = self.vms[vm].starts;
         let table = &mut self.vms[vm].table;
-        let place = match table.place(&ask, &mut self.rng, now) {
-            Ok(place) => place,
-            Err(NoPlace::Limited { .. } | NoPlace::Busy { .. }) => {
-                self.outcome.refused += 1;
-                return;
-            }
-            Err(NoPlace::NoServer) => panic!("all servers are listed"),
+        let Ok(place) = table.place(&ask, &mut self.rng, now) else {
+            self.outcome.refused += 1;
+            return;
         };
         if self.plan.safeguards.parts {
             table.spend_allowance(&place.server, place.start, now);
@@ -478,7 +550,7 @@
         let server = place.server.as_str().trim_start_matches("server-");
         let server = server.parse().expect("a number");
         let when = self.now + self.rng.random_range(REQUEST_DELAY);
-        self.events.push((when, Event::Request { vm, start, server }));
+        self.events.push((when, Event::Request { vm, start, server, sent: self.now }));
     }
 
     fn look_who_knows(&mut self) {
@@ -490,8 +562,46 @@
         }
     }
 
-    /// Holds what servers got against their limits.
     fn judge(&mut self) {
+        self.judge_limits();
+        self.judge_rests();
+    }
+
+    /// Holds what servers got against the rest that they wanted.
+    fn judge_rests(&mut self) {
+        let Some((count, span, rest)) = self.plan.resting.clone() else { return };
+        let disturbed = [self.plan.cut.as_ref(), self.plan.frozen.as_ref()];
+        let excused = |vm: usize, from: u64, to: u64| {
+            let struck = disturbed.into_iter().flatten();
+            let mut struck = struck.filter(|(count, _)| vm < *count);
+            struck.any(|(_, span)| from < span.end + CONTACT && to > span.start)
+                || self
+                    .plan
+                    .killed
+                    .is_some_and(|(count, at)| vm < count && (from..to).contains(&at))
+        };
+        for arrivals in &self.arrivals[..count] {
+            for first in arrivals.iter().filter(|it| it.rest.is_some()) {
+                let (from, to) = (first.at + HEARD, first.at + rest);
+                let in_rest = |it: &&Arrival| it.vm == first.vm && (from..to).contains(&it.at);
+                let got = arrivals.iter().filter(in_rest).count();
+                let broken = got > IN_REST && !excused(first.vm, first.at, to);
+                self.outcome.rests_broken += usize::from(broken);
+            }
+            let per_second = |from: u64| {
+                let second = from..from + 1_000;
+                arrivals.iter().filter(|it| second.contains(&it.at)).count() as f64
+            };
+            let usual =
+                (0..span.start / 1_000).map(|it| per_second(it * 1_000)).fold(1.0, f64::max);
+            let after = (span.end..self.plan.length - 1_000).step_by(100).map(per_second);
+            self.outcome.after_rest =
+                self.outcome.after_rest.max(after.fold(0.0, f64::max) / usual);
+        }
+    }
+
+    /// Holds what servers got against their limits.
+    fn judge_limits(&mut self) {
         let plan = &self.plan;
         let mut used = (0.0, 0.0);
         for (server, arrivals) in self.arrivals.iter().enumerate().take(plan.limited) {
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -75,7 +75,7 @@
         }
         Err(_) => return Err(Failed::NotRun),
     };
-    // The connection took a while: the server may have begun to leave meanwhile.
+    // The connection took a while: the server may have begun to leave or to rest meanwhile.
     if !is_usable(node, place) {
         return Err(Failed::NotRun);
     }
@@ -190,7 +190,10 @@
     let picked = servers.get(&place.server).filter(|it| it.entry.start == place.start);
     let Some(picked) = picked else { return false };
     let book = node.rollouts.borrow();
-    servers.may_take(picked, clock::now()) && book.admits(&picked.entry.service, &place.version)
+    let now = clock::now();
+    servers.may_take(picked, now)
+        && !picked.is_resting(now)
+        && book.admits(&picked.entry.service, &place.version)
 }
 
 /// Changes what is known of the server that was picked.
--- a/crates/quincevalve_node/src/request/placing.rs
+++ b/crates/quincevalve_node/src/request/placing.rs
@@ -117,10 +117,14 @@
             Ok(place) => return Ok(place),
             Err(lacking) => lacking,
         };
-        if Instant::now() + WAIT_STEP >= waits_until {
+        let next_look = match lacking {
+            NoPlace::Resting { wait } => wait,
+            _ => WAIT_STEP,
+        };
+        if Instant::now() + next_look >= waits_until {
             return Err(no_place(&ask, lacking));
         }
-        sleep(WAIT_STEP).await;
+        sleep(next_look).await;
     }
 }
 
@@ -173,10 +177,8 @@
         NoPlace::NoServer => {
             Refused { refusal: Refusal::NoServer, retry_after: Some(RETRY_AFTER.1) }
         }
-        NoPlace::Limited { wait } => {
-            let after = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
-            Refused { refusal: Refusal::Limited, retry_after: Some(after) }
-        }
+        NoPlace::Limited { wait } => held_back(Refusal::Limited, wait),
+        NoPlace::Resting { wait } => held_back(Refusal::Resting, wait),
         NoPlace::Busy { predicted } => {
             let excess = predicted.saturating_sub(ask.within);
             let after = excess.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
@@ -184,3 +186,8 @@
         }
     }
 }
+
+/// Refuses for what servers said of themselves. Another VM may have more room at them, so that the longest time is short.
+fn held_back(refusal: Refusal, wait: Duration) -> Refused {
+    Refused { refusal, retry_after: Some(wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1)) }
+}
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -30,6 +30,8 @@
     Busy,
     /// All servers name limits, and this VM has sent them its part.
     Limited,
+    /// All servers have turned this VM away and want rest.
+    Resting,
     /// Servers refused it, and it may not be sent on.
     ServersRefused,
     /// Servers exit under it.
@@ -56,6 +58,7 @@
             | Self::NoServer
             | Self::Busy
             | Self::Limited
+            | Self::Resting
             | Self::ServersRefused
             | Self::Quarantined
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -84,6 +87,7 @@
             Self::NoServer => "no-server",
             Self::Busy => "busy",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::ServersRefused => "servers-refused",
             Self::Quarantined => "quarantined",
             Self::LateNotRun => "late-not-run",
--- a/crates/quincevalve_node/src/request/signals.rs
+++ b/crates/quincevalve_node/src/request/signals.rs
@@ -26,13 +26,16 @@
         }
     }
     let signals = decoded.signals;
-    if let Some(rest) = signals.rest.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
-        && node.may_write_line()
-    {
-        log::info!(server = place.server.as_str(), rest_ms = rest.as_millis() as u64; "server-rests");
-    }
+    let now = clock::now();
     let mut servers = node.servers.borrow_mut();
     let Some(server) = servers.get_mut(&place.server, place.start) else { return };
-    let news = server.signalled(&signals, clock::now());
+    if let Some(rest) = signals.rest.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        server.rests(rest, now);
+        if node.may_write_line() {
+            let rest_ms = rest.as_millis() as u64;
+            log::info!(server = place.server.as_str(), start = place.start.0, rest_ms; "server-rests");
+        }
+    }
+    let news = server.signalled(&signals, now);
     note_news(node, (place.server.clone(), place.start), server, news, Source::Server);
 }
