--- a/crates/quincevalve_explain/src/lib.rs
+++ b/crates/quincevalve_explain/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod line;
 pub mod rollout;
+pub mod server;
 pub mod story;
 pub mod summary;
--- a/crates/quincevalve_explain/src/main.rs
+++ b/crates/quincevalve_explain/src/main.rs
@@ -6,15 +6,18 @@
     process::ExitCode,
 };
 
-use quincevalve_explain::{line::Lines, rollout::rollout, story::story, summary::summary};
+use quincevalve_explain::{
+    line::Lines, rollout::rollout, server::server, story::story, summary::summary,
+};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-const HELP: &str = "What became of a request, what was decided in a span of time, or how a service was moved to another version, from the log
-files of entry VMs.
+const HELP: &str = "What became of a request, what was decided in a span of time, how a service was moved to another version, or what VMs
+knew of a server and sent it, from the log files of entry VMs.
 
 Usage: quincevalve-explain request ID [FILE...]
        quincevalve-explain span FROM UNTIL [FILE...]
        quincevalve-explain rollout SERVICE [FILE...]
+       quincevalve-explain server NAME [FILE...]
 
 A file holds the standard output of one VM and is named after it; without files, standard input is read. FROM and
 UNTIL are timestamps as in the lines, or beginnings of them. Lines that can't be read are counted and left out.
@@ -30,7 +33,9 @@
 enum ExplainError {
     #[snafu(display("{source}; see --help"))]
     Arguments { source: pico_args::Error },
-    #[snafu(display("name `request ID`, `span FROM UNTIL` or `rollout SERVICE`; see --help"))]
+    #[snafu(display(
+        "name `request ID`, `span FROM UNTIL`, `rollout SERVICE` or `server NAME`; see --help"
+    ))]
     NoCommand,
     #[snafu(display("{}: {source}", file.display()))]
     Read { file: PathBuf, source: io::Error },
@@ -79,6 +84,11 @@
             let lines = read_all(arguments.finish().into_iter().map(PathBuf::from))?;
             rollout(&lines, &service)
         }
+        "server" => {
+            let name = operand()?;
+            let lines = read_all(arguments.finish().into_iter().map(PathBuf::from))?;
+            server(&lines, &name)
+        }
         _ => return NoCommandSnafu.fail(),
     };
     match &text {
