Store: an answer that may be cut proves nothing, and the rest is asked for at once

Cause: when thousands of servers change at once, the store answers a question for changes with 500 of them and a revision to go on from. The VM took that for all there was: a proof that what it knows is the newest, and a pause of 0.3 s before the next question, of 1.8 s where it only reads for itself. A new configuration behind the rest counted as not there.

Configurations and servers that leave behind a crowd of changes are then some round trips away.

--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -89,6 +89,8 @@
     pub changes: Vec<(StoreRevision, Change)>,
     /// The revision to go on from.
     pub at: StoreRevision,
+    /// Whether the store may have cut the answer, so that later changes may be there already.
+    pub may_be_cut: bool,
 }
 
 /// A write of the system's own keys, all or nothing.
--- a/crates/quincevalve_node/src/store/sync.rs
+++ b/crates/quincevalve_node/src/store/sync.rs
@@ -155,8 +155,11 @@
         let wait = if node.was_proved() { WAIT } else { Duration::ZERO };
         let changes = store.changes(after, wait).await?;
         heard_of_store(node, Contact::at(asked));
+        // Failure: thousands of servers change at once, and the answer holds the first of the changes only. Symptom: a
+        // configuration behind them counts as not there, and its routes are answered 404.
+        let age = if changes.may_be_cut { ReadAge::MayBeOld } else { ReadAge::Newest };
         take_changes(node, changes);
-        return Ok(ReadAge::Newest);
+        return Ok(age);
     }
     if !node.store_view.borrow().was_read() {
         take_snapshot(node, store.snapshot(ReadAge::MayBeOld).await?);
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -66,9 +66,15 @@
         };
         take_snapshot(&reader, snapshot);
         let change = (StoreRevision(103), Change::Server(name.clone(), draining()));
-        take_changes(&reader, Changes { changes: vec![change], at: StoreRevision(104) });
+        take_changes(
+            &reader,
+            Changes { changes: vec![change], at: StoreRevision(104), may_be_cut: false },
+        );
         let renewal = (StoreRevision(105), Change::Server(name.clone(), draining()));
-        take_changes(&reader, Changes { changes: vec![renewal], at: StoreRevision(105) });
+        take_changes(
+            &reader,
+            Changes { changes: vec![renewal], at: StoreRevision(105), may_be_cut: false },
+        );
         let excerpt = reader.store_view.borrow().since(StoreRevision(100), usize::MAX);
         let excerpt = excerpt.expect("changes since the whole reading");
         assert_eq!(excerpt.changes, [(103, Passed::Server(name, draining()))]);
@@ -152,20 +158,26 @@
     run(|| {
         let node = informed();
         let says = (StoreRevision(101), Change::Server("i-1".into(), draining()));
-        take_changes(&node, Changes { changes: vec![says], at: StoreRevision(101) });
+        take_changes(
+            &node,
+            Changes { changes: vec![says], at: StoreRevision(101), may_be_cut: false },
+        );
         assert_eq!(usable(&node), 0);
     });
     run(|| {
         let node = informed();
         let gone = (StoreRevision(101), Change::ServerRemoved("i-1".into()));
-        take_changes(&node, Changes { changes: vec![gone], at: StoreRevision(101) });
+        take_changes(
+            &node,
+            Changes { changes: vec![gone], at: StoreRevision(101), may_be_cut: false },
+        );
         assert_eq!(usable(&node), 0);
     });
     run(|| {
         let node = informed();
         let spoiled = Change::ServerUnreadable("i-1".into(), "spoiled".to_owned());
         let changes = vec![(StoreRevision(101), spoiled)];
-        take_changes(&node, Changes { changes, at: StoreRevision(101) });
+        take_changes(&node, Changes { changes, at: StoreRevision(101), may_be_cut: false });
         assert_eq!(usable(&node), 0);
     });
 }
@@ -195,7 +207,10 @@
     run(|| {
         let node = informed();
         let gone = (StoreRevision(101), Change::ServerRemoved("i-1".into()));
-        take_changes(&node, Changes { changes: vec![gone], at: StoreRevision(101) });
+        take_changes(
+            &node,
+            Changes { changes: vec![gone], at: StoreRevision(101), may_be_cut: false },
+        );
         let at = StoreRevision(100);
         let servers = vec![("i-1".into(), ready())];
         take_snapshot(&node, Snapshot { servers, at, newest: at, ..Snapshot::default() });
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -68,6 +68,8 @@
     changes: RefCell<Vec<(StoreRevision, FakeChange)>>,
     silent: Cell<bool>,
     holds_changes: Cell<bool>,
+    /// Changes in one answer at most.
+    cuts_at: Cell<Option<usize>>,
     changed: Notify,
 }
 
@@ -104,6 +106,8 @@
     refused: Cell<usize>,
     /// Questions for changes that were answered.
     answered: Cell<usize>,
+    /// Answers that were cut.
+    cut: Cell<usize>,
     /// Readings of everything.
     whole_readings: Cell<usize>,
 }
@@ -119,6 +123,16 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Answers a question with so many changes at most from now on.
+    pub fn cut_answers(&self, changes: usize) {
+        self.shared.cuts_at.set(Some(changes));
+    }
+
+    /// Answers to this handle's VM that were cut.
+    pub fn cut(&self) -> usize {
+        self.vm.cut.get()
+    }
+
     /// The same store for another VM.
     pub fn for_another_vm(&self) -> Self {
         Self { shared: self.shared.clone(), vm: Rc::default() }
@@ -271,9 +285,15 @@
         }
         self.answer().await?;
         self.vm.answered.set(self.vm.answered.get() + 1);
-        let changes = news();
+        let mut changes = news();
+        let whole = self.shared.cuts_at.get().unwrap_or(changes.len());
+        let may_be_cut = changes.len() > whole;
+        changes.truncate(whole);
+        if may_be_cut {
+            self.vm.cut.set(self.vm.cut.get() + 1);
+        }
         let at = changes.last().map_or(after, |(at, _)| *at);
-        Ok(Changes { changes, at })
+        Ok(Changes { changes, at, may_be_cut })
     }
 
     async fn config(&self, _: ReadAge) -> Result<Option<ForwardingConfig>, StoreError> {
