Store: what is passed on is weighed as it is encoded, and thousands of changes are kept

Cause: a change of a server was taken to weigh 230 bytes in a datagram, three times what it is, so that a datagram held 87 of them; the log of changes held 2,000, fewer than there are servers, and who lagged further behind was told nothing, not even the version of the configuration. A collector also reckoned anew for each member whether it passes the store on, which ranks all VMs.

Change: the weight is that of the datagram's own encoding; 10,000 changes are kept (about 2 MB, worked out); the reckoning is made once for all members.

Test: a_change_weighs_at_least_what_it_takes_in_a_datagram held the weight against an encoding with numbers of fixed length, which no datagram uses; it uses the datagram's now and is as strict.

--- a/crates/quincevalve_forwarding/src/change_log.rs
+++ b/crates/quincevalve_forwarding/src/change_log.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-/// Changes kept; some a second come, and who lags further behind reads the store itself.
-const KEPT: usize = 2_000;
+/// Changes kept: all servers of a large system may start at once. Who lags further behind reads the store itself.
+const KEPT: usize = 10_000;
 
 /// Changes after a revision up to another, without a gap.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -17,6 +17,7 @@
 use quincevalve_names::{ServiceName, TimePoint};
 
 pub(crate) use self::{
+    datagram::encoding,
     hear::hear_peers,
     tell::{ask_for_state, tell_peers},
 };
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -119,6 +119,6 @@
 ///
 /// Load: a collector tells each of its members the work at all servers, sixteen times a second. With numbers of fixed
 /// length and twenty members it sent 2.1 MB a second, and a VM of an eighth of a core had no time left for requests.
-pub(super) fn encoding() -> impl Options {
+pub(crate) fn encoding() -> impl Options {
     DefaultOptions::new().with_limit(MAX_DATAGRAM as u64)
 }
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -151,11 +151,13 @@
     }
     drop(peers);
     let contact = told_contact(node, now);
+    let relays_store = node.relays_store();
     for (address, scope, share) in sent {
         let with_contact =
             turn.is_multiple_of(CONTACT_PERIODS) || (by_turns && scope == Scope::Rest);
         let store = contact.filter(|_| with_contact);
-        let relayed = if scope == Scope::Own { None } else { relayed(node, address, now) };
+        let is_told_store = relays_store && scope != Scope::Own;
+        let relayed = if is_told_store { relayed(node, address, now) } else { None };
         let share = Box::new(share);
         let bytes = send(node, socket, address, Content::Share { scope, share, relayed, store });
         let mut peers = node.peers.borrow_mut();
@@ -184,9 +186,6 @@
 
 /// What a VM that knows the store passes on to another.
 fn relayed(node: &Node, to: SocketAddr, now: TimePoint) -> Option<Relayed> {
-    if !node.relays_store() {
-        return None;
-    }
     let age = node.freshness.get().age(now)?;
     let version = node.config()?.version.max(node.told_version.get());
     let seen = {
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -1,5 +1,6 @@
 //! What this VM knows of the platform's store, whether it read it itself or was told.
 
+use bincode::Options;
 use quincevalve_forwarding::{
     change_log::{ChangeLog, Excerpt},
     config::ForwardingConfig,
@@ -15,6 +16,7 @@
 use crate::{
     clock,
     node::Node,
+    peers::encoding,
     ports::{Change, Changes, LeaseId, OwnItem, Snapshot, StoreRevision},
     quarantine::{QUARANTINE_KEYS, digest_of, listed},
     rollouts::{self, ROLLOUT_KEYS},
@@ -58,27 +60,14 @@
     Config(u64),
 }
 
-/// Bytes of a change in a datagram beside its names and values.
-const CHANGE_BYTES: usize = 64;
+/// Bytes of a change's revision in a datagram at most.
+const REVISION_BYTES: usize = 9;
 
 impl Passed {
-    /// The bytes that it takes in a datagram, about.
+    /// The bytes that it takes in a datagram at most.
     fn bytes(&self) -> usize {
-        let own = match self {
-            Self::Server(name, entry) => {
-                let names = entry.service.as_str().len() + entry.data_centre.as_str().len();
-                name.as_str().len() + names + size_of::<ServerEntry>()
-            }
-            Self::ServerRemoved(name) | Self::ServerUnreadable(name) => name.as_str().len(),
-            Self::Own { key, value } => key.len() + value.len(),
-            Self::OwnRemoved(key) => key.len(),
-            Self::RolloutOrder(service, order) => {
-                let version = order.as_ref().map_or(0, |it| it.to.as_str().len());
-                service.as_str().len() + version
-            }
-            Self::Config(_) => 0,
-        };
-        CHANGE_BYTES + own
+        let size = encoding().serialized_size(self).unwrap_or(u64::MAX);
+        REVISION_BYTES + usize::try_from(size).unwrap_or(usize::MAX)
     }
 
     /// Whether other VMs need it.
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -45,7 +45,7 @@
 fn a_change_weighs_at_least_what_it_takes_in_a_datagram() {
     let server = Passed::Server("i-0123456789".into(), draining());
     for change in [server, own("peers/vm-1", 200), Passed::ServerRemoved("i-1".into())] {
-        let encoded = bincode::serialize(&change).unwrap();
+        let encoded = encoding().serialize(&change).unwrap();
         assert!(change.bytes() >= encoded.len(), "{change:?}: {}", encoded.len());
     }
 }
