--- a/crates/quincevalve_forwarding/src/signal_outbox.rs
+++ b/crates/quincevalve_forwarding/src/signal_outbox.rs
@@ -21,8 +21,8 @@
     OwnCollector,
 }
 
-/// Datagrams that tell the same news to the same VM: one may be lost.
-const TELLINGS: u8 = 2;
+/// Datagrams that tell the same news to the same VM: one or two may be lost.
+const TELLINGS: u8 = 3;
 
 /// News of servers that are still to be told, and to whom.
 ///
