--- a/crates/quincevalve_node/tests/rollout.rs
+++ b/crates/quincevalve_node/tests/rollout.rs
@@ -9,7 +9,7 @@
 };
 
 use quincevalve_forwarding::{
-    rollout::record::{OrderId, RolloutOrder},
+    rollout::record::{OrderId, Phase, RollbackCause, RolloutOrder, RolloutRecord},
     servers::ServerEntry,
 };
 use quincevalve_node::ports::RolloutState;
@@ -255,3 +255,46 @@
         assert_eq!(first_final, Some(seen.borrow().len() - 1), "{:?}", seen.borrow());
     });
 }
+
+/// Begins a roll-out while others write something just before its first word, and returns the words of some time after.
+async fn words_after(write: impl FnOnce(&FakeStore) + 'static) -> Vec<RolloutState> {
+    let world = World::start(2 * OLD, good).await;
+    world.store.before_next_word(write);
+    begin(&world, 60);
+    let store = world.store.clone();
+    until(|| store.was_written_between()).await;
+    sleep(TOLD).await;
+    world.store.statuses().iter().map(|it| it.state).collect()
+}
+
+// A holder of the duties is frozen between its reading and its writing, and another takes them over meanwhile.
+#[test]
+fn who_holds_the_duties_no_longer_writes_no_word() {
+    run(async {
+        let words = words_after(|store| store.put("duty/holder", b"another".to_vec())).await;
+        assert_eq!(words, []);
+    });
+}
+
+// Another holder took the version back between the reading and the writing of this one.
+#[test]
+fn a_word_is_not_written_over_a_record_that_was_written_in_between() {
+    run(async {
+        let words = words_after(|store| {
+            let order = store.order_of("engines").expect("an order");
+            let phase = Phase::RolledBack(RollbackCause::Failures);
+            let record = RolloutRecord { phase, ..RolloutRecord::first(&order, 0) };
+            store.put("rollout/engines", serde_json::to_vec(&record).expect("a record"));
+        });
+        assert_eq!(words.await, []);
+    });
+}
+
+// Operators remove the order between the reading and the writing.
+#[test]
+fn no_word_is_written_about_an_order_that_was_removed_in_between() {
+    run(async {
+        let words = words_after(|store| store.order_rollout("engines", None)).await;
+        assert!(!words.contains(&RolloutState::Active), "{words:?}");
+    });
+}
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -67,12 +67,16 @@
     statuses: RefCell<Vec<RolloutStatus>>,
     changes: RefCell<Vec<(StoreRevision, FakeChange)>>,
     silent: Cell<bool>,
+    /// What others write between the next word about a roll-out and its taking effect.
+    before_word: RefCell<Option<BeforeWord>>,
     holds_changes: Cell<bool>,
     /// Changes in one answer at most.
     cuts_at: Cell<Option<usize>>,
     changed: Notify,
 }
 
+type BeforeWord = Box<dyn FnOnce(&FakeStore)>;
+
 /// A change of the store after its first revision.
 #[derive(Clone)]
 enum FakeChange {
@@ -210,11 +214,27 @@
         }
     }
 
+    /// The order that stands for a service.
+    pub fn order_of(&self, service: &str) -> Option<RolloutOrder> {
+        let service: ServiceName = service.into();
+        self.shared.rollouts.borrow().get(&service).cloned()
+    }
+
     /// The words about roll-outs so far.
     pub fn statuses(&self) -> Vec<RolloutStatus> {
         self.shared.statuses.borrow().clone()
     }
 
+    /// Lets others write just before the next word about a roll-out takes effect.
+    pub fn before_next_word(&self, write: impl FnOnce(&Self) + 'static) {
+        *self.shared.before_word.borrow_mut() = Some(Box::new(write));
+    }
+
+    /// Whether what others were to write is written.
+    pub fn was_written_between(&self) -> bool {
+        self.shared.before_word.borrow().is_none()
+    }
+
     /// Writes an item of the system's own.
     pub fn put(&self, key: &str, value: Vec<u8>) {
         let revision = self.add(FakeChange::Own(key.to_owned(), Some(value.clone())));
@@ -343,6 +363,10 @@
         commit: &Commit,
         status: &RolloutStatus,
     ) -> Result<StoreRevision, StoreError> {
+        let before = self.shared.before_word.borrow_mut().take();
+        if let Some(write) = before {
+            write(self);
+        }
         let stands = {
             let rollouts = self.shared.rollouts.borrow();
             rollouts.get(&status.service).map_or(StoreRevision::ABSENT, |it| StoreRevision(it.id.0))
