--- a/crates/quincevalve_forwarding/src/allowance.rs
+++ b/crates/quincevalve_forwarding/src/allowance.rs
@@ -1,10 +1,10 @@
-//! One VM's part of the requests that a server in need takes from all VMs together.
+//! One VM's part of the requests that a server with a limit takes from all VMs together.
 
 use quincevalve_names::mix;
 
 use crate::{server_signals::RequestRate, shared_limit::Seat};
 
-/// Milliseconds of true time for which requests are given out together.
+/// Milliseconds of true time in a frame.
 const FRAME_MS: i64 = 250;
 /// Frames whose requests may still be sent, the present one included: a VM of few requests needs some time to have one.
 const FRAMES: i64 = 4;
@@ -20,9 +20,9 @@
 
 /// What one VM may send to one server that names a limit.
 ///
-/// True time is cut into frames. All VMs reckon the same whole number of requests for each frame and whose they are, so
-/// that the sum is kept without a word between them, with a fraction of a request for each VM too. What isn't sent within
-/// a second is lost: VMs that save up would send together what was meant for minutes.
+/// True time is cut into frames. All VMs compute the same whole number of requests for each frame and which VM may send
+/// them, so the sum holds without messages, also where each VM's share is a fraction of a request. What isn't sent within
+/// a second expires: VMs that accumulate their share would send it all at once.
 ///
 /// # Examples
 ///
--- a/crates/quincevalve_forwarding/tests/restraints.rs
+++ b/crates/quincevalve_forwarding/tests/restraints.rs
@@ -1,4 +1,4 @@
-//! What servers take less of by their own word: limits, kept by many VMs without a word between them, and rest.
+//! What servers ask VMs to hold back: limits, divided among many VMs without messages, and rest.
 
 mod support;
 
--- a/crates/quincevalve_forwarding/tests/signals_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/main.rs
@@ -63,8 +63,8 @@
 }
 
 situations! {
-    one_server_in_need: |plan| plan;
-    all_servers_in_need: |plan| Plan { limited: plan.servers, limits: vec![(3_000, Some(2.1))], ..plan };
+    one_limited_server: |plan| plan;
+    all_servers_limited: |plan| Plan { limited: plan.servers, limits: vec![(3_000, Some(2.1))], ..plan };
     a_limit_of_nothing: |plan| Plan { limits: vec![(3_000, Some(0.0))], ..plan };
     a_large_limit: |plan| Plan { limits: vec![(3_000, Some(40.0))], limited: plan.servers, ..plan };
     limits_that_change: |plan| Plan { limits: changing(), limited: plan.servers / 2, ..plan };
@@ -101,7 +101,7 @@
     vms_added: |plan| Plan { added: Some((plan.vms / 4, 10_000)), ..plan };
 }
 
-// Without its part of the limit each VM sends a server in need what it would send anyway.
+// Without its share of the limit each VM sends a limited server what it would send anyway.
 #[test]
 fn without_parts_a_limit_is_broken() {
     for (vms, servers) in SIZES {
@@ -125,7 +125,7 @@
     }
 }
 
-// Without telling each other, VMs learn one after the other that a server is in need.
+// Without telling each other, VMs learn of a limit one after the other.
 #[test]
 fn without_telling_a_limit_is_known_late() {
     let (vms, servers) = SIZES[2];
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -138,7 +138,7 @@
 /// The number that an order names: what the plan wants, and what is there beside it.
 ///
 /// Failure: an order names all servers of a kind, and the plan knows the old version's only. Symptom: while both versions
-/// serve, an order for one more server gives back those of the new version. Servers in need count as far as the service
+/// serve, an order for one more server gives back those of the new version. Servers with a limit count as far as the service
 /// may have so many in a data centre, for an order beyond that is refused.
 fn count_ordered(node: &Node, service: &ServiceName, order: &Order, most: u32) -> u32 {
     let servers = node.servers.borrow();
