Refusals: a server's status that promises "not run" is passed on only where it may run again

Callers of what may run once got 408, 429 or 503 with the server's seal where the server had not said that it did not run the request: a promise that nobody had made, and they sent it again. Only the server's own word stands for "not run" (`classify`); another answer with such a status counts as a run, and the caller gets 502.

--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -18,7 +18,7 @@
         exit_check::connection_broke,
         identify::Identified,
         placing::{RETRY_AFTER, WorkGuard, find_place, unlisted_ms},
-        refusal::{Refusal, Refused},
+        refusal::{Refusal, Refused, promises_not_run},
         relay,
         story::note,
     },
@@ -153,6 +153,12 @@
     if !answer.sealed {
         return Err(Failed::MayHaveRun);
     }
+    // The server didn't say that it has not run it, and its status would say so to the caller.
+    if promises_not_run(status) && !req.repeat().may_run_again() {
+        guard.judged(false);
+        note!(node, req, server = place.server.as_str(), status = status.as_u16(); "server-error");
+        return Err(Failed::MayHaveRun);
+    }
     let again = status.is_server_error()
         && req.repeat() == Repeat::Idempotent
         && runs + 1 < req.route.max_servers;
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -112,6 +112,17 @@
     }
 }
 
+/// Whether a status promises a caller that its request has not run and never will.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// The end of a request without a server's answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Refused {
