--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -90,6 +90,7 @@
         newest_event: None,
         between_events: Duration::ZERO,
         pauses: 0,
+        longest_pause: Duration::ZERO,
         runs_before,
         _in_flight: InFlight::new(node),
     };
@@ -112,6 +113,7 @@
     /// The time between all events, and how many pauses that were.
     between_events: Duration,
     pauses: u32,
+    longest_pause: Duration,
     /// Servers that may have run the request before the first of this stream.
     runs_before: u32,
     _in_flight: InFlight,
@@ -161,7 +163,8 @@
         note!(
             self.node, self.req,
             how = how, servers = servers.len(), server = servers.last().map_or("", |it| it.as_str()),
-            first_ms = first_ms, took_ms = self.req.arrived.elapsed().as_millis() as u64;
+            first_ms = first_ms, pause_ms = self.longest_pause.as_millis() as u64,
+            took_ms = self.req.arrived.elapsed().as_millis() as u64;
             "stream-ended"
         );
         self.node.metrics.request(&self.req.route.name, how);
@@ -224,6 +227,7 @@
             if let Some(before) = self.newest_event.replace(now) {
                 self.node.metrics.between_events(&self.req.route.name, now - before);
                 self.between_events += now - before;
+                self.longest_pause = self.longest_pause.max(now - before);
                 self.pauses += 1;
             }
             if self.tx.send(Ok(events)).await.is_err() {
