Peers: roles are looked up instead of reckoned for each datagram

A VM's place for limits hashed all names besides, and each sending walked all VMs for an address. All of it grows with the VMs of a data centre times its datagrams.

--- a/crates/quincevalve_forwarding/src/peer_book.rs
+++ b/crates/quincevalve_forwarding/src/peer_book.rs
@@ -5,12 +5,15 @@
 //! the sum of their members, and each member hears the sum of all others from its collector. A VM then sends
 //! and takes a few datagrams in a period, whatever the size of the system.
 
-use std::{net::SocketAddr, time::Duration};
+mod ranking;
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
 use quincevalve_names::{DataCentreName, TimePoint, hash_text, rendezvous_score};
 use serde::{Deserialize, Serialize};
 
+use self::ranking::{Rank, Ranking};
 use crate::{shared_limit::Seat, store_pacing::ReadingPart};
 
 /// Up to this many VMs everyone tells everyone: a dozen datagrams a period are cheap, and there is no
@@ -41,6 +44,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     card: VmCard,
+    /// The hash of its name, which costs more than all else that is done with the name.
+    hash: u64,
     listed: bool,
     heard: Option<TimePoint>,
     /// Since when it has been told things without any answer.
@@ -72,16 +77,26 @@
 }
 
 /// The entry VMs that are known.
+///
+/// Load: roles are asked for with each datagram, and hundreds of VMs are known. What that takes is kept up to date as VMs
+/// come and go, so that an answer costs the same whatever their number.
 #[derive(Clone, Debug)]
 pub struct PeerBook {
     me: VmCard,
+    me_hash: u64,
     peers: IndexMap<String, Peer>,
+    names: HashMap<SocketAddr, String>,
+    /// All VMs by data centre, this one included.
+    ranking: Ranking,
 }
 
 impl PeerBook {
     /// Knows nobody but `me`.
     pub fn new(me: VmCard) -> Self {
-        Self { me, peers: IndexMap::new() }
+        let me_hash = hash_text(&me.name);
+        let mut ranking = Ranking::default();
+        ranking.insert(&me, me_hash);
+        Self { me, me_hash, peers: IndexMap::new(), names: HashMap::new(), ranking }
     }
 
     /// This VM's own card.
@@ -99,16 +114,33 @@
         if card.name == self.me.name {
             return false;
         }
-        let is_new = !self.peers.contains_key(&card.name);
-        let peer = self.peers.entry(card.name.clone()).or_insert_with(|| Peer {
-            card: card.clone(),
-            listed: true,
-            heard: None,
-            asked: None,
-        });
-        peer.card = card;
-        peer.listed = true;
-        is_new
+        if let Some(peer) = self.peers.get_mut(&card.name) {
+            peer.listed = true;
+            if peer.card != card {
+                let (before, hash) = (std::mem::replace(&mut peer.card, card.clone()), peer.hash);
+                self.unindex(&before, hash);
+                self.index(&card, hash);
+            }
+            return false;
+        }
+        let hash = hash_text(&card.name);
+        self.index(&card, hash);
+        let name = card.name.clone();
+        self.peers.insert(name, Peer { card, hash, listed: true, heard: None, asked: None });
+        true
+    }
+
+    fn index(&mut self, card: &VmCard, hash: u64) {
+        self.ranking.insert(card, hash);
+        self.names.insert(card.address, card.name.clone());
+    }
+
+    fn unindex(&mut self, card: &VmCard, hash: u64) {
+        self.ranking.remove(card, hash);
+        // Another VM may have taken its address over.
+        if self.names.get(&card.address) == Some(&card.name) {
+            self.names.remove(&card.address);
+        }
     }
 
     /// Notes that a VM's entry was removed.
@@ -139,8 +171,8 @@
 
     /// Notes a datagram to a VM.
     pub fn asked(&mut self, address: SocketAddr, now: TimePoint) {
-        let peer = self.peers.values_mut().find(|it| it.card.address == address);
-        if let Some(peer) = peer {
+        let name = self.names.get(&address);
+        if let Some(peer) = name.and_then(|it| self.peers.get_mut(it)) {
             peer.asked.get_or_insert(now);
         }
     }
@@ -152,7 +184,9 @@
         let gone: Vec<_> =
             self.peers.iter().filter(|(_, it)| is_gone(it)).map(|(name, _)| name.clone()).collect();
         for name in &gone {
-            self.peers.shift_remove(name);
+            if let Some(peer) = self.peers.shift_remove(name) {
+                self.unindex(&peer.card, peer.hash);
+            }
         }
         gone
     }
@@ -173,10 +207,12 @@
 
     /// This VM's place among all that are listed, in an order of `key`'s own.
     pub fn seat(&self, key: u64) -> Seat {
-        let score = |name: &str| rendezvous_score(key, hash_text(name));
-        let me = score(&self.me.name);
-        let rank = self.listed_cards().filter(|it| score(&it.name) > me).count();
-        Seat { rank, of: self.listed_cards().count() }
+        let me = rendezvous_score(key, self.me_hash);
+        let listed = self.peers.values().filter(|it| it.listed);
+        let (before, others) = listed.fold((0, 0), |(before, others), it| {
+            (before + usize::from(rendezvous_score(key, it.hash) > me), others + 1)
+        });
+        Seat { rank: before, of: others + 1 }
     }
 
     /// The other VMs that may still have something to tell.
@@ -191,7 +227,7 @@
 
     /// The name of the VM at an address.
     pub fn name_of(&self, address: SocketAddr) -> Option<&str> {
-        self.peers.values().find(|it| it.card.address == address).map(|it| it.card.name.as_str())
+        self.names.get(&address).map(String::as_str)
     }
 
     /// Whether every VM of a small system tells every other.
@@ -248,7 +284,7 @@
         let candidates: Vec<&VmCard> = if self.is_small() {
             self.peers.values().map(|it| &it.card).chain([&self.me]).collect()
         } else if matches!(self.role(has_members, now), Role::Collector { .. }) {
-            self.data_centres().into_iter().filter_map(|it| self.collector_of(it, now)).collect()
+            self.ranking.centres().filter_map(|it| self.collector_of(it, now)).collect()
         } else {
             return ReadingPart::Told;
         };
@@ -281,20 +317,10 @@
         self.ranked(centre).take(COLLECTORS_TRIED).find(|it| !self.is_silent(it, now))
     }
 
-    fn data_centres(&self) -> Vec<&DataCentreName> {
-        let mut centres: Vec<&DataCentreName> = Vec::new();
-        for card in self.peers.values().map(|it| &it.card).chain([&self.me]) {
-            if !centres.contains(&&card.data_centre) {
-                centres.push(&card.data_centre);
-            }
-        }
-        centres
-    }
-
     /// Of each data centre the first that answers, and where the very first doesn't, also that one.
     fn other_collectors(&self, now: TimePoint) -> Vec<SocketAddr> {
         let mut collectors = Vec::new();
-        for centre in self.data_centres() {
+        for centre in self.ranking.centres() {
             for card in self.ranked(centre).take(COLLECTORS_TRIED) {
                 if card.name == self.me.name {
                     break;
@@ -314,15 +340,14 @@
 
     /// The VMs of a data centre, strongest first; the same order everywhere.
     fn ranked(&self, centre: &DataCentreName) -> impl Iterator<Item = &VmCard> {
-        let cards = self.peers.values().map(|it| &it.card).chain([&self.me]);
-        ranked(cards.filter(|it| it.data_centre == *centre)).into_iter()
+        self.ranking.of(centre).filter_map(|it| self.card(it))
     }
 }
 
 /// VMs by rank, strongest first; the same order everywhere.
 fn ranked<'a>(cards: impl Iterator<Item = &'a VmCard>) -> Vec<&'a VmCard> {
     let mut cards: Vec<_> = cards.collect();
-    cards.sort_by_key(|it| (std::cmp::Reverse(it.cpu), hash_text(&it.name)));
+    cards.sort_by_cached_key(|it| Rank::new(it, hash_text(&it.name)));
     cards
 }
 
@@ -361,6 +386,11 @@
     first.into_iter().map(|it| it.address).collect()
 }
 
+/// How many VMs of its data centre come before one that starts.
+pub fn rank_at_start(me: &VmCard, centre: &[VmCard]) -> usize {
+    ranked(centre.iter()).iter().position(|it| it.name == me.name).unwrap_or(centre.len())
+}
+
 /// From so many VMs in a data centre on one that starts asks others for what it knows. Fewer read the store in little
 /// time even when all start together.
 const MANY_IN_A_CENTRE: usize = 12;
