--- a/crates/quincevalve_forwarding/src/change_log.rs
+++ b/crates/quincevalve_forwarding/src/change_log.rs
@@ -69,7 +69,8 @@
         if seen < self.after {
             return None;
         }
-        let lacking = self.changes.iter().filter(|(at, _)| *at > seen);
+        let first = self.changes.partition_point(|(at, _)| *at <= seen);
+        let lacking = self.changes.range(first..);
         let mut changes: Vec<(u64, C)> = Vec::new();
         let mut weight = 0;
         let mut upto = self.upto;
