Loads: what VMs tell each other is bounded, and told when there is news

Cause: a collector told each member the work at every server that had a prompt in the last nine seconds, and what every account spends. At 2,996 servers that is up to 70 KB, more than a datagram holds, to each of 165 members: VMs of a data centre times servers.

Change: digests name the busiest servers, 300 to a member and 900 to a collector; accounts below a quarter of their quotas are left out to members; work that an engine reads in 5 ms is left out. A member tells at once what it takes on or ends, else each 300 ms; rates fade at the receiver beyond the usual age. Servers keep their hashes; sums are taken over when there are new ones. Removed servers are forgotten in the order in which they went.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -82,7 +82,30 @@
     urgency == 0
 }
 
+/// Prompt tokens whose reading keeps an engine about as busy as a running request does meanwhile.
+const REQUEST_WEIGHT: u64 = 1_000;
+/// Prompt tokens below which what was sent lately isn't told when nothing else is: an engine reads them in some 5 ms.
+///
+/// Load: what was sent fades, but is never quite gone. Told for as long as it isn't zero, each server that had a prompt in
+/// the last nine seconds is named in each digest, which in a large system is nearly all servers.
+const LEAST_RECENT: u64 = 512;
+
 impl WorkSum {
+    /// Whether it is so much that other VMs place by it.
+    pub fn matters(&self) -> bool {
+        self.requests > 0 || self.recent >= LEAST_RECENT
+    }
+
+    /// Whether it is the same requests, however much of what was sent has faded meanwhile.
+    pub fn is_same_but_faded(&self, later: Self) -> bool {
+        later.recent <= self.recent && Self { recent: later.recent, ..*self } == later
+    }
+
+    /// How much a server is kept busy by it, to compare servers.
+    pub fn weight(&self) -> u64 {
+        self.prefill + self.recent + u64::from(self.requests) * REQUEST_WEIGHT
+    }
+
     fn add(&mut self, work: Work) {
         self.requests += 1;
         self.prefill += u64::from(work.prefill);
@@ -208,6 +231,11 @@
         self.own.remove(work);
     }
 
+    /// Whether this VM has or lately had work there.
+    pub fn has_work(&self) -> bool {
+        self.own.requests > 0 || self.own.recent > 0
+    }
+
     /// This VM's own work at the server, for its peers.
     pub fn own(&self, now: TimePoint) -> WorkSum {
         WorkSum { recent: faded(self.own.recent, now.since(self.recent_at)), ..self.own }
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -1,8 +1,8 @@
 //! The backend servers that are known, and which of them may get new work.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use quincevalve_names::{
     BackendServerName, DataCentreName, ServerVersion, ServiceName, TimePoint, hash_text, mix,
 };
@@ -14,6 +14,7 @@
     server_signals::{RequestRate, ServerSignals, SignalNews, ToldSignals},
     shared_limit::Seat,
     store_contact::LAPSE_AFTER,
+    sums::Works,
 };
 
 /// When a server's process started, in Unix milliseconds by its own clock: tells starts under one name apart.
@@ -231,6 +232,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     servers: IndexMap<BackendServerName, Server>,
+    /// Servers whose entries were removed, and when, oldest first.
+    gone: VecDeque<(TimePoint, BackendServerName)>,
     /// Since when the store answers nobody.
     store_away: Option<TimePoint>,
     /// The last time that it was away.
@@ -320,16 +323,21 @@
             server.leaves_silently(now);
             Removal::Leaving
         };
+        self.gone.push_back((now, name.clone()));
         self.forget_gone(now);
         Some(removal)
     }
 
     /// Forgets servers whose entries were removed long ago.
     fn forget_gone(&mut self, now: TimePoint) {
-        self.servers.retain(|_, it| match it.listing {
-            Listing::Listed | Listing::Unreadable => true,
-            Listing::Removed(at) => now.since(at) < FORGET_AFTER,
-        });
+        while let Some((at, _)) = self.gone.front()
+            && now.since(*at) >= FORGET_AFTER
+        {
+            let Some((at, name)) = self.gone.pop_front() else { return };
+            if self.servers.get(&name).is_some_and(|it| it.listing == Listing::Removed(at)) {
+                self.servers.swap_remove(&name);
+            }
+        }
     }
 
     /// Notes that what stands under a server's name can't be read: another writer's, or spoiled. The server gets
@@ -363,11 +371,13 @@
         now: TimePoint,
     ) -> Vec<(BackendServerName, Removal)> {
         let names: Vec<_> = self.servers.keys().cloned().collect();
+        let unreadable: IndexSet<&BackendServerName> = unreadable.iter().collect();
+        let listed: IndexSet<&BackendServerName> = entries.iter().map(|(name, _)| name).collect();
         let mut missing = Vec::new();
         for name in names {
             if unreadable.contains(&name) {
                 self.unreadable(&name);
-            } else if !entries.iter().any(|(listed, _)| *listed == name) {
+            } else if !listed.contains(&name) {
                 missing.extend(self.removed(&name, now).map(|it| (name, it)));
             }
         }
@@ -578,9 +588,19 @@
         self.servers.iter()
     }
 
-    /// All servers that are remembered, to change their load.
-    pub fn all_mut(&mut self) -> impl Iterator<Item = (&BackendServerName, &mut Server)> {
-        self.servers.iter_mut()
+    /// This VM's own work at servers, for its peers.
+    pub fn own_work(&self, now: TimePoint) -> Works {
+        let busy = self.servers.values().filter(|it| it.load.has_work());
+        let work = busy.map(|it| (it.hash, it.load.own(now)));
+        work.filter(|(_, it)| it.matters()).collect()
+    }
+
+    /// Takes the work of all other VMs; servers that aren't named have none that matters.
+    pub fn set_others(&mut self, works: &Works, now: TimePoint) {
+        for server in self.servers.values_mut() {
+            let work = works.get(&server.hash).copied().unwrap_or_default();
+            server.load.set_others(work, now);
+        }
     }
 
     /// The servers of a service that may get new work.
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -1,19 +1,27 @@
 //! What VMs tell each other of their work and of quotas, summed up without counting anything twice.
 
-use std::{collections::HashMap, hash::Hash, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, hash::Hash, time::Duration};
 
 use indexmap::IndexMap;
 use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::ForwardingConfig,
+    demand::WORK_TIME,
     load::WorkSum,
+    quota::SPENDING_TIME,
+    rate,
     rollout::share::{RolloutShares, add_shares, shares_without},
 };
 
 /// What was told counts for this long: several periods, so that a lost datagram or two change nothing.
 const FRESH: Duration = Duration::from_millis(800);
 
+/// The age up to which rates count as they were told. A VM that has news tells them within it; of one that has none they
+/// fade, and aren't told again for that.
+const USUAL_AGE: Duration = Duration::from_millis(120);
+
 /// Work at servers, by a hash of their names.
 pub type Works = IndexMap<u64, WorkSum>;
 
@@ -38,26 +46,77 @@
     pub rollouts: RolloutShares,
 }
 
+/// Servers that a collector names to each of its members, and to each other collector.
+///
+/// Load: a digest goes to each VM of a data centre several times a second, so what it holds must not grow with the servers.
+/// The busiest are named; a server that isn't is taken for one that has only the receiver's own work, and every VM looks at
+/// several servers for each request.
+pub const NAMED_TO_MEMBER: usize = 300;
+/// The same for a collector, which adds such digests up: the busiest of all are among the busiest of a data centre.
+pub const NAMED_TO_COLLECTOR: usize = 900;
+/// Part of its quota below which what an account spends isn't told to members: it can't be refused anything for it.
+const LEAST_SPENT_PART: f64 = 0.25;
+
 /// What is left of a rate after a subtraction and is below this, in units or busy servers a second, is a rounding error.
 const ROUNDING: f64 = 1e-6;
 
 impl Share {
     /// Adds another share.
     pub fn add(&mut self, other: &Self) {
+        self.add_aged(other, Duration::ZERO);
+    }
+
+    /// Adds a share that was told so long ago.
+    fn add_aged(&mut self, other: &Self, age: Duration) {
+        let unheard = age.saturating_sub(USUAL_AGE);
         self.vms += other.vms;
         for (server, work) in &other.works {
             let known = self.works.entry(*server).or_default();
             *known = known.plus(*work);
         }
         for (account, spending) in &other.spending {
-            *self.spending.entry(account.clone()).or_default() += spending;
+            let faded = spending * rate::fading(SPENDING_TIME, unheard);
+            *self.spending.entry(account.clone()).or_default() += faded;
         }
         for (service, busy) in &other.demand {
-            *self.demand.entry(service.clone()).or_default() += busy;
+            let faded = busy * rate::fading(WORK_TIME, unheard);
+            *self.demand.entry(service.clone()).or_default() += faded;
         }
         add_shares(&mut self.rollouts, &other.rollouts);
     }
 
+    /// Names no more than so many servers, the busiest.
+    pub fn name_busiest(&mut self, servers: usize) {
+        if self.works.len() <= servers {
+            return;
+        }
+        let place = |server: &u64, work: &WorkSum| (Reverse(work.weight()), *server);
+        let mut places: Vec<_> = self.works.iter().map(|(server, it)| place(server, it)).collect();
+        let first_left_out = *places.select_nth_unstable(servers).1;
+        self.works.retain(|server, it| place(server, it) < first_left_out);
+    }
+
+    /// Leaves out the accounts that are far below their quotas.
+    pub fn drop_light_spending(&mut self, config: &ForwardingConfig) {
+        self.spending.retain(|account, spent| {
+            let quota = config.accounts.get(account).and_then(|it| it.quota);
+            quota.is_none_or(|it| *spent >= it.per_second * LEAST_SPENT_PART)
+        });
+    }
+
+    /// Whether a VM has taken on or ended anything since it told `before`. What fades by itself the others reckon.
+    pub fn has_news_since(&self, before: &Self) -> bool {
+        let is_same = |(server, work): (&u64, &WorkSum)| {
+            before.works.get(server).is_some_and(|it| it.is_same_but_faded(*work))
+        };
+        let has_ended = |(server, work): (&u64, &WorkSum)| {
+            work.requests > 0 && !self.works.contains_key(server)
+        };
+        !self.works.iter().all(is_same)
+            || before.works.iter().any(has_ended)
+            || self.rollouts != before.rollouts
+    }
+
     /// What is left of this sum without one share that was added to it.
     ///
     /// Load: a collector tells each of its members the sum of all others. Adding that up for each anew costs the square
@@ -117,7 +176,7 @@
     /// Adds all fresh shares but that of `except` to `sum`.
     pub fn add_to(&self, sum: &mut Share, except: Option<&str>, now: TimePoint) {
         let others = self.fresh(now).filter(|(teller, _)| Some(teller.as_str()) != except);
-        others.for_each(|(_, it)| sum.add(&it.share));
+        others.for_each(|(_, it)| sum.add_aged(&it.share, now.since(it.at)));
     }
 
     /// What a teller told, if it is fresh.
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -15,14 +15,14 @@
     duty::Duty,
     freshness::{Freshness, Touch},
     line_budget::LineBudget,
-    load::{self, Work, WorkSum},
+    load::{self, Work},
     peer_book::VmCard,
     placement::Placement,
     poison::PoisonGuard,
     quota::QuotaBook,
     retry_window::RetryWindow,
     rollout::book::RolloutBook,
-    servers::{ServerTable, start_hash},
+    servers::ServerTable,
     signal_outbox::SignalOutbox,
     store_contact::StoreContact,
     store_pacing::ReadingPart,
@@ -310,17 +310,6 @@
     pub(crate) fn busy_each(&self, service: &ServiceName) -> Option<f64> {
         self.demand.borrow().get(service)?.busy_each(clock::now())
     }
-
-    /// This VM's own work at each server, for its peers.
-    pub(crate) fn own_work(&self) -> HashMap<u64, WorkSum> {
-        let now = clock::now();
-        let servers = self.servers.borrow();
-        servers
-            .all()
-            .map(|(name, it)| (start_hash(name, it.entry.start), it.load.own(now)))
-            .filter(|(_, work)| work.requests > 0 || work.recent > 0)
-            .collect()
-    }
 }
 
 /// What this VM tells others of itself.
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -53,6 +53,10 @@
     newest: HashMap<String, Newest>,
     /// How often members are told.
     pace: TellingPace,
+    /// Whether a share was heard that wasn't taken over yet.
+    has_news: bool,
+    /// What this VM told its collector last.
+    own_told: Option<Share>,
 }
 
 impl Peers {
@@ -68,9 +72,21 @@
             others_demand: Demand::new(),
             reachable_part: 1.0,
             newest: HashMap::new(),
+            has_news: false,
+            own_told: None,
         }
     }
 
+    /// Whether anything was heard since this was asked last.
+    fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Whether `own`, what this VM does, differs from what its collector was told.
+    fn has_own_news(&self, own: &Share) -> bool {
+        self.own_told.as_ref().is_none_or(|it| own.has_news_since(it))
+    }
+
     /// Notes which VM holds the duties.
     pub(crate) fn holder_seen(&mut self, holder: Option<String>) {
         self.holder = holder;
--- a/crates/quincevalve_node/src/peers/hear.rs
+++ b/crates/quincevalve_node/src/peers/hear.rs
@@ -86,6 +86,7 @@
                     Scope::Rest => &mut peers.rest,
                 };
                 sums.take(&teller, *share, now);
+                peers.has_news = true;
             }
             if scope == Scope::Rest
                 && let Some(true_ms) = telling.true_ms
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -4,8 +4,10 @@
 
 use bincode::Options;
 use quincevalve_forwarding::{
-    change_log::Excerpt, peer_book::Role, servers::start_hash, signal_outbox::ServerKey,
-    sums::Share,
+    change_log::Excerpt,
+    peer_book::Role,
+    signal_outbox::ServerKey,
+    sums::{NAMED_TO_COLLECTOR, NAMED_TO_MEMBER, Share},
 };
 use quincevalve_names::TimePoint;
 use tokio::{net::UdpSocket, time::sleep};
@@ -21,6 +23,12 @@
 /// Periods between two questions to a collector that was silent.
 const BETTER_PERIODS: u32 = 32;
 
+/// Periods between two tellings of a VM that has taken on and ended nothing meanwhile: others count what it told for twice
+/// as long and more.
+const QUIET_PERIODS: u32 = 5;
+/// Periods after which what others told is taken over though nothing new was heard: it may be too old to count.
+const STALE_PERIODS: u32 = 4;
+
 /// Periods between two tellings of when the store answered: an eighth of the gap that counts as an outage.
 const CONTACT_PERIODS: u32 = 4;
 
@@ -47,7 +55,9 @@
             node.wall.borrow_mut().forget(&gone);
         }
         node.backends.sweep();
-        take_over_sums(&node, now);
+        if node.peers.borrow_mut().take_news() || turn.is_multiple_of(STALE_PERIODS) {
+            take_over_sums(&node, now);
+        }
         tell_shares(&node, &socket, turn, now);
         tell_poison(&node, &socket, now);
         tell_signals(&node, &socket, now);
@@ -92,11 +102,7 @@
         node.rollouts.borrow_mut().set_others(&others.rollouts);
         rollouts::refresh(node);
     }
-    for (name, server) in node.servers.borrow_mut().all_mut() {
-        let work =
-            others.works.get(&start_hash(name, server.entry.start)).copied().unwrap_or_default();
-        server.load.set_others(work, now);
-    }
+    node.servers.borrow_mut().set_others(&others.works, now);
 }
 
 /// Measures the work that all VMs take on, whoever holds the duties: the next holder plans by it at once.
@@ -116,7 +122,7 @@
     let spending = node.quota.borrow().spending(now).collect();
     Share {
         vms: 1,
-        works: node.own_work().into_iter().collect(),
+        works: node.servers.borrow().own_work(now),
         spending,
         demand: demand.collect(),
         rollouts: node.rollouts.borrow_mut().shares(&node.servers.borrow(), now),
@@ -125,14 +131,17 @@
 
 fn tell_shares(node: &Node, socket: &UdpSocket, turn: u32, now: TimePoint) {
     let own = own_share(node);
-    let peers = node.peers.borrow();
+    let mut peers = node.peers.borrow_mut();
+    let is_quiet = !peers.has_own_news(&own);
     let members: Vec<_> = peers.members.fresh_tellers(now).cloned().collect();
     let role = peers.book.role(!members.is_empty(), now);
     let mut sent = Vec::new();
     // Members that are told by turns hear of the store each time: their turns may never be those of the others.
     let by_turns = peers.pace.periods(members.len(), PERIODS_PER_SECOND) > 1;
     match role {
+        Role::Member { .. } if is_quiet && !turn.is_multiple_of(QUIET_PERIODS) => {}
         Role::Member { address, .. } => {
+            peers.own_told = Some(own.clone());
             sent.push((address, Scope::Own, own));
         }
         Role::Collector { others } => {
@@ -140,6 +149,11 @@
             peers.members.add_to(&mut share, None, now);
             let mut all = share.clone();
             peers.collectors.add_to(&mut all, None, now);
+            share.name_busiest(NAMED_TO_COLLECTOR);
+            all.name_busiest(NAMED_TO_MEMBER);
+            if let Some(config) = node.config() {
+                all.drop_light_spending(&config);
+            }
             let is_due = |at| peers.pace.is_due(at, turn, members.len(), PERIODS_PER_SECOND);
             for (_, member) in members.iter().enumerate().filter(|(at, _)| is_due(*at)) {
                 let Some(address) = peers.member_addresses.get(member) else { continue };
