Starts: what others know is asked for part by part, and given to as many as a link bears

Callers are refused for seconds after all VMs of a large system start. Cause: three VMs of a data centre sent all that they know, 300 KB with 3,000 servers, at once to each of 160 that asked, 40 ms times four for one of them and 600 ms in all; a link of 200 Mbit/s takes 2 s for it. Answers came too late, those of another VM made the parts that had come useless, one datagram that was lost cost all of them, and then every VM read the whole store.

Change (`part_fetch`): who starts asks for four parts at a time, for those that are missing, and stays with a source for as long as parts come. A source serves as many at once as its link has room for, 16 at most, and sends others on at once; who has got all is a source. What is given is encoded once in 200 ms. Where nobody has it, VMs read the store by rank, 30 ms apart.

start_together: where the strongest are gone another VM is asked now, so that the case in which the VM reads the store itself has all others gone. parts_of_two_answers: the second source is taken once it is turned to; nothing is put together of two sources before or after, as before.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod freshness;
 pub mod line_budget;
 pub mod load;
+pub mod part_fetch;
 pub mod parts;
 pub mod peer_book;
 pub mod placement;
--- a/crates/quincevalve_forwarding/src/parts.rs
+++ b/crates/quincevalve_forwarding/src/parts.rs
@@ -46,6 +46,12 @@
 }
 
 impl Assembly {
+    /// The version whose parts have come, and the first `most` that are missing; `None` before any came.
+    pub fn missing(&self, most: usize) -> Option<(u64, Vec<u32>)> {
+        let missing = (0..).zip(&self.parts).filter(|(_, it)| it.is_none()).map(|(at, _)| at);
+        (!self.parts.is_empty()).then(|| (self.version, missing.take(most).collect()))
+    }
+
     /// Takes a part; the whole value once it is the last that was missing. Parts of an older version are left out.
     pub fn take(&mut self, part: Part) -> Option<Vec<u8>> {
         if part.at >= part.of || part.of > MOST_PARTS || part.version < self.version {
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -4,7 +4,8 @@
 
 use bincode::{DefaultOptions, Options};
 use quincevalve_forwarding::{
-    parts::Part, peer_book::VmCard, poison::PoisonMessage, sums::Share, usage::Counts,
+    part_fetch::PartsWanted, parts::Part, peer_book::VmCard, poison::PoisonMessage, sums::Share,
+    usage::Counts,
 };
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
@@ -75,7 +76,12 @@
     /// A part of the teller's configuration.
     ConfigPart(Part),
     /// The teller has just started and knows nothing of the store.
-    StateWanted,
+    StateWanted(PartsWanted),
+    /// Another VM should be asked for it.
+    StateElsewhere {
+        /// Whether the teller knows it, and only serves others at present.
+        serves_others: bool,
+    },
     /// A part of what the teller knows of the store.
     StatePart {
         /// How long ago the teller sent the question whose answer proves that this is the newest.
--- a/crates/quincevalve_node/src/peers/hear.rs
+++ b/crates/quincevalve_node/src/peers/hear.rs
@@ -10,14 +10,15 @@
 use super::{
     Newest,
     datagram::{Content, Echo, MAX_DATAGRAM, Relayed, Scope, Telling, ToldContact, encoding},
-    tell::{PERIOD, send},
+    tell::{PERIOD, ask_for_state, send},
 };
 use crate::{
     clock,
     node::Node,
     server_news::take_news,
     store::{
-        config_copy, state_copy,
+        config_copy,
+        state_copy::{self, StateAnswer},
         sync::{heard_of_store, prove},
         view::take_excerpt,
     },
@@ -100,14 +101,26 @@
             }
         }
         Content::ConfigPart(part) => config_copy::take_part(node, part, telling.from.address),
-        Content::StateWanted => {
-            for (age, part) in state_copy::parts_for(node, &teller, now) {
-                send(node, socket, telling.from.address, Content::StatePart { age, part });
+        Content::StateWanted(wanted) => {
+            let to = telling.from.address;
+            match state_copy::answer_for(node, &teller, &wanted, now) {
+                StateAnswer::Parts(parts) => parts.into_iter().for_each(|(age, part)| {
+                    send(node, socket, to, Content::StatePart { age, part });
+                }),
+                StateAnswer::SendOn { serves_others } => {
+                    send(node, socket, to, Content::StateElsewhere { serves_others });
+                }
             }
         }
+        Content::StateElsewhere { serves_others } => {
+            state_copy::sent_on(node, telling.from.address, serves_others);
+        }
         Content::StatePart { age, part } => {
             let proved = sent_after(node, telling.echo).and_then(|it| earlier(it, age));
-            state_copy::take_part(node, part, proved, telling.from.address);
+            let source = telling.from.address;
+            if let Some(wanted) = state_copy::take_part(node, part, proved, source) {
+                ask_for_state(node, socket, source, wanted);
+            }
         }
         Content::Poison(message) => node.poison.borrow_mut().hear(&name, message, now),
         Content::Signals { scope, servers } => {
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/tell.rs
@@ -5,6 +5,7 @@
 use bincode::Options;
 use quincevalve_forwarding::{
     change_log::Excerpt,
+    part_fetch::PartsWanted,
     peer_book::Role,
     signal_outbox::ServerKey,
     sums::{NAMED_TO_COLLECTOR, NAMED_TO_MEMBER, Share},
@@ -293,9 +294,14 @@
     }
 }
 
-/// Asks a VM for what it knows of the store.
-pub(crate) fn ask_for_state(node: &Node, socket: &UdpSocket, address: SocketAddr) {
-    send(node, socket, address, Content::StateWanted);
+/// Asks a VM for parts of what it knows of the store.
+pub(crate) fn ask_for_state(
+    node: &Node,
+    socket: &UdpSocket,
+    address: SocketAddr,
+    wanted: PartsWanted,
+) {
+    send(node, socket, address, Content::StateWanted(wanted));
 }
 
 /// Sends a datagram and returns its length.
--- a/crates/quincevalve_node/src/store/state_copy/tests.rs
+++ b/crates/quincevalve_node/src/store/state_copy/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use quincevalve_forwarding::{
+    part_fetch::ASK_AGAIN,
     peer_book::VmCard,
     poison::{Exits, QuarantineEntry},
     request_digest::RequestDigest,
@@ -60,10 +61,23 @@
 
 fn starting() -> Node {
     let node = bare_node("vm-new");
-    node.state_copy.borrow_mut().wanted = true;
+    let sources = vec![any(), elsewhere()];
+    let fetch = PartFetch::new(sources, Duration::from_secs(1), clock::now());
+    node.state_copy.borrow_mut().fetch = Some(fetch);
     node
 }
 
+fn elsewhere() -> SocketAddr {
+    ([127, 0, 0, 2], 0).into()
+}
+
+fn parts_for(node: &Node, teller: &str, now: TimePoint) -> Vec<(Duration, Part)> {
+    match answer_for(node, teller, &PartsWanted::default(), now) {
+        StateAnswer::Parts(parts) => parts,
+        StateAnswer::SendOn { .. } => Vec::new(),
+    }
+}
+
 fn parts(node: &Node) -> Vec<Part> {
     parts_for(node, "vm-new#1", clock::now()).into_iter().map(|(_, part)| part).collect()
 }
@@ -120,12 +134,14 @@
         for part in first.iter().skip(1) {
             take_part(&lacking, part.clone(), None, any());
         }
-        let elsewhere = ([127, 0, 0, 2], 0).into();
         let second = parts(&other);
-        take_part(&lacking, second[0].clone(), None, elsewhere);
+        take_part(&lacking, second[0].clone(), None, elsewhere());
+        assert!(lacking.config().is_none());
+        sent_on(&lacking, any(), true);
+        take_part(&lacking, second[0].clone(), None, elsewhere());
         assert!(lacking.config().is_none());
         for part in second.iter().skip(1) {
-            take_part(&lacking, part.clone(), None, elsewhere);
+            take_part(&lacking, part.clone(), None, elsewhere());
         }
         assert_eq!(lacking.config().map(|it| it.version), Some(3));
         assert!(!lacking.was_proved(), "no proof came with it");
@@ -138,8 +154,8 @@
         let node = informed("vm-1");
         let now = clock::now();
         assert!(!parts_for(&node, "vm-new#1", now).is_empty());
-        assert!(parts_for(&node, "vm-new#1", now + ASK_AGAIN).is_empty());
-        assert!(!parts_for(&node, "vm-new#2", now + ASK_AGAIN).is_empty(), "another start");
+        assert!(parts_for(&node, "vm-new#1", now + ASK_AGAIN / 2).is_empty());
+        assert!(!parts_for(&node, "vm-new#2", now + ASK_AGAIN / 2).is_empty(), "another start");
         assert!(!parts_for(&node, "vm-new#1", now + ANSWER_AGAIN).is_empty());
     });
 }
@@ -156,3 +172,36 @@
         assert!(!other.was_proved());
     });
 }
+
+// A few VMs know all when hundreds start: they send to all at once, nobody gets all of it in time, and each reads the store.
+#[test]
+fn a_vm_whose_link_is_taken_sends_others_on() {
+    run(|| {
+        let node = informed("vm-1");
+        let (now, wanted) = (clock::now(), PartsWanted::default());
+        let answers = (0..40).map(|it| answer_for(&node, &format!("vm-{it}#1"), &wanted, now));
+        let (served, sent_on): (Vec<_>, Vec<_>) =
+            answers.partition(|it| matches!(it, StateAnswer::Parts(_)));
+        assert_eq!(served.len(), 16);
+        assert!(sent_on.iter().all(|it| matches!(it, StateAnswer::SendOn { serves_others: true })));
+        let parts = |teller: &str| {
+            matches!(answer_for(&node, teller, &wanted, now + ASK_AGAIN * 2), StateAnswer::Parts(_))
+        };
+        assert!(parts("vm-39#1"), "those who went silent are forgotten");
+    });
+}
+
+// A part is lost: only that one is sent again, of what was known when the first were sent.
+#[test]
+fn only_the_parts_that_are_asked_for_are_sent_again() {
+    run(|| {
+        let node = informed("vm-1");
+        let first = parts(&node);
+        let now = clock::now() + ASK_AGAIN;
+        let wanted = PartsWanted { version: Some(first[0].version), parts: vec![1] };
+        let StateAnswer::Parts(again) = answer_for(&node, "vm-new#1", &wanted, now) else {
+            panic!("it is served");
+        };
+        assert_eq!(again.into_iter().map(|(_, it)| it).collect::<Vec<_>>(), [first[1].clone()]);
+    });
+}
--- a/crates/quincevalve_node/tests/start_together.rs
+++ b/crates/quincevalve_node/tests/start_together.rs
@@ -40,14 +40,27 @@
     });
 }
 
-// The same where the strongest VMs, which would be asked, are gone and their entries still stand: the VM reads the store
-// itself rather than wait for them.
+// The same where the strongest VMs, which would be asked, are gone and their entries still stand: the VM gets it from another.
+#[test]
+fn a_vm_whose_elders_are_gone_asks_another() {
+    run(async {
+        let script = |_, it: &Arrival| Reply::Send(sealed(it, "200 OK", "done"));
+        let world = World::start(2, script).await;
+        world.store.list_dead_vms(MANY as u16);
+        let (vm, store) = start(&world, "vm-2").await;
+        assert!(serves(&vm, "id-1").await);
+        assert_eq!(store.whole_readings(), 0);
+    });
+}
+
+// The same where all are gone: the VM reads the store itself rather than wait for them.
 #[test]
 fn a_vm_whose_elders_are_gone_reads_the_store_itself() {
     run(async {
         let script = |_, it: &Arrival| Reply::Send(sealed(it, "200 OK", "done"));
         let world = World::start(2, script).await;
         world.store.list_dead_vms(MANY as u16);
+        world.store.remove_vm("vm-1");
         let (vm, store) = start(&world, "vm-2").await;
         assert!(serves(&vm, "id-1").await);
         assert_eq!(store.whole_readings(), 1);
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -176,6 +176,11 @@
         self.shared.own.borrow_mut().extend((0..count).map(item));
     }
 
+    /// Takes a VM's entry out of the store.
+    pub fn remove_vm(&self, name: &str) {
+        self.shared.own.borrow_mut().retain(|it| it.key != format!("peers/a/{name}"));
+    }
+
     /// Readings of everything by this handle's VM.
     pub fn whole_readings(&self) -> usize {
         self.vm.whole_readings.get()
