--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -588,6 +588,11 @@
         self.servers.iter()
     }
 
+    /// All servers that are remembered, to change their load.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = (&BackendServerName, &mut Server)> {
+        self.servers.iter_mut()
+    }
+
     /// This VM's own work at servers, for its peers.
     pub fn own_work(&self, now: TimePoint) -> Works {
         let busy = self.servers.values().filter(|it| it.load.has_work());
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -20,7 +20,7 @@
 
 /// The age up to which rates count as they were told. A VM that has news tells them within it; of one that has none they
 /// fade, and aren't told again for that.
-const USUAL_AGE: Duration = Duration::from_millis(120);
+const USUAL_AGE: Duration = Duration::from_millis(60);
 
 /// Work at servers, by a hash of their names.
 pub type Works = IndexMap<u64, WorkSum>;
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -31,6 +31,8 @@
     pub peer_port: u16,
     /// Where metrics are served.
     pub metrics: SocketAddr,
+    /// Whether the whole system starts for the first time: no VM knows anything that this one could ask for.
+    pub is_first_start: bool,
     /// Promised times.
     pub bounds: Bounds,
     /// The retry budget of all entry VMs.
--- a/crates/quincevalve_node/src/store/state_copy.rs
+++ b/crates/quincevalve_node/src/store/state_copy.rs
@@ -247,8 +247,8 @@
         if !self.may_answer(teller, now) {
             return Vec::new();
         }
-        let is_new = |it: &&Given| now.since(it.encoded_at) < ENCODE_AGAIN;
-        if self.given.back().filter(is_new).is_none() {
+        let is_old = |it: &Given| now.since(it.encoded_at) >= ENCODE_AGAIN;
+        if self.given.back().is_none_or(is_old) {
             self.given.extend(encode(node, now));
         }
         let newest = self.given.back();
--- a/crates/quincevalve_node/src/store/sync.rs
+++ b/crates/quincevalve_node/src/store/sync.rs
@@ -24,6 +24,12 @@
 
 /// A VM that starts has read the store within this time, if it answers; until then others don't know of it.
 const FIRST_READING: Duration = Duration::from_millis(400);
+/// At the first start of the whole system a VM writes its entry and reads the store after this time.
+///
+/// Load: hundreds of VMs start at once, and the store holds nothing yet, no configuration and no VM. Each would ask it again
+/// and again until it does. After the pause VMs know of each other and a few read it for all, with time to spare before
+/// the first callers.
+const FIRST_START_PAUSE: Duration = Duration::from_millis(2_500);
 /// Pause between two looks whether it has.
 const FIRST_READING_LOOK: Duration = Duration::from_millis(20);
 /// Pause after a failure to keep this VM's entry.
@@ -46,6 +52,9 @@
     let mut failures = 0_u32;
     let mut is_told = false;
     let mut lacked = None;
+    if node.settings.is_first_start {
+        sleep(FIRST_START_PAUSE).await;
+    }
     fetch_state(&node, &store, &socket).await;
     loop {
         note_away(&node);
@@ -236,6 +245,9 @@
 /// Load: all VMs lose power and are back before their entries end. To write the same entries anew takes two calls each;
 /// a renewal of the lease that is there costs a tenth of one.
 async fn left_lease(node: &Node) -> Option<LeaseId> {
+    if node.settings.is_first_start {
+        return None;
+    }
     let until = Instant::now() + FIRST_READING;
     while node.store_view.borrow().reached().is_none() && Instant::now() < until {
         sleep(FIRST_READING_LOOK).await;
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -67,6 +67,7 @@
         ready: any(),
         peer_port: 0,
         metrics: any(),
+        is_first_start: false,
         bounds: Bounds {
             change_in_force: Duration::from_secs(2),
             key_removed: Duration::from_secs(5),
--- a/crates/quincevalve_node/tests/start_together.rs
+++ b/crates/quincevalve_node/tests/start_together.rs
@@ -2,11 +2,19 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::{Arrival, FakeStore, Reply, Vm, World, exchange, request, run, sealed};
+use tokio::time::sleep;
 
 /// From so many VMs in a data centre on, those that start ask others.
 const MANY: usize = 12;
 
+/// VMs of a data centre that read the store for those that start.
+const READERS: usize = 3;
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+
 async fn serves(vm: &Vm, id: &str) -> bool {
     let answer = exchange(vm.front, &request("/once/7", id, "")).await;
     answer.starts_with("HTTP/1.1 200")
@@ -66,3 +74,24 @@
         assert_eq!(store.whole_readings(), 1);
     });
 }
+
+// Hundreds of VMs start for the first time, and each asks the store until it holds a configuration and the others' entries.
+#[test]
+fn a_first_start_of_many_reads_the_store_a_few_times() {
+    run(async {
+        let script = |_, it: &Arrival| Reply::Send(sealed(it, "200 OK", "done"));
+        let world = World::start(2, script).await;
+        let stores: Vec<_> = (0..=MANY).map(|_| world.store.for_another_vm()).collect();
+        let mut vms = Vec::new();
+        for (at, store) in stores.iter().enumerate() {
+            vms.push(Vm::begin_first(&format!("first-{at}"), store.clone()).await);
+        }
+        for (at, vm) in vms.iter().enumerate() {
+            while !serves(vm, &format!("id-{at}")).await {
+                sleep(LOOK).await;
+            }
+        }
+        let read: usize = stores.iter().map(FakeStore::whole_readings).sum();
+        assert!(read <= READERS, "{read} of {}", stores.len());
+    });
+}
