--- a/crates/quincevalve_explain/src/lib.rs
+++ b/crates/quincevalve_explain/src/lib.rs
@@ -3,5 +3,5 @@
 pub mod line;
 pub mod rollout;
 pub mod server;
-pub mod story;
 pub mod summary;
+pub mod trace;
--- a/crates/quincevalve_explain/src/main.rs
+++ b/crates/quincevalve_explain/src/main.rs
@@ -7,7 +7,7 @@
 };
 
 use quincevalve_explain::{
-    line::Lines, rollout::rollout, server::server, story::story, summary::summary,
+    line::Lines, rollout::rollout, server::server, summary::summary, trace::trace,
 };
 use snafu::{OptionExt, ResultExt, Snafu};
 
@@ -52,7 +52,7 @@
     }
 }
 
-#[expect(clippy::print_stdout, reason = "the story is what was asked for")]
+#[expect(clippy::print_stdout, reason = "the trace is what was asked for")]
 fn explain() -> Result<bool, ExplainError> {
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
@@ -72,7 +72,7 @@
         "request" => {
             let id = operand()?;
             let lines = read_all(arguments.finish().into_iter().map(PathBuf::from))?;
-            story(&lines, &id)
+            trace(&lines, &id)
         }
         "span" => {
             let (from, until) = (operand()?, operand()?);
--- a/crates/quincevalve_explain/src/story.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -33,7 +33,7 @@
 ///
 /// `None` where no line is of the request. Of the VM's events only the newest of each name and server before the
 /// request's end is told: what the VM believed then.
-pub fn story(lines: &Lines, id: &str) -> Option<String> {
+pub fn trace(lines: &Lines, id: &str) -> Option<String> {
     let own: Vec<&Line> = lines.lines.iter().filter(|it| it.is_of(id)).collect();
     let last = own.last()?;
     let mut text = format!("request {id}\n");
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -69,7 +69,7 @@
     pub recent: u64,
 }
 
-/// The time in which a server that starts has read two thirds of the prompts that it is the home of: shared prompts
+/// The time in which a server that starts has read two thirds of the prompts with affinity to it: shared prompts
 /// that are worth keeping are asked for again within a few seconds.
 const WARM_TIME: Duration = Duration::from_secs(3);
 
@@ -210,9 +210,9 @@
         self.used_since.get_or_insert(now);
     }
 
-    /// The part of the shared prompts of which the server is the home that it has read by now, from 0 to 1.
+    /// The part of the shared prompts with affinity to the server that it has read by now, from 0 to 1.
     ///
-    /// Failure: servers start in a wave of reclaims, and each is taken to keep the prompts that it is the home of.
+    /// Failure: servers start in a wave of reclaims, and each is taken to keep the prompts with affinity to it.
     /// Symptom: all VMs send it long prompts as if most of them were read, first tokens come four times later than
     /// expected, and its queue of prompts is several times what anyone believes. A server reads its prompts one
     /// after the other as they are asked for.
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -33,7 +33,7 @@
         self.expected_output.unwrap_or(self.output / 2).min(self.output)
     }
 
-    /// The work that it usually is: its shared part is in memory at its home, and elsewhere it isn't.
+    /// The work that it usually is: its shared part is in memory at the server that it has affinity to, and elsewhere it isn't.
     pub fn usual_work(&self) -> Work {
         let kept = self.shared.map_or(0, |(_, tokens)| (f64::from(tokens) * USUALLY_KEPT) as u32);
         let output = self.output_tokens();
@@ -83,7 +83,7 @@
     /// The work that it takes on.
     pub work: Work,
     /// Its place in the order of servers that keep the prompt's shared part, 0 first; `None` if it isn't in it.
-    pub home: Option<usize>,
+    pub affinity: Option<usize>,
     /// When the first answer is expected, from now.
     pub predicted: Duration,
     /// The same of a server without a record; `None` while it is slow after its start.
@@ -150,7 +150,7 @@
 /// all calls that are on their way across it, and a call has no prompt that another server keeps.
 const CALL_ACROSS_MS: f64 = 25.0;
 /// Servers that are taken to keep a shared part: one, and one that it spills over to.
-const HOMES: usize = 2;
+const AFFINITY_SERVERS: usize = 2;
 /// Servers beside those that a request looks at; few, so that VMs with the same view differ.
 const RANDOM_CANDIDATES: usize = 3;
 /// Random part of a prediction, so that many VMs with the same view don't all pick the same server.
@@ -212,7 +212,7 @@
     R: Rng,
 {
     let reachable = usable.iter().any(|(_, it)| !it.load.is_paused(now));
-    let homes = homes(ask, usable);
+    let preferred = affinity_servers(ask, usable);
     let mut best: Option<(f64, Placement)> = None;
     let mut nearest: Option<Duration> = None;
     for at in candidates {
@@ -220,8 +220,8 @@
         if ask.had.contains(name) || (reachable && server.load.is_paused(now)) {
             continue;
         }
-        let home = homes.iter().position(|it| it == at);
-        let rank = home.unwrap_or(homes.len());
+        let affinity = preferred.iter().position(|it| it == at);
+        let rank = affinity.unwrap_or(preferred.len());
         let Prediction { ms: predicted_ms, expected_ms, work, room, reading, slots } =
             predict(ask, server, rank, now);
         let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
@@ -247,7 +247,7 @@
                 start: server.entry.start,
                 version: server.entry.version.clone(),
                 work,
-                home,
+                affinity,
                 predicted,
                 expected: (!server.entry.is_cold).then_some(expected),
                 seen,
@@ -277,7 +277,7 @@
     if ask.prompt.is_none() || usable.len() <= RANDOM_CANDIDATES {
         return (0..usable.len()).collect();
     }
-    let mut chosen = homes(ask, usable);
+    let mut chosen = affinity_servers(ask, usable);
     for _ in 0..RANDOM_CANDIDATES {
         let at = rng.random_range(0..usable.len());
         if !chosen.contains(&at) {
@@ -289,11 +289,11 @@
 
 /// The servers that come first in order for a prompt's shared part, best first. A server that starts again keeps none of
 /// its prompts and takes another place in the order.
-fn homes(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)]) -> Vec<usize> {
+fn affinity_servers(ask: &Ask<'_>, usable: &[(&BackendServerName, &Server)]) -> Vec<usize> {
     let Some((part, _)) = ask.prompt.and_then(|(prompt, _)| prompt.shared) else {
         return Vec::new();
     };
-    let mut first: [Option<(u64, usize)>; HOMES] = [None; HOMES];
+    let mut first: [Option<(u64, usize)>; AFFINITY_SERVERS] = [None; AFFINITY_SERVERS];
     for (at, (_, server)) in usable.iter().enumerate() {
         let mut candidate = Some((rendezvous_score(part, server.hash), at));
         for place in &mut first {
@@ -311,7 +311,7 @@
     let shared = ask.prompt.and_then(|(prompt, _)| prompt.shared);
     let weight = if rank == 0 {
         0.0
-    } else if rank < HOMES {
+    } else if rank < AFFINITY_SERVERS {
         0.6
     } else {
         1.0
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -258,7 +258,7 @@
     /// Failure: an arbiter is cut off with a few other VMs, and none of those has seen a popular request end well.
     /// Symptom: it takes their silence for everybody's, and quarantines an innocent. One that doesn't hear most of the
     /// others leaves decisions to arbiters that do, or to when it hears them again. Requests under which it saw enough
-    /// servers exit itself, of which nobody else may know, it keeps from servers until then, without telling anybody. One
+    /// servers exit itself, of which nobody else may know, it keeps from servers until then, without digest anybody. One
     /// that misses some waits for one exit more.
     pub(super) fn tick(
         &mut self,
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -30,16 +30,16 @@
     pub others: f64,
 }
 
-/// From a request that another VM lets in to its being heard here, in seconds: three tellings of a large
+/// From a request that another VM lets in to its being heard here, in seconds: three digests of a large
 /// system, and the time over which spending is taken.
 const UNHEARD_TIME: f64 = 0.45;
-/// Time over which a VM's own spending is taken before it is told: two tellings, so that a lost one changes
+/// Time over which a VM's own spending is taken before it is told: two digests, so that a lost one changes
 /// little, and short against the windows over which quotas are counted.
 pub(crate) const SPENDING_TIME: Duration = Duration::from_millis(250);
 /// Bursts that an account can owe at most, so that one spell of spending elsewhere doesn't lock it out.
 const MOST_DEBT: f64 = 3.0;
 /// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge all VMs open
-/// and close together, one telling time late, and let in twice the quota by turns. It lies over the burst alone: over what
+/// and close together, one digest time late, and let in twice the quota by turns. It lies over the burst alone: over what
 /// is tolerated, too, it would refuse accounts that keep to their quotas.
 const RAMP: f64 = 0.5;
 /// How many times as wide the ramp is for large requests.
@@ -214,7 +214,7 @@
 /// One token bucket for each account, drawn on by all entry VMs.
 ///
 /// Each VM admits against the whole quota less what it and the others spend, as they tell several times a
-/// second. They tell rates, not totals: a rate can be added up over any way that it came, and a telling that
+/// second. They tell rates, not totals: a rate can be added up over any way that it came, and a digest that
 /// is lost or doubled, or a VM that restarts, leaves no error behind. VMs that are out of reach of each other
 /// each use only the part of the rate that stands for those they hear, so that the sum stays below the quota
 /// on both sides of a partition.
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -202,7 +202,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
 /// How long after the store's return an outage isn't believed in yet, so that others who had answers all the while have
-/// told so: twice the time between two such tellings, and their way.
+/// told so: twice the time between two such digests, and their way.
 const DOUBT_TIME: Duration = Duration::from_millis(600);
 
 /// How long a server without an entry is remembered, so that running requests keep their load entry.
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -150,17 +150,17 @@
     share: Share,
 }
 
-/// What was told by each teller, and the sums of it.
+/// What was told by each sender, and the sums of it.
 #[derive(Clone, Debug, Default)]
 pub struct Sums {
     told: HashMap<String, Told>,
 }
 
 impl Sums {
-    /// Takes a teller's newest share; shares that are long past are forgotten.
-    pub fn take(&mut self, teller: &str, share: Share, now: TimePoint) {
+    /// Takes a sender's newest share; shares that are long past are forgotten.
+    pub fn take(&mut self, sender: &str, share: Share, now: TimePoint) {
         self.told.retain(|_, it| now.since(it.at) <= FRESH);
-        self.told.insert(teller.to_owned(), Told { at: now, share });
+        self.told.insert(sender.to_owned(), Told { at: now, share });
     }
 
     /// Whether anyone told something lately.
@@ -168,20 +168,20 @@
         self.fresh(now).next().is_some()
     }
 
-    /// The tellers that told something lately.
-    pub fn fresh_tellers(&self, now: TimePoint) -> impl Iterator<Item = &String> {
-        self.fresh(now).map(|(teller, _)| teller)
+    /// The senders that told something lately.
+    pub fn fresh_senders(&self, now: TimePoint) -> impl Iterator<Item = &String> {
+        self.fresh(now).map(|(sender, _)| sender)
     }
 
     /// Adds all fresh shares but that of `except` to `sum`.
     pub fn add_to(&self, sum: &mut Share, except: Option<&str>, now: TimePoint) {
-        let others = self.fresh(now).filter(|(teller, _)| Some(teller.as_str()) != except);
+        let others = self.fresh(now).filter(|(sender, _)| Some(sender.as_str()) != except);
         others.for_each(|(_, it)| sum.add_aged(&it.share, now.since(it.at)));
     }
 
-    /// What a teller told, if it is fresh.
-    pub fn told(&self, teller: &str, now: TimePoint) -> Option<&Share> {
-        let told = self.told.get(teller).filter(|it| now.since(it.at) <= FRESH)?;
+    /// What a sender told, if it is fresh.
+    pub fn told(&self, sender: &str, now: TimePoint) -> Option<&Share> {
+        let told = self.told.get(sender).filter(|it| now.since(it.at) <= FRESH)?;
         Some(&told.share)
     }
 
--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -31,7 +31,7 @@
 pub struct Usage {
     own: Counts,
     peers: IndexMap<(String, u64), Counts>,
-    /// True time at each peer when it sent its newest telling, in milliseconds.
+    /// True time at each peer when it sent its newest digest, in milliseconds.
     told: IndexMap<String, i64>,
 }
 
@@ -55,10 +55,10 @@
     }
 
     /// The part of a window's counts that may still be told, where each of these peers and this VM has an equal
-    /// share. The window began at `begin_ms` of true time; a peer has told all of it that sent a telling at
+    /// share. The window began at `begin_ms` of true time; a peer has told all of it that sent a digest at
     /// `since_ms` or later.
     ///
-    /// Failure: a telling waits at a busy VM. Symptom: it is heard after a window's end and taken for whole,
+    /// Failure: a digest waits at a busy VM. Symptom: it is heard after a window's end and taken for whole,
     /// though it was sent before. The time of sending counts.
     ///
     /// Failure: one of many VMs is gone for good, and its entry still stands. Symptom: reports wait for it, and are
--- a/crates/quincevalve_forwarding/src/wall_clock.rs
+++ b/crates/quincevalve_forwarding/src/wall_clock.rs
@@ -18,7 +18,7 @@
 
 /// What a VM with more sources reckoned counts for this long.
 const TRUSTED_FOR: Duration = Duration::from_secs(3);
-/// A telling that was on its way for long reads like a clock that is slow. The fastest of so long counts.
+/// A digest that was on its way for long reads like a clock that is slow. The fastest of so long counts.
 const FASTEST_OF: Duration = Duration::from_secs(3);
 
 /// Takes a new offset unless it only looks slow: the time on the way is always lost.
--- a/crates/quincevalve_forwarding/tests/telling_pace.rs
+++ b/crates/quincevalve_forwarding/tests/digest_pace.rs
@@ -1,19 +1,19 @@
-//! What a collector spends on telling its members, however many there are and however large the system.
+//! What a collector spends on digest its members, however many there are and however large the system.
 
 mod support;
 
-use quincevalve_forwarding::telling_pace::TellingPace;
+use quincevalve_forwarding::digest_pace::DigestPace;
 
 const PERIODS_PER_SECOND: f64 = 16.7;
-/// Bytes of a telling for each server that has work.
+/// Bytes of a digest for each server that has work.
 const BYTES_PER_SERVER: usize = 24;
 
 /// A VM: the bytes a second of its link, and thousandths of a processor core.
 const WEAK: (u64, u32) = (2_500_000, 120);
 const STRONG: (u64, u32) = (25_000_000, 500);
 
-fn pace((link, cpu): (u64, u32), servers: usize) -> TellingPace {
-    let mut pace = TellingPace::new(link, cpu);
+fn pace((link, cpu): (u64, u32), servers: usize) -> DigestPace {
+    let mut pace = DigestPace::new(link, cpu);
     for _ in 0..200 {
         pace.sent(servers * BYTES_PER_SERVER);
     }
--- a/crates/quincevalve_forwarding/tests/telling.rs
+++ b/crates/quincevalve_forwarding/tests/digests.rs
@@ -187,7 +187,7 @@
 }
 
 // An account is refused though it spends little: a VM chose another collector, or started again, and what it had
-// told before was counted once more. Only what each teller said last counts, and only while it is new.
+// told before was counted once more. Only what each sender said last counts, and only while it is new.
 #[test]
 fn a_teller_counts_by_what_it_said_last() {
     let mut sums = Sums::default();
@@ -223,7 +223,7 @@
     assert_eq!(excerpt.upto, 12);
 }
 
-// After a reclaim wave, all VMs of a large system read the store by themselves: each telling carried so many
+// After a reclaim wave, all VMs of a large system read the store by themselves: each digest carried so many
 // large changes that it was cut on its way, nobody could read it, and the next one carried the same ones and
 // more. What goes into one datagram is bounded by its bytes, and the reader gets on with each of them.
 #[test]
@@ -289,7 +289,7 @@
     assert_eq!(holder.keep(("vm-0", 1), 9), Kept::default());
 }
 
-// A report lacks a tenth of what began: a telling that was sent before the window's end waited at a busy VM
+// A report lacks a tenth of what began: a digest that was sent before the window's end waited at a busy VM
 // and was heard after it. The time at which it was sent counts.
 #[test]
 fn a_report_waits_for_tellings_sent_after_the_end() {
--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -336,7 +336,7 @@
     assert!(table.get(&server(1)).is_some_and(|it| table.is_usable(it, ms(300))));
 }
 
-// Shared prompts of a server that started again are gone. Each VM takes its places in the order of homes anew.
+// Shared prompts of a server that started again are gone. Each VM takes its places in the order of servers anew.
 #[test]
 fn starts_of_a_server_differ_for_all_vms() {
     let of = |start| start_hash(&server(0), ServerStart(start));
--- a/crates/quincevalve_forwarding/tests/placement.rs
+++ b/crates/quincevalve_forwarding/tests/placement.rs
@@ -113,28 +113,28 @@
 }
 
 /// Places requests about `subjects` shared parts on 12 idle servers, and counts servers by part.
-fn homes(subjects: u64) -> HashMap<u64, Vec<BackendServerName>> {
+fn servers_by_part(subjects: u64) -> HashMap<u64, Vec<BackendServerName>> {
     let table = table(12);
     let mut rng = rng();
-    let mut homes: HashMap<u64, Vec<BackendServerName>> = HashMap::new();
+    let mut by_part: HashMap<u64, Vec<BackendServerName>> = HashMap::new();
     for request in 0..subjects * 20 {
         let part = request % subjects;
         let prompt = Some(prompt(12_000, Some((part, 5_400))));
         let asking = Asking { prompt, ..Asking::default() };
         let placed = table.place(&asking.ask(), &mut rng, ms(0)).expect("idle servers");
-        let servers = homes.entry(part).or_default();
+        let servers = by_part.entry(part).or_default();
         if !servers.contains(&placed.server) {
             servers.push(placed.server);
         }
     }
-    homes
+    by_part
 }
 
 #[test]
 fn a_shared_part_stays_on_one_idle_server_and_parts_spread() {
-    let homes = homes(100);
-    assert!(homes.values().all(|it| it.len() == 1), "{homes:?}");
-    let mut used: Vec<_> = homes.values().flatten().collect();
+    let by_part = servers_by_part(100);
+    assert!(by_part.values().all(|it| it.len() == 1), "{by_part:?}");
+    let mut used: Vec<_> = by_part.values().flatten().collect();
     used.sort();
     used.dedup();
     assert_eq!(used.len(), 12);
@@ -147,10 +147,10 @@
     let mut table = table(12);
     let prompt = Some(prompt(12_000, Some((7, 5_400))));
     let asking = Asking { prompt, ..Asking::default() };
-    let home = place(&table, &asking).unwrap().server;
-    let at = (0..12).find(|it| server(*it) == home).unwrap();
+    let first = place(&table, &asking).unwrap().server;
+    let at = (0..12).find(|it| server(*it) == first).unwrap();
     load(&mut table, at, 7_000, 7);
-    assert_ne!(place(&table, &asking).unwrap().server, home);
+    assert_ne!(place(&table, &asking).unwrap().server, first);
 }
 
 #[test]
@@ -250,7 +250,7 @@
 }
 
 // First tokens come four times later than expected from servers that have just started: they were taken to keep the
-// prompts that they are the home of. A server is taken to have read them with the time in which it had requests.
+// prompts with affinity to them. A server is taken to have read them with the time in which it had requests.
 #[test]
 fn a_server_that_starts_keeps_no_prompts_yet() {
     let mut table = table(1);
--- a/crates/quincevalve_forwarding/tests/quota_restarts.rs
+++ b/crates/quincevalve_forwarding/tests/quota_restarts.rs
@@ -20,7 +20,7 @@
 const VMS: usize = CENTRES * VMS_EACH;
 /// Milliseconds of a step.
 const STEP_MS: u64 = 20;
-/// Steps between two tellings of a VM.
+/// Steps between two digests of a VM.
 const PERIOD: u64 = 6;
 /// Steps for which a VM that restarts is away.
 const AWAY: u64 = 25;
@@ -119,12 +119,12 @@
             }
             return;
         }
-        let tellers: Vec<_> = self.vms[at].members.fresh_tellers(now).cloned().collect();
-        for teller in tellers {
+        let senders: Vec<_> = self.vms[at].members.fresh_senders(now).cloned().collect();
+        for sender in senders {
             let member: usize =
-                teller.split('#').next().and_then(|it| it.parse().ok()).expect("a name");
+                sender.split('#').next().and_then(|it| it.parse().ok()).expect("a name");
             let mut rest = own.clone();
-            self.vms[at].members.add_to(&mut rest, Some(&teller), now);
+            self.vms[at].members.add_to(&mut rest, Some(&sender), now);
             self.vms[at].collectors.add_to(&mut rest, None, now);
             if self.is_up(member) && self.collector(centre, step) == at {
                 self.vms[member].rest.take(&name, rest, now);
--- a/crates/quincevalve_forwarding/tests/rollout_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/rollout_world/world.rs
@@ -22,10 +22,10 @@
 
 use crate::plan::{Badness, Plan, Trouble, Way};
 
-/// Milliseconds between two tellings of each VM.
+/// Milliseconds between two digests of each VM.
 const PERIOD: u64 = 60;
-/// Tellings after which what a VM told is known to all.
-const TELLING_DELAY: usize = 3;
+/// Digests after which what a VM told is known to all.
+const DIGEST_DELAY: usize = 3;
 /// Milliseconds between two looks of the holder.
 const LOOK: u64 = 100;
 /// Milliseconds that a write takes, and a change to each VM, from and to.
@@ -435,12 +435,12 @@
                 if is_heard { vm.book.shares(&vm.table, now) } else { RolloutShares::default() };
             add_shares(&mut sum, &told);
             vm.told.push_back(told);
-            if vm.told.len() > TELLING_DELAY {
+            if vm.told.len() > DIGEST_DELAY {
                 vm.told.pop_front();
             }
         }
         self.sums.push_back(sum);
-        if self.sums.len() > TELLING_DELAY {
+        if self.sums.len() > DIGEST_DELAY {
             self.sums.pop_front();
         }
         for vm in 0..self.vms.len() {
--- a/crates/quincevalve_forwarding/tests/signals_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/main.rs
@@ -125,7 +125,7 @@
     }
 }
 
-// Without telling each other, VMs learn of a limit one after the other.
+// Without digest each other, VMs learn of a limit one after the other.
 #[test]
 fn without_telling_a_limit_is_known_late() {
     let (vms, servers) = SIZES[2];
--- a/crates/quincevalve_measure/src/experiments.rs
+++ b/crates/quincevalve_measure/src/experiments.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod cost;
+mod digests;
 mod ledger;
 mod path;
 mod peers;
@@ -11,7 +12,6 @@
 mod retries;
 mod routing;
 mod slopes;
-mod tellings;
 
 use crate::table::Table;
 
@@ -56,6 +56,6 @@
     Plan = "plan" => plan,
     Peers = "peers" => peers,
     Path = "path" => path,
-    Tellings = "tellings" => tellings,
+    Digests = "digests" => digests,
     Placement = "placement" => placement,
 }
--- a/crates/quincevalve_measure/src/experiments/tellings.rs
+++ b/crates/quincevalve_measure/src/experiments/digests.rs
@@ -1,4 +1,4 @@
-//! Tellings: what it costs a collector to make one for a member, against the number of servers.
+//! Digests: what it costs a collector to make one for a member, against the number of servers.
 
 use std::time::Instant;
 
@@ -15,9 +15,9 @@
 const ACCOUNTS: usize = 40;
 
 pub(crate) fn run(seed: u64) -> Vec<Table> {
-    let title = "One telling for a member: the sum of all others, made and encoded";
+    let title = "One digest for a member: the sum of all others, made and encoded";
     let columns = ["servers", "bytes", "us", "MB/s of a core"];
-    let mut table = Table::new("tellings", title, &columns);
+    let mut table = Table::new("digests", title, &columns);
     for servers in [50, 204, 455, 910] {
         let (all, part) = (share(servers, 16, seed), share(servers / 10, 1, seed + 1));
         let began = Instant::now();
--- a/crates/quincevalve_measure/src/experiments/placement.rs
+++ b/crates/quincevalve_measure/src/experiments/placement.rs
@@ -22,14 +22,14 @@
 pub(crate) fn run(seed: u64) -> Vec<Table> {
     let title =
         "One placement among servers that have work, and taking over what others told of them";
-    let columns = ["servers", "us a placement", "us a telling"];
+    let columns = ["servers", "us a placement", "us a digest"];
     let mut table = Table::new("placement", title, &columns);
     for servers in [50, 204, 455, 910] {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut known = with_work(servers, &mut rng);
         let placing = micros(|| place(&known, &mut rng));
-        let telling = micros(|| take_over(&mut known));
-        table.push(vec![servers.to_string(), two(placing), two(telling)]);
+        let digest = micros(|| take_over(&mut known));
+        table.push(vec![servers.to_string(), two(placing), two(digest)]);
     }
     vec![table]
 }
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -29,7 +29,7 @@
 /// The same where some peers are out of reach: reports are due ten seconds after a window's end, and most
 /// cuts heal within this time.
 const REPORT_ANYWAY_MS: i64 = 8_000;
-/// A telling that a peer sent this long after a window's end holds all that began in it: first events are on
+/// A digest that a peer sent this long after a window's end holds all that began in it: first events are on
 /// their way to the peer for some milliseconds.
 const TOLD_AFTER_MS: i64 = 300;
 /// The part of a window's counts that may be missing from its report: less than half of the twentieth by which
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -4,22 +4,22 @@
 //! has to be sent again: each one carries running totals.
 
 mod datagram;
-mod hear;
-mod tell;
+mod receive;
+mod send;
 
 use std::{collections::HashMap, net::SocketAddr};
 
 use quincevalve_forwarding::{
+    digest_pace::DigestPace,
     peer_book::{PeerBook, Role, VmCard},
     sums::{Demand, Share, Sums},
-    telling_pace::TellingPace,
 };
 use quincevalve_names::{ServiceName, TimePoint};
 
 pub(crate) use self::{
     datagram::encoding,
-    hear::hear_peers,
-    tell::{ask_for_state, tell_peers},
+    receive::receive_datagrams,
+    send::{ask_for_state, send_digests},
 };
 
 /// The newest datagram of a VM.
@@ -43,7 +43,7 @@
     members: Sums,
     collectors: Sums,
     rest: Sums,
-    /// Members' addresses, by teller.
+    /// Members' addresses, by sender.
     member_addresses: HashMap<String, SocketAddr>,
     /// The work that all other VMs take on, as told last.
     others_demand: Demand,
@@ -52,7 +52,7 @@
     /// The newest datagram of each VM, by name.
     newest: HashMap<String, Newest>,
     /// How often members are told.
-    pace: TellingPace,
+    pace: DigestPace,
     /// Whether a share was heard that wasn't taken over yet.
     has_news: bool,
     /// What this VM told its collector last.
@@ -62,7 +62,7 @@
 impl Peers {
     pub(crate) fn new(me: VmCard, link: u64) -> Self {
         Self {
-            pace: TellingPace::new(link, me.cpu),
+            pace: DigestPace::new(link, me.cpu),
             book: PeerBook::new(me),
             holder: None,
             members: Sums::default(),
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -15,41 +15,41 @@
 /// The largest datagram that is taken, in bytes.
 pub(super) const MAX_DATAGRAM: usize = 60 << 10;
 
-/// Whose share a telling carries.
+/// Whose share a digest carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Scope {
-    /// The teller's own, for its collector.
+    /// The sender's own, for its collector.
     Own,
-    /// The teller's and its members', for other collectors.
+    /// The sender's and its members', for other collectors.
     Members,
     /// Everybody's but the receiver's, for a member.
     Rest,
 }
 
-/// What the teller knows of the store.
+/// What the sender knows of the store.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Relayed {
-    /// How long ago the teller sent the question whose answer proves that this is the newest.
+    /// How long ago the sender sent the question whose answer proves that this is the newest.
     pub(super) age: Duration,
-    /// The newest version of the configuration that the teller knows of.
+    /// The newest version of the configuration that the sender knows of.
     pub(super) version: u64,
     pub(super) after: u64,
     pub(super) upto: u64,
     pub(super) changes: Vec<(u64, Passed)>,
 }
 
-/// The newest datagram that the teller has of the receiver.
+/// The newest datagram that the sender has of the receiver.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct Echo {
     /// The start of the receiver that sent that: another start had another clock.
     pub(super) incarnation: u64,
     /// The receiver's clock when it sent that.
     pub(super) sent: TimePoint,
-    /// How long the teller has had it.
+    /// How long the sender has had it.
     pub(super) held: Duration,
 }
 
-/// When the store answered the teller or one that it hears.
+/// When the store answered the sender or one that it hears.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct ToldContact {
     /// How long ago the newest answer was asked for.
@@ -69,22 +69,22 @@
     Usage {
         counts: Counts,
     },
-    /// The teller lacks a configuration above this version.
+    /// The sender lacks a configuration above this version.
     ConfigWanted {
         above: u64,
     },
-    /// A part of the teller's configuration.
+    /// A part of the sender's configuration.
     ConfigPart(Part),
-    /// The teller has just started and knows nothing of the store.
+    /// The sender has just started and knows nothing of the store.
     StateWanted(PartsWanted),
     /// Another VM should be asked for it.
     StateElsewhere {
-        /// Whether the teller knows it, and only serves others at present.
+        /// Whether the sender knows it, and only serves others at present.
         serves_others: bool,
     },
-    /// A part of what the teller knows of the store.
+    /// A part of what the sender knows of the store.
     StatePart {
-        /// How long ago the teller sent the question whose answer proves that this is the newest.
+        /// How long ago the sender sent the question whose answer proves that this is the newest.
         age: Duration,
         part: Part,
     },
@@ -99,24 +99,24 @@
 
 /// One datagram.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Telling {
+pub(super) struct Datagram {
     pub(super) from: VmCard,
     pub(super) incarnation: u64,
-    /// The teller's time of day.
+    /// The sender's time of day.
     pub(super) wall_ms: i64,
-    /// True time as the teller reckons it.
+    /// True time as the sender reckons it.
     pub(super) true_ms: Option<i64>,
-    /// The teller's clock.
+    /// The sender's clock.
     pub(super) sent: TimePoint,
     pub(super) echo: Option<Echo>,
-    /// The revision of the store that the teller has reached.
+    /// The revision of the store that the sender has reached.
     pub(super) seen: Option<u64>,
     pub(super) content: Content,
 }
 
-impl Telling {
+impl Datagram {
     /// One start of one VM: totals of another start are no continuation of these.
-    pub(super) fn teller(&self) -> String {
+    pub(super) fn sender(&self) -> String {
         format!("{}#{}", self.from.name, self.incarnation)
     }
 }
--- a/crates/quincevalve_node/src/peers/hear.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -9,8 +9,8 @@
 
 use super::{
     Newest,
-    datagram::{Content, Echo, MAX_DATAGRAM, Relayed, Scope, Telling, ToldContact, encoding},
-    tell::{PERIOD, ask_for_state, send},
+    datagram::{Content, Datagram, Echo, MAX_DATAGRAM, Relayed, Scope, ToldContact, encoding},
+    send::{PERIOD, ask_for_state, send},
 };
 use crate::{
     clock,
@@ -25,7 +25,7 @@
 };
 
 /// Hears peers, for as long as the process lives.
-pub(crate) async fn hear_peers(node: Rc<Node>, socket: Rc<UdpSocket>) {
+pub(crate) async fn receive_datagrams(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
         let (length, from) = match socket.recv_from(&mut buf).await {
@@ -36,40 +36,40 @@
                 continue;
             }
         };
-        match encoding().deserialize::<Telling>(&buf[..length]) {
-            Ok(telling) => hear(&node, &socket, telling),
-            Err(error) => log::warn!(from:% = from, error:% = error; "telling-unreadable"),
+        match encoding().deserialize::<Datagram>(&buf[..length]) {
+            Ok(datagram) => hear(&node, &socket, datagram),
+            Err(error) => log::warn!(from:% = from, error:% = error; "datagram-unreadable"),
         }
     }
 }
 
-fn hear(node: &Node, socket: &UdpSocket, telling: Telling) {
+fn hear(node: &Node, socket: &UdpSocket, datagram: Datagram) {
     let now = clock::now();
-    let teller = telling.teller();
-    let name = telling.from.name.clone();
+    let sender = datagram.sender();
+    let name = datagram.from.name.clone();
     {
         let mut peers = node.peers.borrow_mut();
-        peers.book.heard(&telling.from, now);
+        peers.book.heard(&datagram.from, now);
         let newest = Newest {
-            incarnation: telling.incarnation,
-            sent: telling.sent,
+            incarnation: datagram.incarnation,
+            sent: datagram.sent,
             at: now,
-            seen: telling.seen,
+            seen: datagram.seen,
         };
         peers.newest.insert(name.clone(), newest);
     }
-    node.wall.borrow_mut().heard(name.clone(), telling.wall_ms, now);
-    match telling.content {
+    node.wall.borrow_mut().heard(name.clone(), datagram.wall_ms, now);
+    match datagram.content {
         Content::Share { scope, share, relayed, store } => {
             // What is relayed may say that servers are gone, and the contact whether that may be a lapse.
             if let Some(told) = store {
-                take_contact(node, told, telling.echo);
+                take_contact(node, told, datagram.echo);
             }
             if let Some(relayed) = relayed {
-                take_relayed(node, relayed, telling.echo);
+                take_relayed(node, relayed, datagram.echo);
                 if config_copy::is_wanted(node, now) {
                     let above = node.config().map_or(0, |it| it.version);
-                    send(node, socket, telling.from.address, Content::ConfigWanted { above });
+                    send(node, socket, datagram.from.address, Content::ConfigWanted { above });
                 }
             }
             // Two collectors would tell the same twice.
@@ -79,31 +79,31 @@
             {
                 let mut peers = node.peers.borrow_mut();
                 if scope == Scope::Own {
-                    peers.member_addresses.insert(teller.clone(), telling.from.address);
+                    peers.member_addresses.insert(sender.clone(), datagram.from.address);
                 }
                 let sums = match scope {
                     Scope::Own => &mut peers.members,
                     Scope::Members => &mut peers.collectors,
                     Scope::Rest => &mut peers.rest,
                 };
-                sums.take(&teller, *share, now);
+                sums.take(&sender, *share, now);
                 peers.has_news = true;
             }
             if scope == Scope::Rest
-                && let Some(true_ms) = telling.true_ms
+                && let Some(true_ms) = datagram.true_ms
             {
                 node.wall.borrow_mut().trust(true_ms, now);
             }
         }
         Content::ConfigWanted { above } => {
             for part in config_copy::parts_above(node, above) {
-                send(node, socket, telling.from.address, Content::ConfigPart(part));
+                send(node, socket, datagram.from.address, Content::ConfigPart(part));
             }
         }
-        Content::ConfigPart(part) => config_copy::take_part(node, part, telling.from.address),
+        Content::ConfigPart(part) => config_copy::take_part(node, part, datagram.from.address),
         Content::StateWanted(wanted) => {
-            let to = telling.from.address;
-            match state_copy::answer_for(node, &teller, &wanted, now) {
+            let to = datagram.from.address;
+            match state_copy::answer_for(node, &sender, &wanted, now) {
                 StateAnswer::Parts(parts) => parts.into_iter().for_each(|(age, part)| {
                     send(node, socket, to, Content::StatePart { age, part });
                 }),
@@ -113,11 +113,11 @@
             }
         }
         Content::StateElsewhere { serves_others } => {
-            state_copy::sent_on(node, telling.from.address, serves_others);
+            state_copy::sent_on(node, datagram.from.address, serves_others);
         }
         Content::StatePart { age, part } => {
-            let proved = sent_after(node, telling.echo).and_then(|it| earlier(it, age));
-            let source = telling.from.address;
+            let proved = sent_after(node, datagram.echo).and_then(|it| earlier(it, age));
+            let source = datagram.from.address;
             if let Some(wanted) = state_copy::take_part(node, part, proved, source) {
                 ask_for_state(node, socket, source, wanted);
             }
@@ -132,8 +132,8 @@
             take_news(node, servers, from);
         }
         Content::Usage { counts } => {
-            let sent_ms = telling.true_ms.unwrap_or(telling.wall_ms);
-            node.usage.borrow_mut().heard(&name, telling.incarnation, &counts, sent_ms);
+            let sent_ms = datagram.true_ms.unwrap_or(datagram.wall_ms);
+            node.usage.borrow_mut().heard(&name, datagram.incarnation, &counts, sent_ms);
         }
     }
 }
@@ -169,7 +169,7 @@
 }
 
 /// The latest moment at which a datagram with this echo can't have been sent yet, by this VM's clock: when this VM sent
-/// what it echoes, and as long after that as the teller had it. `None` if an earlier start of this VM sent that.
+/// what it echoes, and as long after that as the sender had it. `None` if an earlier start of this VM sent that.
 fn sent_after(node: &Node, echo: Option<Echo>) -> Option<TimePoint> {
     let echo = echo.filter(|it| it.incarnation == node.incarnation)?;
     Some(echo.sent + echo.held)
--- a/crates/quincevalve_node/src/peers/hear/tests.rs
+++ b/crates/quincevalve_node/src/peers/receive/tests.rs
@@ -67,9 +67,9 @@
 }
 
 /// What vm-2 tells: that the store answered it a moment ago, and so without a gap for a minute; and changes.
-fn telling(node: &Node, store: Option<ToldContact>, changes: Vec<(u64, Passed)>) -> Telling {
+fn datagram(node: &Node, store: Option<ToldContact>, changes: Vec<(u64, Passed)>) -> Datagram {
     let upto = changes.last().map_or(AT, |(at, _)| *at);
-    Telling {
+    Datagram {
         from: VmCard { name: "vm-2".into(), address: any(), data_centre: "a".into(), cpu: 250 },
         incarnation: 1,
         wall_ms: 0,
@@ -111,7 +111,7 @@
     run(async {
         let node = node(3_000);
         note_away(&node);
-        hear(&node, &socket().await, telling(&node, Some(answered_all_the_while()), removed()));
+        hear(&node, &socket().await, datagram(&node, Some(answered_all_the_while()), removed()));
         assert!(usable(&node).is_empty());
         heard_of_store(&node, Contact::at(clock::now()));
         assert!(usable(&node).is_empty());
@@ -125,8 +125,8 @@
     run(async {
         let (node, socket) = (node(3_000), socket().await);
         note_away(&node);
-        hear(&node, &socket, telling(&node, None, removed()));
-        hear(&node, &socket, telling(&node, Some(answered_all_the_while()), removed()));
+        hear(&node, &socket, datagram(&node, None, removed()));
+        hear(&node, &socket, datagram(&node, Some(answered_all_the_while()), removed()));
         heard_of_store(&node, Contact::at(clock::now()));
         assert!(usable(&node).is_empty());
     });
@@ -140,7 +140,7 @@
         let node = node(3_000);
         note_away(&node);
         assert!(node.servers.borrow().is_store_away());
-        hear(&node, &socket().await, telling(&node, None, removed()));
+        hear(&node, &socket().await, datagram(&node, None, removed()));
         assert!(!usable(&node).is_empty());
     });
 }
@@ -151,19 +151,19 @@
     run(async {
         let node = node(100);
         let leaves = vec![(AT + 1, Passed::Server("i-1".into(), server(true)))];
-        hear(&node, &socket().await, telling(&node, Some(answered_all_the_while()), leaves));
+        hear(&node, &socket().await, datagram(&node, Some(answered_all_the_while()), leaves));
         assert_eq!(usable(&node), ["i-2"]);
     });
 }
 
 /// What a VM of that name tells of the store, from one revision to another.
-fn relays(node: &Node, teller: &str, after: u64, changes: Vec<(u64, Passed)>) -> Telling {
-    let mut telling = telling(node, Some(answered_all_the_while()), changes);
-    telling.from.name = teller.to_owned();
-    if let Content::Share { relayed: Some(relayed), .. } = &mut telling.content {
+fn relays(node: &Node, sender: &str, after: u64, changes: Vec<(u64, Passed)>) -> Datagram {
+    let mut datagram = datagram(node, Some(answered_all_the_while()), changes);
+    datagram.from.name = sender.to_owned();
+    if let Content::Share { relayed: Some(relayed), .. } = &mut datagram.content {
         relayed.after = after;
     }
-    telling
+    datagram
 }
 
 // Requests reach a server that said that it leaves while the collector was replaced: the first one passed nothing more on,
--- a/crates/quincevalve_node/src/peers/tell.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -13,10 +13,10 @@
 use quincevalve_names::TimePoint;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::datagram::{Content, Echo, Relayed, Scope, Telling, ToldContact, encoding};
+use super::datagram::{Content, Datagram, Echo, Relayed, Scope, ToldContact, encoding};
 use crate::{clock, node::Node, ports::StoreRevision, rollouts, server_news::news_of};
 
-/// Time between two tellings. Loads and quotas are known everywhere after three of them at most.
+/// Time between two digests. Loads and quotas are known everywhere after three of them at most.
 pub(super) const PERIOD: Duration = Duration::from_millis(60);
 
 const PERIODS_PER_SECOND: f64 = 1_000.0 / PERIOD.as_millis() as f64;
@@ -24,13 +24,13 @@
 /// Periods between two questions to a collector that was silent.
 const BETTER_PERIODS: u32 = 32;
 
-/// Periods between two tellings of a VM that has taken on and ended nothing meanwhile: others count what it told for twice
+/// Periods between two digests of a VM that has taken on and ended nothing meanwhile: others count what it told for twice
 /// as long and more.
 const QUIET_PERIODS: u32 = 5;
 /// Periods after which what others told is taken over though nothing new was heard: it may be too old to count.
 const STALE_PERIODS: u32 = 4;
 
-/// Periods between two tellings of when the store answered: an eighth of the gap that counts as an outage.
+/// Periods between two digests of when the store answered: an eighth of the gap that counts as an outage.
 const CONTACT_PERIODS: u32 = 4;
 
 /// Servers of which one datagram has news at most: with names of forty bytes it stays below half of the largest.
@@ -39,7 +39,7 @@
 /// The key of the order of VMs by which limits that servers name are divided.
 const LIMITS_KEY: u64 = 0;
 
-/// Periods between two tellings of usage, which is needed by the second.
+/// Periods between two digests of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 12;
 
 /// Bytes of changes of the store in one datagram at most: a hundred servers that leave together. With the
@@ -47,7 +47,7 @@
 const PASSED_BYTES: usize = 20 << 10;
 
 /// Tells peers, for as long as the process lives.
-pub(crate) async fn tell_peers(node: Rc<Node>, socket: Rc<UdpSocket>) {
+pub(crate) async fn send_digests(node: Rc<Node>, socket: Rc<UdpSocket>) {
     for turn in 0_u32.. {
         let now = clock::now();
         node.wall.borrow_mut().heard(String::new(), clock::wall_ms(), now);
@@ -59,22 +59,22 @@
         if node.peers.borrow_mut().take_news() || turn.is_multiple_of(STALE_PERIODS) {
             take_over_sums(&node, now);
         }
-        tell_shares(&node, &socket, turn, now);
-        tell_poison(&node, &socket, now);
-        tell_signals(&node, &socket, now);
+        send_loads(&node, &socket, turn, now);
+        send_poison(&node, &socket, now);
+        send_signals(&node, &socket, now);
         if turn % BETTER_PERIODS == 0 {
             ask_better_collector(&node, &socket, now);
         }
         if turn % USAGE_PERIODS == 0 {
-            tell_usage(&node, &socket);
-            tell_left_out(&node);
+            send_usage(&node, &socket);
+            log_left_out(&node);
         }
         sleep(PERIOD).await;
     }
 }
 
 /// Says how many lines of requests were not written since the last time.
-fn tell_left_out(node: &Node) {
+fn log_left_out(node: &Node) {
     let lines = node.lines.borrow_mut().take_left_out();
     if lines > 0 {
         log::info!(lines; "lines-left-out");
@@ -130,11 +130,11 @@
     }
 }
 
-fn tell_shares(node: &Node, socket: &UdpSocket, turn: u32, now: TimePoint) {
+fn send_loads(node: &Node, socket: &UdpSocket, turn: u32, now: TimePoint) {
     let own = own_share(node);
     let mut peers = node.peers.borrow_mut();
     let is_quiet = !peers.has_own_news(&own);
-    let members: Vec<_> = peers.members.fresh_tellers(now).cloned().collect();
+    let members: Vec<_> = peers.members.fresh_senders(now).cloned().collect();
     let role = peers.book.role(!members.is_empty(), now);
     let mut sent = Vec::new();
     // Members that are told by turns hear of the store each time: their turns may never be those of the others.
@@ -215,7 +215,7 @@
 
 /// Tells usage to the holder of the duties; in a small system to everyone, so that a successor
 /// knows them at once.
-fn tell_usage(node: &Node, socket: &UdpSocket) {
+fn send_usage(node: &Node, socket: &UdpSocket) {
     let addresses = {
         let peers = node.peers.borrow();
         let holder = peers.holder.as_deref().filter(|it| *it != peers.book.me().name);
@@ -233,7 +233,7 @@
 }
 
 /// Tells what there is to tell of requests under which servers exit.
-fn tell_poison(node: &Node, socket: &UdpSocket, now: TimePoint) {
+fn send_poison(node: &Node, socket: &UdpSocket, now: TimePoint) {
     if !node.poison.borrow().is_due(now) {
         return;
     }
@@ -254,7 +254,7 @@
 }
 
 /// Tells what servers said of themselves and others don't know yet.
-fn tell_signals(node: &Node, socket: &UdpSocket, now: TimePoint) {
+fn send_signals(node: &Node, socket: &UdpSocket, now: TimePoint) {
     let (wide, near) = {
         let mut outbox = node.signal_outbox.borrow_mut();
         (outbox.for_collectors(), outbox.for_members())
@@ -264,7 +264,7 @@
     }
     let (role, members): (_, Vec<_>) = {
         let peers = node.peers.borrow();
-        let members = peers.members.fresh_tellers(now);
+        let members = peers.members.fresh_senders(now);
         let members = members.filter_map(|it| peers.member_addresses.get(it).copied()).collect();
         (peers.book.role(peers.has_members(now), now), members)
     };
@@ -272,11 +272,11 @@
         Role::Member { address, .. } => (Scope::Own, vec![address]),
         Role::Collector { others } => (Scope::Members, others),
     };
-    tell_news(node, socket, scope, wide, &collectors);
-    tell_news(node, socket, Scope::Rest, near, &members);
+    send_news(node, socket, scope, wide, &collectors);
+    send_news(node, socket, Scope::Rest, near, &members);
 }
 
-fn tell_news(
+fn send_news(
     node: &Node,
     socket: &UdpSocket,
     scope: Scope,
@@ -317,7 +317,7 @@
         let newest = peers.book.name_of(address).and_then(|it| peers.newest.get(it));
         newest.map(|it| Echo { incarnation: it.incarnation, sent: it.sent, held: now.since(it.at) })
     };
-    let telling = Telling {
+    let datagram = Datagram {
         sent: now,
         echo,
         seen: node.store_view.borrow().reached().map(|it| it.0),
@@ -327,16 +327,16 @@
         true_ms: node.wall.borrow().true_ms(now),
         content,
     };
-    match encoding().serialize(&telling) {
+    match encoding().serialize(&datagram) {
         // A datagram that can't be sent is like one that is lost.
         Ok(bytes) => {
             if let Err(error) = socket.try_send_to(&bytes, address) {
-                log::debug!(peer:% = address, error:% = error; "tell-failed");
+                log::debug!(peer:% = address, error:% = error; "send-failed");
             }
             bytes.len()
         }
         Err(error) => {
-            log::error!(error:% = error; "telling-not-encoded");
+            log::error!(error:% = error; "datagram-not-encoded");
             0
         }
     }
--- a/crates/quincevalve_node/src/quarantine.rs
+++ b/crates/quincevalve_node/src/quarantine.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock,
     node::Node,
-    request::{identify::Identified, story::note},
+    request::{identify::Identified, trace::note},
 };
 
 /// How long a caller whose trial the store didn't answer is told to stay away.
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -14,4 +14,4 @@
 pub(crate) mod refusal;
 pub(crate) mod relay;
 mod signals;
-pub(crate) mod story;
+pub(crate) mod trace;
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -20,7 +20,7 @@
         placing::{RETRY_AFTER, WorkGuard, find_place, unlisted_ms},
         refusal::{Refusal, Refused, promises_not_run},
         relay,
-        story::note,
+        trace::note,
     },
 };
 
@@ -56,7 +56,7 @@
         note!(
             node, req,
             server = place.server.as_str(), urgency = req.urgency, version = &place.version,
-            home = place.home.map_or(-1, usize::cast_signed) as i64,
+            affinity = place.affinity.map_or(-1, usize::cast_signed) as i64,
             predicted_ms = place.predicted.as_millis() as u64, running = place.seen.requests,
             prefill = place.seen.prefill, recent = place.seen.recent,
             told_age_ms = place.told_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place),
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -23,7 +23,7 @@
         exit_check::connection_broke,
         identify::{Identified, is_hop_by_hop, text},
         signals::take_signals,
-        story::note,
+        trace::note,
     },
 };
 
--- a/crates/quincevalve_node/src/request/front.rs
+++ b/crates/quincevalve_node/src/request/front.rs
@@ -25,7 +25,7 @@
         dispatch::dispatch,
         identify::{Identified, identify, text},
         refusal::{Refusal, Refused},
-        story::note,
+        trace::note,
     },
 };
 
@@ -119,7 +119,7 @@
     Ok(answer)
 }
 
-/// Ends the story of a request that was answered as a whole; a stream's goes on.
+/// Ends the trace of a request that was answered as a whole; a stream's goes on.
 fn note_answer(node: &Node, req: &Identified, status: StatusCode) {
     let took = req.arrived.elapsed();
     note!(
@@ -134,7 +134,7 @@
     node.metrics.first_answer(&req.route.name, took);
     node.metrics.request(&req.route.name, status.as_str());
     let was_bad = took > req.route.objective || !status.is_success();
-    req.story.end(node, &req.id, was_bad);
+    req.trace.end(node, &req.id, was_bad);
 }
 
 fn log_refusal(node: &Node, id: &str, arrived: Instant, refused: Refused) {
@@ -177,7 +177,7 @@
     match &answer {
         Ok(answer) => note_answer(node, &identified, answer.status()),
         Err(refused) => {
-            identified.story.end(node, &identified.id, true);
+            identified.trace.end(node, &identified.id, true);
             node.metrics.request(&identified.route.name, refused.refusal.name());
         }
     }
--- a/crates/quincevalve_node/src/request/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -15,7 +15,7 @@
 use crate::{
     node::Node,
     ports::HeaderNames,
-    request::{refusal::Refusal, story::Story},
+    request::{refusal::Refusal, trace::Trace},
 };
 
 /// The largest body, in bytes, that is hashed for each request: about 50 microseconds of a core. Larger ones are hashed
@@ -41,7 +41,7 @@
     pub(crate) arrived: Instant,
     /// When the caller stops waiting, or the route's timeout ends, whichever comes first.
     pub(crate) deadline: Instant,
-    pub(crate) story: Story,
+    pub(crate) trace: Trace,
 }
 
 impl Identified {
@@ -99,7 +99,7 @@
         route,
         service,
         account,
-        story: Story::default(),
+        trace: Trace::default(),
     })
 }
 
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -23,7 +23,7 @@
         exit_check::connection_broke,
         identify::Identified,
         placing::{WorkGuard, place_again, unlisted_ms},
-        story::note,
+        trace::note,
     },
 };
 
@@ -170,7 +170,7 @@
         self.node.metrics.request(&self.req.route.name, how);
         let was_late = self.first_after.is_none_or(|it| it > self.req.route.objective);
         let was_bad = was_late || !matches!(how, "whole" | "caller-left");
-        self.req.story.end(&self.node, &self.req.id, was_bad);
+        self.req.trace.end(&self.node, &self.req.id, was_bad);
     }
 
     /// Cuts the caller's connection, so that the answer doesn't look complete.
--- a/crates/quincevalve_node/src/request/story.rs
+++ b/crates/quincevalve_node/src/request/trace.rs
@@ -17,11 +17,11 @@
 /// What is told of a request. Under load lines are held until it is known whether they are worth writing:
 /// each line of a request that fails or is late is written, and of the others as many as the budget allows.
 #[derive(Debug, Default)]
-pub(crate) struct Story {
+pub(crate) struct Trace {
     held: RefCell<Vec<Held>>,
 }
 
-impl Story {
+impl Trace {
     pub(crate) fn hold(&self, node: &Node, name: &'static str, fields: String) {
         let mut held = self.held.borrow_mut();
         if held.len() < HELD_LINES {
@@ -31,7 +31,7 @@
         }
     }
 
-    /// Ends the story: held lines are written if the request came to a bad end.
+    /// Ends the trace: held lines are written if the request came to a bad end.
     pub(crate) fn end(&self, node: &Node, id: &str, was_bad: bool) {
         let held = self.held.take();
         if !was_bad {
@@ -51,7 +51,7 @@
             log::info!(id = $req.id, $($key:% = $value),*; $name);
         } else {
             let fields = [$(format!("{}={}", stringify!($key), $value)),*].join(" ");
-            $req.story.hold(&$node, $name, fields);
+            $req.trace.hold(&$node, $name, fields);
         }
     };
 }
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -144,8 +144,8 @@
     spawn_local(follow_store(node.clone(), store.clone(), socket.clone()));
     spawn_local(keep_entry(node.clone(), store.clone()));
     spawn_local(keep_quarantine(node.clone(), store.clone(), quarantine_orders));
-    spawn_local(peers::tell_peers(node.clone(), socket.clone()));
-    spawn_local(peers::hear_peers(node.clone(), socket));
+    spawn_local(peers::send_digests(node.clone(), socket.clone()));
+    spawn_local(peers::receive_datagrams(node.clone(), socket));
     let (stop_duties, duties_stopped) = watch::channel(false);
     spawn_local(duties::hold_duties(node.clone(), store, cloud, duties_stopped));
     loop {
--- a/crates/quincevalve_node/src/store/state_copy.rs
+++ b/crates/quincevalve_node/src/store/state_copy.rs
@@ -130,7 +130,7 @@
 /// its link is needed for others.
 pub(crate) fn answer_for(
     node: &Node,
-    teller: &str,
+    sender: &str,
     wanted: &PartsWanted,
     now: TimePoint,
 ) -> StateAnswer {
@@ -139,18 +139,18 @@
     if wanted.version.is_none() && !is_newest(node, now) {
         return StateAnswer::SendOn { serves_others: false };
     }
-    if !copy.served.admit(teller, node.settings.link, now) {
+    if !copy.served.admit(sender, node.settings.link, now) {
         return StateAnswer::SendOn { serves_others: true };
     }
     let Some(version) = wanted.version else {
-        return StateAnswer::Parts(copy.first_parts(node, teller, now));
+        return StateAnswer::Parts(copy.first_parts(node, sender, now));
     };
     let Some(given) = copy.given.iter().find(|it| it.version() == Some(version)) else {
         return StateAnswer::SendOn { serves_others: false };
     };
     let parts = given.parts(|at| wanted.parts.contains(&at), now);
     if given.is_end(&wanted.parts) {
-        copy.served.ended(teller);
+        copy.served.ended(sender);
     }
     StateAnswer::Parts(parts)
 }
@@ -243,8 +243,8 @@
 
 impl StateCopy {
     /// The first parts of the newest that this VM knows.
-    fn first_parts(&mut self, node: &Node, teller: &str, now: TimePoint) -> Vec<(Duration, Part)> {
-        if !self.may_answer(teller, now) {
+    fn first_parts(&mut self, node: &Node, sender: &str, now: TimePoint) -> Vec<(Duration, Part)> {
+        if !self.may_answer(sender, now) {
             return Vec::new();
         }
         let is_old = |it: &Given| now.since(it.encoded_at) >= ENCODE_AGAIN;
@@ -255,12 +255,12 @@
         newest.map_or_else(Vec::new, |it| it.parts(|at| (at as usize) < WINDOW, now))
     }
 
-    fn may_answer(&mut self, teller: &str, now: TimePoint) -> bool {
+    fn may_answer(&mut self, sender: &str, now: TimePoint) -> bool {
         self.answered.retain(|_, at| now.since(*at) < ANSWER_AGAIN);
-        if self.answered.contains_key(teller) {
+        if self.answered.contains_key(sender) {
             return false;
         }
-        self.answered.insert(teller.to_owned(), now);
+        self.answered.insert(sender.to_owned(), now);
         true
     }
 }
--- a/crates/quincevalve_node/src/store/state_copy/tests.rs
+++ b/crates/quincevalve_node/src/store/state_copy/tests.rs
@@ -71,8 +71,8 @@
     ([127, 0, 0, 2], 0).into()
 }
 
-fn parts_for(node: &Node, teller: &str, now: TimePoint) -> Vec<(Duration, Part)> {
-    match answer_for(node, teller, &PartsWanted::default(), now) {
+fn parts_for(node: &Node, sender: &str, now: TimePoint) -> Vec<(Duration, Part)> {
+    match answer_for(node, sender, &PartsWanted::default(), now) {
         StateAnswer::Parts(parts) => parts,
         StateAnswer::SendOn { .. } => Vec::new(),
     }
@@ -184,8 +184,8 @@
             answers.partition(|it| matches!(it, StateAnswer::Parts(_)));
         assert_eq!(served.len(), 16);
         assert!(sent_on.iter().all(|it| matches!(it, StateAnswer::SendOn { serves_others: true })));
-        let parts = |teller: &str| {
-            matches!(answer_for(&node, teller, &wanted, now + ASK_AGAIN * 2), StateAnswer::Parts(_))
+        let parts = |sender: &str| {
+            matches!(answer_for(&node, sender, &wanted, now + ASK_AGAIN * 2), StateAnswer::Parts(_))
         };
         assert!(parts("vm-39#1"), "those who went silent are forgotten");
     });
