Loads: a quiet VM tells when the store answered as often as before

With a digest each five periods, and the word of the store each four, a quiet member told its collector of the store's answers each 1.2 s instead of 0.24: whose own reading fails would have believed in an outage that others could deny (`DOUBT_TIME` counts on two such words in 0.6 s). Both are four periods now. The three jobs of `send_loads` are functions.

--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -5,6 +5,7 @@
 use bincode::Options;
 use quincevalve_forwarding::{
     change_log::Excerpt,
+    config::ForwardingConfig,
     part_fetch::PartsWanted,
     peer_book::Role,
     signal_outbox::ServerKey,
@@ -13,7 +14,10 @@
 use quincevalve_names::TimePoint;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::datagram::{Content, Datagram, Echo, Relayed, Scope, ToldContact, encoding};
+use super::{
+    Peers,
+    datagram::{Content, Datagram, Echo, Relayed, Scope, ToldContact, encoding},
+};
 use crate::{clock, node::Node, ports::StoreRevision, rollouts, server_news::news_of};
 
 /// Time between two digests. Loads and quotas are known everywhere after three of them at most.
@@ -24,9 +28,9 @@
 /// Periods between two questions to a collector that was silent.
 const BETTER_PERIODS: u32 = 32;
 
-/// Periods between two digests of a VM that has taken on and ended nothing meanwhile: others count what it told for twice
-/// as long and more.
-const QUIET_PERIODS: u32 = 5;
+/// Periods between two digests of a VM that has taken on and ended nothing meanwhile: two of them may be lost before others
+/// take it for gone, and each tells when the store answered.
+const QUIET_PERIODS: u32 = CONTACT_PERIODS;
 /// Periods after which what others told is taken over though nothing new was heard: it may be too old to count.
 const STALE_PERIODS: u32 = 4;
 
@@ -130,40 +134,24 @@
     }
 }
 
+/// A digest for the VM at an address.
+type Outgoing = (SocketAddr, Scope, Share);
+
 fn send_loads(node: &Node, socket: &UdpSocket, turn: u32, now: TimePoint) {
     let own = own_share(node);
+    let config = node.config();
     let mut peers = node.peers.borrow_mut();
-    let is_quiet = !peers.has_own_news(&own);
-    let members: Vec<_> = peers.members.fresh_senders(now).cloned().collect();
-    let role = peers.book.role(!members.is_empty(), now);
-    let mut sent = Vec::new();
+    let members = peers.members.fresh_senders(now).count();
     // Members that are told by turns hear of the store each time: their turns may never be those of the others.
-    let by_turns = peers.pace.periods(members.len(), PERIODS_PER_SECOND) > 1;
-    match role {
-        Role::Member { .. } if is_quiet && !turn.is_multiple_of(QUIET_PERIODS) => {}
+    let by_turns = peers.pace.periods(members, PERIODS_PER_SECOND) > 1;
+    let sent = match peers.book.role(members > 0, now) {
         Role::Member { address, .. } => {
-            peers.own_told = Some(own.clone());
-            sent.push((address, Scope::Own, own));
+            own_digest(&mut peers, own, address, turn).into_iter().collect()
         }
         Role::Collector { others } => {
-            let mut share = own;
-            peers.members.add_to(&mut share, None, now);
-            let mut all = share.clone();
-            peers.collectors.add_to(&mut all, None, now);
-            share.name_busiest(NAMED_TO_COLLECTOR);
-            all.name_busiest(NAMED_TO_MEMBER);
-            if let Some(config) = node.config() {
-                all.drop_light_spending(&config);
-            }
-            let is_due = |at| peers.pace.is_due(at, turn, members.len(), PERIODS_PER_SECOND);
-            for (_, member) in members.iter().enumerate().filter(|(at, _)| is_due(*at)) {
-                let Some(address) = peers.member_addresses.get(member) else { continue };
-                let Some(told) = peers.members.told(member, now) else { continue };
-                sent.push((*address, Scope::Rest, all.without(told)));
-            }
-            sent.extend(others.into_iter().map(|it| (it, Scope::Members, share.clone())));
+            collector_digests(&peers, own, &others, config.as_deref(), turn, now)
         }
-    }
+    };
     drop(peers);
     let contact = told_contact(node, now);
     let relays_store = node.relays_store();
@@ -183,6 +171,45 @@
     }
 }
 
+/// What a member tells its collector in this period: nothing while there is no news, but for every few periods.
+fn own_digest(peers: &mut Peers, own: Share, address: SocketAddr, turn: u32) -> Option<Outgoing> {
+    if !peers.has_own_news(&own) && !turn.is_multiple_of(QUIET_PERIODS) {
+        return None;
+    }
+    peers.own_told = Some(own.clone());
+    Some((address, Scope::Own, own))
+}
+
+/// What a collector tells its members and the other collectors in this period.
+fn collector_digests(
+    peers: &Peers,
+    own: Share,
+    others: &[SocketAddr],
+    config: Option<&ForwardingConfig>,
+    turn: u32,
+    now: TimePoint,
+) -> Vec<Outgoing> {
+    let mut share = own;
+    peers.members.add_to(&mut share, None, now);
+    let mut all = share.clone();
+    peers.collectors.add_to(&mut all, None, now);
+    share.name_busiest(NAMED_TO_COLLECTOR);
+    all.name_busiest(NAMED_TO_MEMBER);
+    if let Some(config) = config {
+        all.drop_light_spending(config);
+    }
+    let members: Vec<_> = peers.members.fresh_senders(now).collect();
+    let is_due = |at| peers.pace.is_due(at, turn, members.len(), PERIODS_PER_SECOND);
+    let due = members.iter().enumerate().filter(|(at, _)| is_due(*at));
+    let to_members = due.filter_map(|(_, member)| {
+        let address = peers.member_addresses.get(*member)?;
+        let told = peers.members.told(member, now)?;
+        Some((*address, Scope::Rest, all.without(told)))
+    });
+    let to_collectors = others.iter().map(|it| (*it, Scope::Members, share.clone()));
+    to_members.chain(to_collectors).collect()
+}
+
 /// Asks the best collector of the data centre again, if it was silent. The share is empty: the VM's own is
 /// counted where it is told now.
 fn ask_better_collector(node: &Node, socket: &UdpSocket, now: TimePoint) {
