--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -368,3 +368,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
