Store: where its history is gone, others go on from the differences

The store drops its history at 1 s; the two VMs that read it for all read the whole and began their log of changes anew. Nobody else reached that log: each of 986 VMs read the whole store itself, 1.5 MB, some twelve seconds of the store's link; until then keys were unproved and requests refused, and configurations of before stayed in force.

A VM that reads the whole again passes on what is otherwise than it knew, in its log. Where that is more than a datagram holds it begins anew, as before. Tests (store/view): others go on from what they know; what a datagram doesn't hold isn't passed on; what is known is no difference.

--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -18,7 +18,10 @@
     Peers,
     datagram::{Content, Datagram, Echo, Relayed, Scope, ToldContact, encoding},
 };
-use crate::{clock, node::Node, ports::StoreRevision, rollouts, server_news::news_of};
+use crate::{
+    clock, node::Node, ports::StoreRevision, rollouts, server_news::news_of,
+    store::view::PASSED_BYTES,
+};
 
 /// Time between two digests. Loads and quotas are known everywhere after three of them at most.
 pub(super) const PERIOD: Duration = Duration::from_millis(60);
@@ -46,10 +49,6 @@
 /// Periods between two digests of usage, which is needed by the second.
 const USAGE_PERIODS: u32 = 12;
 
-/// Bytes of changes of the store in one datagram at most: a hundred servers that leave together. With the
-/// shares of a hundred servers beside them a datagram stays below half of the largest.
-const PASSED_BYTES: usize = 20 << 10;
-
 /// Tells peers, for as long as the process lives.
 pub(crate) async fn send_digests(node: Rc<Node>, socket: Rc<UdpSocket>) {
     for turn in 0_u32.. {
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -1,6 +1,7 @@
 //! What this VM knows of the platform's store, whether it read it itself or was told.
 
 use bincode::Options;
+use indexmap::{IndexMap, IndexSet};
 use quincevalve_forwarding::{
     change_log::{ChangeLog, Excerpt},
     config::ForwardingConfig,
@@ -60,6 +61,9 @@
     Config(u64),
 }
 
+/// Bytes of changes in one datagram at most: a hundred servers that leave together. With the shares of a hundred servers
+/// beside them a datagram stays below half of the largest.
+pub(crate) const PASSED_BYTES: usize = 20 << 10;
 /// Bytes of a change's revision in a datagram at most.
 const REVISION_BYTES: usize = 9;
 
@@ -162,6 +166,7 @@
     let holder = snapshot.own.iter().find(|it| it.key == HOLDER_KEY);
     let holder = holder.map(|it| holder_name(&it.value));
     let (at, newest, servers) = (snapshot.at.0, snapshot.newest.0, snapshot.servers.len());
+    let differences = differences(node, &snapshot);
     let whole = Whole {
         at,
         newest,
@@ -174,9 +179,74 @@
         rollouts: rollouts::records(&snapshot.own),
         rollout_orders: snapshot.rollouts,
     };
+    let logged = node.store_view.borrow().log.clone();
     if take_whole(node, whole) {
         log::info!(revision = at, servers; "store-read");
+        if let Some(differences) = differences {
+            let mut view = node.store_view.borrow_mut();
+            view.log = logged;
+            view.log.extend(differences.into_iter().map(|it| (at, it)), at);
+        }
+    }
+}
+
+/// What the whole store holds otherwise than this VM knew, as changes for other VMs; `None` before this VM knew anything, and
+/// where a datagram doesn't hold it.
+///
+/// Failure: the store drops its history, and the VMs that read it for all read the whole of it. Symptom: nobody else knows
+/// what changed before, each of hundreds of VMs reads the whole store, for longer than keys may go unproved, and all callers
+/// are refused. With the differences others go on from what they know.
+fn differences(node: &Node, snapshot: &Snapshot) -> Option<Vec<Passed>> {
+    let view = node.store_view.borrow();
+    if !view.was_read() || snapshot.at.0 < view.log.upto() {
+        return None;
     }
+    let mut differences = server_differences(node, snapshot);
+    differences.extend(own_differences(node, snapshot));
+    let orders = snapshot.rollouts.iter();
+    differences
+        .extend(orders.map(|(it, order)| Passed::RolloutOrder(it.clone(), Some(order.clone()))));
+    let rollouts = node.rollouts.borrow();
+    let removed = rollouts.orders().map(|(it, _)| it);
+    let removed = removed.filter(|it| !snapshot.rollouts.iter().any(|(name, _)| name == *it));
+    differences.extend(removed.map(|it| Passed::RolloutOrder(it.clone(), None)));
+    differences.extend(snapshot.config.iter().map(|it| Passed::Config(it.version)));
+    let bytes: usize = differences.iter().map(Passed::bytes).sum();
+    (bytes <= PASSED_BYTES).then_some(differences)
+}
+
+fn server_differences(node: &Node, snapshot: &Snapshot) -> Vec<Passed> {
+    let servers = node.servers.borrow();
+    let read: IndexMap<_, _> = snapshot.servers.iter().map(|(name, it)| (name, it)).collect();
+    let unreadable: IndexSet<_> = snapshot.unreadable.iter().map(|(name, _)| name).collect();
+    let known: IndexMap<_, _> = servers.listed_entries().collect();
+    let changed = read.iter().filter(|(name, it)| known.get(**name) != Some(**it));
+    let changed = changed.map(|(name, it)| Passed::Server((*name).clone(), (*it).clone()));
+    let removed = known.keys().filter(|it| !read.contains_key(it) && !unreadable.contains(it));
+    let removed = removed.map(|it| Passed::ServerRemoved(it.clone()));
+    let unreadable = unreadable.iter().map(|it| Passed::ServerUnreadable((*it).clone()));
+    changed.chain(removed).chain(unreadable).collect()
+}
+
+/// The same of the system's own keys: entries of VMs that differ, and all of the few others that other VMs need.
+fn own_differences(node: &Node, snapshot: &Snapshot) -> Vec<Passed> {
+    let peers = node.peers.borrow();
+    let listed: IndexMap<String, &VmCard> =
+        peers.book.listed_cards().map(|it| (peer_key(it), it)).collect();
+    let is_known = |it: &&OwnItem| {
+        it.key.starts_with(PEER_KEYS)
+            && card(&it.key, &it.value).is_some_and(|read| listed.get(&it.key) == Some(&&read))
+    };
+    let changed = snapshot.own.iter().filter(|it| !is_known(it));
+    let changed = changed.map(|it| Passed::Own { key: it.key.clone(), value: it.value.clone() });
+    let read: IndexSet<&str> = snapshot.own.iter().map(|it| it.key.as_str()).collect();
+    let holder = peers.holder().map(|_| HOLDER_KEY.to_owned());
+    let poison = node.poison.borrow();
+    let quarantined = poison.listed().map(|(digest, _)| format!("{QUARANTINE_KEYS}{digest}"));
+    let me = peer_key(peers.book.me());
+    let known = listed.keys().filter(|it| **it != me).cloned().chain(holder).chain(quarantined);
+    let removed = known.filter(|it| !read.contains(it.as_str())).map(Passed::OwnRemoved);
+    changed.chain(removed).filter(Passed::concerns_others).collect()
 }
 
 /// Takes what the whole store holds, unless this VM knows something newer.
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -237,3 +237,66 @@
         assert_eq!(node.poison.borrow().listed().count(), 1);
     });
 }
+
+fn read_anew(node: &Node, servers: Vec<(BackendServerName, ServerEntry)>, own: Vec<OwnItem>) {
+    node.store_view.borrow_mut().forget();
+    let at = StoreRevision(120);
+    take_snapshot(node, Snapshot { servers, own, at, newest: at, ..Snapshot::default() });
+}
+
+fn vm(name: &str) -> OwnItem {
+    let card = VmCard { name: name.to_owned(), ..node("vm-0").peers.borrow().book.me().clone() };
+    let value = serde_json::to_vec(&card).expect("a card");
+    OwnItem { key: peer_key(&card), value, revision: StoreRevision(110), lease: None }
+}
+
+// The store drops its history: the VMs that read it for all read the whole, and nobody else knows what came before. Each of
+// a thousand VMs reads the whole store, for eight seconds, and all callers are refused.
+#[test]
+fn others_go_on_from_what_they_know_when_the_history_is_gone() {
+    run(|| {
+        let (reader, member) = (informed(), informed());
+        let new = |port| ServerEntry { address: ([10, 1, 0, 9], port).into(), ..ready() };
+        let servers = vec![("i-2".into(), new(80)), ("i-3".into(), new(81))];
+        read_anew(&reader, servers, vec![vm("vm-7")]);
+        let excerpt = reader.store_view.borrow().since(StoreRevision(100), PASSED_BYTES);
+        assert!(take_excerpt(&member, excerpt.expect("the differences")));
+        assert_eq!(member.store_view.borrow().reached(), Some(StoreRevision(120)));
+        let servers = member.servers.borrow();
+        let service = "model".into();
+        let usable = servers.usable(&service, clock::now());
+        let usable: Vec<_> = usable.map(|(name, _)| name.as_str().to_owned()).collect();
+        assert_eq!(usable, ["i-2", "i-3"]);
+        assert_eq!(member.vms(), 2);
+    });
+}
+
+// What changed is more than a datagram holds: none of it is given, and others read the store.
+#[test]
+fn differences_beyond_a_datagram_are_not_passed_on() {
+    run(|| {
+        let reader = informed();
+        let servers = (0..1_000).map(|it| (format!("i-{it}").as_str().into(), ready()));
+        read_anew(&reader, servers.collect(), Vec::new());
+        assert!(reader.store_view.borrow().since(StoreRevision(100), PASSED_BYTES).is_none());
+        assert!(reader.store_view.borrow().since(StoreRevision(120), PASSED_BYTES).is_some());
+    });
+}
+
+// A VM is told what it knows already, each time the store drops its history, as if all had changed.
+#[test]
+fn what_is_known_is_no_difference() {
+    run(|| {
+        let reader = informed();
+        let names = ["vm-1", "vm-2", "vm-3"];
+        let servers = vec![("i-1".into(), ready())];
+        read_anew(&reader, servers.clone(), names.iter().map(|it| vm(it)).collect());
+        reader.store_view.borrow_mut().forget();
+        let at = StoreRevision(130);
+        let own = names.iter().map(|it| vm(it)).collect();
+        take_snapshot(&reader, Snapshot { servers, own, at, newest: at, ..Snapshot::default() });
+        let excerpt = reader.store_view.borrow().since(StoreRevision(120), PASSED_BYTES);
+        let excerpt = excerpt.expect("nothing is lacking");
+        assert_eq!((excerpt.upto, excerpt.changes.len()), (130, 0), "{:?}", excerpt.changes);
+    });
+}
