Quotas: what accounts spend is told until it has faded, and counts as told

Digests of collectors, up to 360 ms old where members are told by turns, faded as if nobody spent any more, over each hop again: VMs let in more than the quota. Rates count as they were told, as before; in place of the fading a member goes on telling each period until what its accounts spend has fallen to a tenth of what it was at the last news, so that nothing is counted on at its height.

--- a/crates/quincevalve_forwarding/src/demand.rs
+++ b/crates/quincevalve_forwarding/src/demand.rs
@@ -68,7 +68,7 @@
 
 /// Time over which the work that comes to a VM is taken before it is told: the plan of the fleet looks at it each
 /// second.
-pub(crate) const WORK_TIME: Duration = Duration::from_secs(1);
+const WORK_TIME: Duration = Duration::from_secs(1);
 
 /// The work that one VM takes on for a service.
 ///
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -35,7 +35,7 @@
 const UNHEARD_TIME: f64 = 0.45;
 /// Time over which a VM's own spending is taken before it is told: two digests, so that a lost one changes
 /// little, and short against the windows over which quotas are counted.
-pub(crate) const SPENDING_TIME: Duration = Duration::from_millis(250);
+const SPENDING_TIME: Duration = Duration::from_millis(250);
 /// Bursts that an account can owe at most, so that one spell of spending elsewhere doesn't lock it out.
 const MOST_DEBT: f64 = 3.0;
 /// Part of the burst over which requests are let in by chance, the fewer the less is left. With a sharp edge all VMs open
--- a/crates/quincevalve_forwarding/src/rate.rs
+++ b/crates/quincevalve_forwarding/src/rate.rs
@@ -42,11 +42,6 @@
 
     /// The amount a second, as of now.
     pub fn per_second(&self, now: TimePoint) -> f64 {
-        self.per_second * fading(self.over, now.since(self.at))
+        self.per_second * (-now.since(self.at).as_secs_f64() / self.over.as_secs_f64()).exp()
     }
 }
-
-/// What is left, from 0 to 1, of a rate over the time `over` to which nothing was added for so long.
-pub(crate) fn fading(over: Duration, idle: Duration) -> f64 {
-    (-idle.as_secs_f64() / over.as_secs_f64()).exp()
-}
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -8,20 +8,13 @@
 
 use crate::{
     config::ForwardingConfig,
-    demand::WORK_TIME,
     load::WorkSum,
-    quota::SPENDING_TIME,
-    rate,
     rollout::share::{RolloutShares, add_shares, shares_without},
 };
 
 /// What was told counts for this long: several periods, so that a lost datagram or two change nothing.
 const FRESH: Duration = Duration::from_millis(800);
 
-/// The age up to which rates count as they were told. A VM that has news tells them within it; of one that has none they
-/// fade, and aren't told again for that.
-const USUAL_AGE: Duration = Duration::from_millis(60);
-
 /// Work at servers, by a hash of their names.
 pub type Works = IndexMap<u64, WorkSum>;
 
@@ -63,24 +56,16 @@
 impl Share {
     /// Adds another share.
     pub fn add(&mut self, other: &Self) {
-        self.add_aged(other, Duration::ZERO);
-    }
-
-    /// Adds a share that was told so long ago.
-    fn add_aged(&mut self, other: &Self, age: Duration) {
-        let unheard = age.saturating_sub(USUAL_AGE);
         self.vms += other.vms;
         for (server, work) in &other.works {
             let known = self.works.entry(*server).or_default();
             *known = known.plus(*work);
         }
         for (account, spending) in &other.spending {
-            let faded = spending * rate::fading(SPENDING_TIME, unheard);
-            *self.spending.entry(account.clone()).or_default() += faded;
+            *self.spending.entry(account.clone()).or_default() += spending;
         }
         for (service, busy) in &other.demand {
-            let faded = busy * rate::fading(WORK_TIME, unheard);
-            *self.demand.entry(service.clone()).or_default() += faded;
+            *self.demand.entry(service.clone()).or_default() += busy;
         }
         add_shares(&mut self.rollouts, &other.rollouts);
     }
@@ -104,7 +89,7 @@
         });
     }
 
-    /// Whether a VM has taken on or ended anything since it told `before`. What fades by itself the others reckon.
+    /// Whether a VM has taken on or ended anything since it told `before`. That what was sent lately fades is no news.
     pub fn has_news_since(&self, before: &Self) -> bool {
         let is_same = |(server, work): (&u64, &WorkSum)| {
             before.works.get(server).is_some_and(|it| it.is_same_but_faded(*work))
@@ -176,7 +161,7 @@
     /// Adds all fresh shares but that of `except` to `sum`.
     pub fn add_to(&self, sum: &mut Share, except: Option<&str>, now: TimePoint) {
         let others = self.fresh(now).filter(|(sender, _)| Some(sender.as_str()) != except);
-        others.for_each(|(_, it)| sum.add_aged(&it.share, now.since(it.at)));
+        others.for_each(|(_, it)| sum.add(&it.share));
     }
 
     /// What a sender told, if it is fresh.
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -57,6 +57,8 @@
     has_news: bool,
     /// What this VM told its collector last.
     own_told: Option<Share>,
+    /// Units a second that accounts spent here when there was news last.
+    spent_at_news: f64,
 }
 
 impl Peers {
@@ -74,6 +76,7 @@
             newest: HashMap::new(),
             has_news: false,
             own_told: None,
+            spent_at_news: 0.0,
         }
     }
 
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -34,6 +34,8 @@
 /// Periods between two digests of a VM that has taken on and ended nothing meanwhile: two of them may be lost before others
 /// take it for gone, and each tells when the store answered.
 const QUIET_PERIODS: u32 = CONTACT_PERIODS;
+/// The part of what accounts spent at the last news below which it has faded.
+const FADED_PART: f64 = 0.1;
 /// Periods after which what others told is taken over though nothing new was heard: it may be too old to count.
 const STALE_PERIODS: u32 = 4;
 
@@ -171,8 +173,16 @@
 }
 
 /// What a member tells its collector in this period: nothing while there is no news, but for every few periods.
+///
+/// What an account spends is a rate that fades. Who stops telling it while it is high has it counted on at its full height.
 fn own_digest(peers: &mut Peers, own: Share, address: SocketAddr, turn: u32) -> Option<Outgoing> {
-    if !peers.has_own_news(&own) && !turn.is_multiple_of(QUIET_PERIODS) {
+    let spent: f64 = own.spending.values().sum();
+    let is_news = peers.has_own_news(&own);
+    if is_news {
+        peers.spent_at_news = spent;
+    }
+    let has_faded = spent <= FADED_PART * peers.spent_at_news;
+    if !is_news && has_faded && !turn.is_multiple_of(QUIET_PERIODS) {
         return None;
     }
     peers.own_told = Some(own.clone());
--- a/crates/quincevalve_node/src/peers/send/tests.rs
+++ b/crates/quincevalve_node/src/peers/send/tests.rs
@@ -50,6 +50,17 @@
     assert_eq!(told(with_request_at_six), [0, 4, 6, 8, 12, 16]);
 }
 
+// A VM lets a request in and tells nothing for some periods: the account's rate counts on at its height, and callers are
+// refused for it.
+#[test]
+fn what_accounts_spend_is_told_until_it_has_faded() {
+    let spending = |turn: u32| {
+        let rate = 40_000.0 * (-f64::from(turn) * 0.06 / 0.25).exp();
+        Share { spending: [("desk".into(), rate)].into_iter().collect(), ..share(0..2) }
+    };
+    assert_eq!(told(spending), [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 12, 16]);
+}
+
 // No datagram holds the work at thousands of servers: members hear of no load at all.
 #[test]
 fn digests_of_thousands_of_busy_servers_fit_their_datagrams() {
