Streams that broke off or stalled continue from their engine's memory

Cause: a non-resumable stream whose connection broke was lost although its engine often still had the run, and a stream of a silent engine was read until its caller left.

`RunRecovery` orders the steps and `choose_continuation` chooses for both programs. Every answer of `kv-move` is decoded into a type; malformed fields are typed errors. Settings of copies follow the encoded configuration between VMs, and only where there are any, so that versions can be mixed.

Tests changed: fakes of `EngineApi` return the answer's type; the migration test in `whole_path` compares the same attempt id in the order that the fake now reports.

--- a/crates/quincevalve_entry/src/filters/relay.rs
+++ b/crates/quincevalve_entry/src/filters/relay.rs
@@ -11,7 +11,8 @@
     engine::{END_EVENT, EndEvent, TokenEvent},
 };
 use quincevalve_recovery::{
-    Continuation, ContinuationOptions, MigrationCosts, RelayStep, Work, choose_continuation,
+    Continuation, ContinuationOptions, MigrationCosts, RelayStep, SourceState, StreamState, Work,
+    choose_continuation,
 };
 
 use crate::{
@@ -243,7 +244,10 @@
         let others = router.outstanding(in_flight.server).saturating_sub(1);
         ContinuationOptions {
             queued_migration_tokens: others * (prompt_tokens + answer_tokens) / 2,
-            server_answers,
+            source: if server_answers { SourceState::Answers } else { SourceState::Silent },
+            stream: StreamState::Closed,
+            copy_held: false,
+            may_recompute: true,
             time_until_shutdown,
             prefix_held: holder.is_some_and(|it| it != in_flight.server),
             prompt_tokens,
--- a/crates/quincevalve_forwarding/src/config.rs
+++ b/crates/quincevalve_forwarding/src/config.rs
@@ -127,6 +127,53 @@
     pub supports_migration: bool,
 }
 
+/// A service's engines that copy the memory of running requests to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyingEngine {
+    /// Bytes of KV cache per token; 0 if unknown.
+    pub bytes_per_token: u64,
+    /// Capacity of an engine's link to other engines in Mbit/s; 0 if unknown.
+    pub link_mbps: u64,
+    /// How long an engine keeps a copy after its last part arrived.
+    pub copy_ttl: Duration,
+}
+
+impl CopyingEngine {
+    /// Returns the time to transfer the KV cache of `tokens` tokens on an idle link; zero if the settings don't state
+    /// it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quincevalve_forwarding::config::CopyingEngine;
+    /// let copy_ttl = Duration::from_secs(10);
+    /// let engine = CopyingEngine { bytes_per_token: 125_000, link_mbps: 1_000, copy_ttl };
+    /// assert_eq!(engine.transfer_time(1_000), Duration::from_secs(1));
+    /// ```
+    pub fn transfer_time(&self, tokens: u32) -> Duration {
+        if self.link_mbps == 0 {
+            return Duration::ZERO;
+        }
+        let megabits = f64::from(tokens) * self.bytes_per_token as f64 * 8.0 / 1e6;
+        Duration::try_from_secs_f64(megabits / self.link_mbps as f64).unwrap_or(Duration::MAX)
+    }
+}
+
+/// Settings of copies of running requests. Without any copying engine there are no such copies.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCopySettings {
+    /// The copying engines by service.
+    pub engines: IndexMap<ServiceName, CopyingEngine>,
+    /// The longest pause between two events that the operators promise, by route.
+    pub longest_pauses: IndexMap<Arc<str>, Duration>,
+}
+
+impl RunCopySettings {
+    /// Returns whether no service has copying engines.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+}
+
 /// The bounds and prices for ordering a service's servers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Scaling {
@@ -179,6 +226,10 @@
     pub limits: CallerLimits,
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
     accounts_by_key: HashMap<Arc<str>, ClientAccountName>,
+    /// Settings of copies of running requests. They are encoded after the configuration, and only where there are any,
+    /// so that VMs of versions without them can read it.
+    #[serde(skip)]
+    pub run_copies: RunCopySettings,
 }
 
 impl ForwardingConfig {
@@ -201,7 +252,15 @@
             .iter()
             .flat_map(|(name, it)| it.keys.iter().map(|key| (key.clone(), name.clone())))
             .collect();
-        Self { version, services, accounts, limits, routes_by_host, accounts_by_key }
+        Self {
+            version,
+            services,
+            accounts,
+            limits,
+            routes_by_host,
+            accounts_by_key,
+            run_copies: RunCopySettings::default(),
+        }
     }
 
     /// Returns the route at `host` with the longest matching prefix of `path`.
--- a/crates/quincevalve_measure/src/arena.rs
+++ b/crates/quincevalve_measure/src/arena.rs
@@ -4,7 +4,8 @@
 
 use quincevalve_names::{RequestId, Sequence, TimePoint};
 use quincevalve_recovery::{
-    Continuation, ContinuationOptions, MigrationCosts, choose_continuation, migration_time,
+    Continuation, ContinuationOptions, MigrationCosts, SourceState, StreamState,
+    choose_continuation, migration_time,
 };
 use quincevalve_routing::{
     LeavingEvidence, LoadReport, NoServer, Policy, Router, RoutingRequest, ServerIndex, ServerSpec,
@@ -400,7 +401,10 @@
         let asked = &self.questions[flight.question];
         let holder = self.routers[flight.router].prefix_holder(now, asked.prefix);
         let options = ContinuationOptions {
-            server_answers: left.is_some(),
+            source: if left.is_some() { SourceState::Answers } else { SourceState::Silent },
+            stream: StreamState::Closed,
+            copy_held: false,
+            may_recompute: true,
             time_until_shutdown: left,
             prefix_held: holder.is_some(),
             prompt_tokens: facts.prefix_tokens + facts.own_tokens,
@@ -412,13 +416,20 @@
         let way = choose_continuation(&options, &MigrationCosts::default());
         let context = options.prompt_tokens + flight.tokens;
         match way {
-            Continuation::Finish | Continuation::Resume => return 0,
+            Continuation::Finish
+            | Continuation::Resume
+            | Continuation::KeepReading
+            | Continuation::Abort => return 0,
             Continuation::MigrateCache => {
                 let arrives = now + migration_time(&options, &MigrationCosts::default());
                 self.queue.push(Reverse((arrives, Event::CacheMigrated(flight.question))));
                 return context;
             }
-            Continuation::PrefixHolder | Continuation::Recompute => {
+            Continuation::PrefixHolder
+            | Continuation::Recompute
+            | Continuation::Migrated
+            | Continuation::Stopped
+            | Continuation::Copy => {
                 self.continue_elsewhere(now, id, 0);
             }
         }
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -269,30 +269,59 @@
     ) -> impl Future<Output = Result<(), CloudError>>;
 }
 
-/// A running request that was stopped at its server and whose memory was copied to another server.
+/// A running request that was stopped at its server and whose memory is retained.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MigratedRequest {
-    /// Header value with which the request resumes from the copy.
+    /// Header value with which the request resumes from the memory.
     pub ticket: HeaderValue,
+    /// Number of tokens that the server had generated when it stopped, if it states them.
+    pub generated: Option<u64>,
 }
 
-/// A migration failed. The request continues at its server, unless the server has stopped it.
+/// A server's answer to the order to stop a running request and copy its memory to another server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MigrationAnswer {
+    /// The request was stopped and its memory copied: it resumes at the destination, or at the server itself.
+    Migrated(MigratedRequest),
+    /// The request was stopped, but its memory could not be copied: it resumes only at the server itself.
+    Stopped(MigratedRequest),
+    /// The request was not stopped, since the destination has no room or can't be reached.
+    NoRoom,
+    /// The request was not stopped, since an earlier order for it is in progress.
+    InProgress,
+    /// The server doesn't run the request.
+    NoRun,
+}
+
+/// The order to migrate a request got no answer that can be read. The server may have stopped the request.
 #[derive(Debug, Snafu)]
-#[snafu(display("engine: {source}"))]
-pub struct MigrationError {
-    /// Why.
-    pub source: CallError,
+#[snafu(module)]
+pub enum MigrationError {
+    /// The call failed.
+    #[snafu(display("engine: {source}"))]
+    Call {
+        /// Why.
+        source: CallError,
+    },
+    /// A field of the answer is missing or malformed.
+    #[snafu(display("engine: answer {status} with a malformed {field}"))]
+    Field {
+        /// The answer's status.
+        status: u16,
+        /// Name of the field.
+        field: &'static str,
+    },
 }
 
 /// Control calls to model engines.
 pub trait EngineApi: Clone + 'static {
-    /// Stops a running request and copies its memory to another engine.
+    /// Orders an engine to stop a running request and copy its memory to another engine.
     fn migrate_request(
         &self,
         from: SocketAddr,
         to: SocketAddr,
         attempt_id: &str,
-    ) -> impl Future<Output = Result<MigratedRequest, MigrationError>>;
+    ) -> impl Future<Output = Result<MigrationAnswer, MigrationError>>;
 }
 
 /// A server's signal in an answer header that can't be parsed.
@@ -344,6 +373,8 @@
     pub last_event_id: HeaderName,
     /// Location of the copied memory from which a migrated request resumes.
     pub migrated_from: HeaderName,
+    /// Address of the server to which a request's memory is copied while it runs.
+    pub copy_to: HeaderName,
     /// Decodes a server's signals from the headers of its answer.
     pub signals: fn(&HeaderMap) -> DecodedSignals,
     /// Headers that only the system may set; they are removed from callers' requests.
--- a/crates/quincevalve_node/src/request/migration.rs
+++ b/crates/quincevalve_node/src/request/migration.rs
@@ -7,7 +7,7 @@
     task::spawn_local,
 };
 
-use crate::ports::{EngineApi, MigratedRequest, MigrationError};
+use crate::ports::{EngineApi, MigrationAnswer, MigrationError};
 
 /// Maximum number of migrations waiting to be started: about as many requests of one VM run at a data centre's engines.
 const MAX_PENDING_MIGRATIONS: usize = 256;
@@ -17,7 +17,7 @@
     from: SocketAddr,
     to: SocketAddr,
     attempt_id: Rc<str>,
-    reply: oneshot::Sender<Result<MigratedRequest, MigrationError>>,
+    reply: oneshot::Sender<Result<MigrationAnswer, MigrationError>>,
 }
 
 /// Handle to the task that asks engines to migrate runs. It spares the rest of the process the engine's type parameter.
@@ -55,7 +55,7 @@
         from: SocketAddr,
         to: SocketAddr,
         attempt_id: &str,
-    ) -> Option<oneshot::Receiver<Result<MigratedRequest, MigrationError>>> {
+    ) -> Option<oneshot::Receiver<Result<MigrationAnswer, MigrationError>>> {
         let (reply, rx) = oneshot::channel();
         let migration = PendingMigration { from, to, attempt_id: attempt_id.into(), reply };
         self.pending.try_send(migration).is_ok().then_some(rx)
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -3,18 +3,24 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderName, HeaderValue, Response};
+use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quincevalve_forwarding::{config::RetrySafety, placement::Placement};
+use quincevalve_names::BackendServerName;
+use quincevalve_recovery::{
+    ContinueFrom, HAND_OVER_LIMIT, HandOverAnswer, Obstacle, RecoveryAction, RecoveryConditions,
+    RecoveryEvent, RunRecovery, stall_limit,
+};
 use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 
 use crate::{
     clock,
-    node::{InFlight, Node},
+    node::{InFlight, Node, remaining},
+    ports::{MigrationAnswer, MigrationError},
     quarantine,
     request::{
         body::{AnswerAborted, AnswerBody},
@@ -52,12 +58,20 @@
     CallerLeft,
     /// The server stops soon, so the stream has to be migrated.
     MigrationDue,
+    /// The stream has been silent for longer than its stall limit.
+    Stalled,
 }
 
 /// Time before a server's expected stop at which its streams are migrated. The server's announcement takes up to 700 ms
 /// to arrive, and copying all runs of an engine takes 200 ms. Streams that end earlier are not migrated.
 const MIGRATION_LEAD_TIME: Duration = Duration::from_millis(1_100);
 
+/// Time in which the last events of a run that has just ended still arrive.
+const LAST_EVENTS_LIMIT: Duration = Duration::from_millis(100);
+/// Maximum time until a server answers a request that continues from a run's memory. Callers abandon a stream that is
+/// silent for two seconds.
+const CONTINUATION_LIMIT: Duration = Duration::from_secs(1);
+
 /// Starts to relay a stream to the caller. `runs_before` servers may have run the request already.
 pub(crate) fn start_stream(
     node: &Rc<Node>,
@@ -92,6 +106,11 @@
         gap_count: 0,
         longest_gap: Duration::ZERO,
         runs_before,
+        same_run_servers: 0,
+        recovery: RunRecovery::default(),
+        stall_limit: stall_limit_of(req),
+        ignores_stall: false,
+        reading_since: Instant::now(),
         _in_flight: InFlight::new(node),
     };
     tokio::task::spawn_local(relay.run(source));
@@ -116,15 +135,33 @@
     longest_gap: Duration,
     /// Number of servers that may have run the request before the stream's first server.
     runs_before: u32,
+    /// Number of further servers at which the same run continued from its memory.
+    same_run_servers: u32,
+    recovery: RunRecovery,
+    /// Silence after which the stream counts as stalled; `None` if stalls are not detected.
+    stall_limit: Option<Duration>,
+    /// Whether the current silence has been handled already.
+    ignores_stall: bool,
+    /// When reading from the source began, or continued after the caller accepted the newest event.
+    reading_since: Instant,
     _in_flight: InFlight,
 }
 
+/// Returns the silence after which a request's stream counts as stalled, if its engines copy runs to each other and its
+/// route promises a longest pause.
+fn stall_limit_of(req: &IdentifiedRequest) -> Option<Duration> {
+    let copies = &req.config.run_copies;
+    copies.engines.get(&req.service)?;
+    copies.longest_pauses.get(&req.route.name).map(|it| stall_limit(*it))
+}
+
 impl Relay {
     /// Relays the stream until it ends at the caller.
     async fn run(mut self, mut source: Source) {
         let mut servers = vec![source.place.server.clone()];
         loop {
-            let end = self.forward_events(&mut source, self.supports_migration()).await;
+            let may_migrate = self.supports_migration();
+            let end = self.forward_events(&mut source, may_migrate, self.stall_limit).await;
             match end {
                 StreamEnd::Completed => {
                     quarantine::record_completion(&self.node, &self.req);
@@ -149,6 +186,18 @@
                     self.record_end("timed-out", &servers);
                     return self.abort().await;
                 }
+                StreamEnd::Stalled => {
+                    match self.recover(source, RecoveryEvent::Stalled, &mut servers).await {
+                        Some(next) => source = next,
+                        None => return,
+                    }
+                }
+                StreamEnd::Interrupted if self.continues_runs() => {
+                    match self.recover(source, RecoveryEvent::Broke, &mut servers).await {
+                        Some(next) => source = next,
+                        None => return,
+                    }
+                }
                 StreamEnd::Interrupted => {
                     update_server(&self.node, &source.place, |it, _| it.load.record_failure());
                     record_if_exited(&self.node, &self.req, &source.place);
@@ -164,7 +213,7 @@
     }
 
     /// Logs and counts the end of the stream, and ends the request's trace.
-    fn record_end(&self, how: &str, servers: &[quincevalve_names::BackendServerName]) {
+    fn record_end(&self, how: &str, servers: &[BackendServerName]) {
         let first_ms = self.time_to_first_event.map_or(0, |it| it.as_millis() as u64);
         log_request!(
             self.node, self.req,
@@ -185,9 +234,17 @@
         let _ = self.tx.send(Err(AnswerAborted)).await;
     }
 
-    /// Forwards complete events until the source ends or the stream has to be migrated.
-    async fn forward_events(&mut self, source: &mut Source, may_migrate: bool) -> StreamEnd {
+    /// Forwards complete events until the source ends, the stream has to be migrated, or it is silent for longer than
+    /// `stall_limit`.
+    async fn forward_events(
+        &mut self,
+        source: &mut Source,
+        may_migrate: bool,
+        stall_limit: Option<Duration>,
+    ) -> StreamEnd {
         loop {
+            let stall_limit = stall_limit.filter(|_| self.has_begun && !self.ignores_stall);
+            let stalled_at = stall_limit.map(|it| self.reading_since + it);
             // A request that is quarantined while its stream runs is not migrated: the other engine would exit too.
             let is_migratable = may_migrate && !quarantine::is_quarantined(&self.node, &self.req);
             let migrate_at = if is_migratable { self.migrate_at(&source.place) } else { None };
@@ -197,6 +254,7 @@
                 () = wait_until(migrate_at) => return StreamEnd::MigrationDue,
                 () = self.node.changed.notified(), if may_migrate && migrate_at.is_none() => continue,
                 frame = timeout_at(self.req.deadline, source.incoming.frame()) => frame,
+                () = wait_until(stalled_at) => return StreamEnd::Stalled,
             };
             let data = match frame {
                 Err(_) => return StreamEnd::TimedOut,
@@ -241,6 +299,8 @@
             if self.tx.send(Ok(events)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
+            self.ignores_stall = false;
+            self.reading_since = Instant::now();
         }
     }
 
@@ -268,18 +328,12 @@
     async fn migrate(
         &mut self,
         mut source: Source,
-        servers: &mut Vec<quincevalve_names::BackendServerName>,
+        servers: &mut Vec<BackendServerName>,
     ) -> Option<Source> {
         let to = find_server_now(&self.node, &self.req, servers);
-        let addresses = {
-            let table = self.node.servers.borrow();
-            let address = |it: &Placement| table.get(&it.server).map(|it| it.entry.address);
-            to.as_ref().and_then(|to| Some((address(&source.place)?, address(to)?)))
-        };
-        let migration =
-            addresses.and_then(|(from, to)| self.node.migrations.migrate(from, to, &self.req.id));
+        let migration = to.as_ref().and_then(|to| self.order_migration(&source.place, to));
         // Tokens that the engine generates until it stops the run still arrive on the old stream.
-        let end = self.forward_events(&mut source, false).await;
+        let end = self.forward_events(&mut source, false, None).await;
         let has_ended =
             matches!(end, StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut);
         if has_ended {
@@ -290,10 +344,10 @@
             None => None,
         };
         drop(source);
-        if let (Some(Ok(migrated)), Some(to)) = (migrated, to) {
-            let extra = (self.node.headers.migrated_from.clone(), migrated.ticket);
+        if let (Some(Ok(MigrationAnswer::Migrated(migrated))), Some(to)) = (migrated, to) {
             servers.push(to.server.clone());
-            if let Some(next) = self.resume_at(to, Some(extra)).await {
+            let ticket = Some(migrated.ticket);
+            if let Some(next) = self.resume_at(to, ContinueFrom::Migrated, ticket).await {
                 return Some(next);
             }
         }
@@ -305,12 +359,192 @@
         None
     }
 
+    /// Orders the server at `from` to stop the run and to copy its memory to `to`.
+    fn order_migration(
+        &self,
+        from: &Placement,
+        to: &Placement,
+    ) -> Option<oneshot::Receiver<Result<MigrationAnswer, MigrationError>>> {
+        let (from, to) = {
+            let table = self.node.servers.borrow();
+            let address = |it: &Placement| {
+                let server = table.get(&it.server).filter(|server| server.entry.start == it.start);
+                server.map(|server| server.entry.address)
+            };
+            (address(from)?, address(to)?)
+        };
+        self.node.migrations.migrate(from, to, &self.req.id)
+    }
+
+    /// Returns whether a broken stream can continue from the run's memory, because the service's engines copy runs.
+    fn continues_runs(&self) -> bool {
+        self.req.config.run_copies.engines.contains_key(&self.req.service)
+    }
+
+    /// Continues a stream that broke off or stalled. Returns `None` if the stream has ended.
+    ///
+    /// The decisions are made by [`RunRecovery`].
+    async fn recover(
+        &mut self,
+        source: Source,
+        event: RecoveryEvent,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let place = source.place.clone();
+        let mut open = Some(source);
+        if event == RecoveryEvent::Broke {
+            record_if_exited(&self.node, &self.req, &place);
+            self.leave(&place, &mut open);
+        }
+        let to = find_server_now(&self.node, &self.req, servers);
+        let mut ticket = None;
+        let mut event = event;
+        loop {
+            if self.tx.is_closed() {
+                self.record_end("caller-left", servers);
+                return None;
+            }
+            let conditions = self.recovery_conditions(to.is_some(), servers);
+            event = match self.recovery.handle(event, &conditions) {
+                RecoveryAction::AskSource => {
+                    let answer;
+                    (answer, ticket) = self.ask_source(&place, to.as_ref()).await;
+                    if answer == HandOverAnswer::NoRun
+                        && let Some(mut source) = open.take()
+                    {
+                        let end = self.forward_last_events(&mut source).await;
+                        let has_ended = matches!(
+                            end,
+                            StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut
+                        );
+                        if has_ended {
+                            return self.finish_without_migration(end, source, servers).await;
+                        }
+                        self.leave(&place, &mut Some(source));
+                    }
+                    RecoveryEvent::HandOver(answer)
+                }
+                RecoveryAction::Continue(from) => {
+                    self.leave(&place, &mut open);
+                    let next =
+                        self.continue_from(from, &place, to.as_ref(), ticket.as_ref(), servers);
+                    if let Some(next) = next.await {
+                        self.recovery.record_continuation();
+                        self.reading_since = Instant::now();
+                        return Some(next);
+                    }
+                    RecoveryEvent::Failed
+                }
+                RecoveryAction::KeepReading if open.is_some() => {
+                    self.ignores_stall = true;
+                    return open;
+                }
+                RecoveryAction::KeepReading | RecoveryAction::Abort => {
+                    self.record_end("broke-off", servers);
+                    self.abort().await;
+                    return None;
+                }
+            };
+        }
+    }
+
+    /// Closes the connection to a server whose stream failed. The server then drops the run.
+    fn leave(&self, place: &Placement, source: &mut Option<Source>) {
+        if source.take().is_some() {
+            update_server(&self.node, place, |it, _| it.load.record_failure());
+        }
+    }
+
+    fn recovery_conditions(
+        &self,
+        has_destination: bool,
+        servers: &[BackendServerName],
+    ) -> RecoveryConditions {
+        RecoveryConditions {
+            can_ask_source: has_destination && self.supports_migration(),
+            copy_held: false,
+            may_restart: self.may_restart(servers),
+            obstacle: self.obstacle(),
+            time_left: remaining(self.req.deadline),
+        }
+    }
+
+    fn obstacle(&self) -> Option<Obstacle> {
+        if quarantine::is_quarantined(&self.node, &self.req) {
+            return Some(Obstacle::Quarantined);
+        }
+        (self.has_begun && self.last_event_id.is_none()).then_some(Obstacle::UnknownPosition)
+    }
+
+    /// Orders the source to stop the run and copy its memory to `to`, and returns its answer with the header value from
+    /// which the run continues.
+    ///
+    /// The stream is not read meanwhile: the continuation sends all events after the last one that the caller got.
+    async fn ask_source(
+        &self,
+        from: &Placement,
+        to: Option<&Placement>,
+    ) -> (HandOverAnswer, Option<HeaderValue>) {
+        let order = to.and_then(|to| self.order_migration(from, to));
+        let Some(order) = order else { return (HandOverAnswer::NoAnswer, None) };
+        // An answer that comes later is dropped; the engine frees the memory after the handle's time to live.
+        match timeout(HAND_OVER_LIMIT, order).await {
+            Ok(Ok(Ok(answer))) => match answer {
+                MigrationAnswer::Migrated(it) => (HandOverAnswer::Migrated, Some(it.ticket)),
+                MigrationAnswer::Stopped(it) => (HandOverAnswer::Stopped, Some(it.ticket)),
+                MigrationAnswer::NoRun => (HandOverAnswer::NoRun, None),
+                MigrationAnswer::NoRoom | MigrationAnswer::InProgress => {
+                    (HandOverAnswer::Declined, None)
+                }
+            },
+            Ok(Ok(Err(error))) => {
+                log::debug!(id = self.req.id, server = from.server.as_str(), error:% = error; "hand-over-failed");
+                (HandOverAnswer::NoAnswer, None)
+            }
+            Ok(Err(_)) | Err(_) => (HandOverAnswer::NoAnswer, None),
+        }
+    }
+
+    /// Forwards what is still in transit of a run that its server no longer has: it may have ended meanwhile.
+    async fn forward_last_events(&mut self, source: &mut Source) -> StreamEnd {
+        self.reading_since = Instant::now();
+        self.forward_events(source, false, Some(LAST_EVENTS_LIMIT)).await
+    }
+
+    /// Sends the request to a server where the stream may continue.
+    async fn continue_from(
+        &mut self,
+        from: ContinueFrom,
+        source: &Placement,
+        to: Option<&Placement>,
+        ticket: Option<&HeaderValue>,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let place = match from {
+            ContinueFrom::Start => return self.resume(servers).await,
+            ContinueFrom::Migrated => {
+                let place = to?.clone();
+                self.add_same_run_server(&place, servers);
+                place
+            }
+            ContinueFrom::Stopped => source.clone(),
+            ContinueFrom::Copy => return None,
+        };
+        let next = self.resume_at(place, from, ticket.cloned());
+        timeout(CONTINUATION_LIMIT, next).await.ok()?
+    }
+
+    fn add_same_run_server(&mut self, place: &Placement, servers: &mut Vec<BackendServerName>) {
+        servers.push(place.server.clone());
+        self.same_run_servers += 1;
+    }
+
     /// Finishes a stream that ended before its migration.
     async fn finish_without_migration(
         &mut self,
         end: StreamEnd,
         source: Source,
-        servers: &[quincevalve_names::BackendServerName],
+        servers: &[BackendServerName],
     ) -> Option<Source> {
         match end {
             StreamEnd::Completed => {
@@ -338,33 +572,38 @@
         Some(events)
     }
 
+    /// Returns whether the request may run from the beginning at a further server.
+    fn may_restart(&self, servers: &[BackendServerName]) -> bool {
+        let runs = servers.len() as u32 - self.same_run_servers + self.runs_before;
+        self.req.retry_safety() == RetrySafety::ResumableStream && runs < self.req.route.max_servers
+    }
+
     /// Resumes the stream at another server after the last event that the caller got. Tries servers until one succeeds.
-    async fn resume(
-        &mut self,
-        servers: &mut Vec<quincevalve_names::BackendServerName>,
-    ) -> Option<Source> {
+    async fn resume(&mut self, servers: &mut Vec<BackendServerName>) -> Option<Source> {
         if self.req.retry_safety() != RetrySafety::ResumableStream {
             return None;
         }
         self.partial.clear();
-        while servers.len() as u32 + self.runs_before < self.req.route.max_servers {
+        while self.may_restart(servers) {
             if Instant::now() >= self.req.deadline {
                 return None;
             }
             let place = find_server_now(&self.node, &self.req, servers)?;
             servers.push(place.server.clone());
-            if let Some(source) = self.resume_at(place, None).await {
+            if let Some(source) = self.resume_at(place, ContinueFrom::Start, None).await {
                 return Some(source);
             }
         }
         None
     }
 
-    /// Sends the request to one other server, to resume after the last event that the caller got.
+    /// Sends the request to a server, to resume after the last event that the caller got: from the memory that `ticket`
+    /// locates, or from the beginning.
     async fn resume_at(
         &mut self,
         place: Placement,
-        extra: Option<(HeaderName, HeaderValue)>,
+        from: ContinueFrom,
+        ticket: Option<HeaderValue>,
     ) -> Option<Source> {
         if !self.node.try_spend_retry(&self.req.service) {
             return None;
@@ -372,14 +611,14 @@
         self.partial.clear();
         let mut guard = WorkGuard::new(&self.node, &place);
         let sent = Instant::now();
-        let last_event_id = self.last_event_id.iter();
-        let last_event_id =
-            last_event_id.map(|it| (self.node.headers.last_event_id.clone(), it.clone()));
-        let is_migration = extra.is_some();
-        let extra: Vec<(HeaderName, HeaderValue)> = last_event_id.chain(extra).collect();
+        let names = &self.node.headers;
+        let last_event_id = self.last_event_id.clone().map(|it| (names.last_event_id.clone(), it));
+        let ticket = ticket.map(|it| (names.migrated_from.clone(), it));
+        let extra: Vec<_> = last_event_id.into_iter().chain(ticket).collect();
         log_request!(
             self.node, self.req,
-            server = place.server.as_str(), moved = is_migration, unlisted_ms = unlisted_ms(&place);
+            server = place.server.as_str(), moved = from != ContinueFrom::Start,
+            unlisted_ms = unlisted_ms(&place), from = from_text(from);
             "stream-resumed"
         );
         let answer = exchange(&self.node, &self.req, &place, &extra).await.ok()?;
@@ -398,6 +637,16 @@
     }
 }
 
+/// Returns how log lines name where a stream continues from.
+const fn from_text(from: ContinueFrom) -> &'static str {
+    match from {
+        ContinueFrom::Migrated => "moved",
+        ContinueFrom::Stopped => "stopped",
+        ContinueFrom::Copy => "copy",
+        ContinueFrom::Start => "start",
+    }
+}
+
 /// Waits until the given time, or forever if there is none.
 async fn wait_until(at: Option<Instant>) {
     match at {
--- a/crates/quincevalve_node/src/store/config_copy.rs
+++ b/crates/quincevalve_node/src/store/config_copy.rs
@@ -48,7 +48,7 @@
 /// Returns the chunks of the configuration if it is newer than `version`, else nothing.
 pub(crate) fn chunks_newer_than(node: &Node, version: u64) -> Vec<Chunk> {
     let Some(config) = node.config().filter(|it| it.version > version) else { return Vec::new() };
-    match bincode::serialize(&*config) {
+    match encode(&config) {
         Ok(value) => split_into_chunks(config.version, &value),
         Err(error) => {
             log::error!(error:% = error; "config-not-encoded");
@@ -63,7 +63,7 @@
         return;
     }
     let Some(value) = node.config_copy.borrow_mut().assembly.add(chunk) else { return };
-    match bincode::deserialize::<ForwardingConfig>(&value) {
+    match decode(&value) {
         Ok(config) => {
             log::info!(peer:% = from, version = config.version; "config-from-peer");
             node.apply_config(config);
@@ -72,5 +72,22 @@
     }
 }
 
+/// Encodes a configuration, followed by the settings of run copies if there are any.
+fn encode(config: &ForwardingConfig) -> bincode::Result<Vec<u8>> {
+    let mut value = bincode::serialize(config)?;
+    if !config.run_copies.is_empty() {
+        bincode::serialize_into(&mut value, &config.run_copies)?;
+    }
+    Ok(value)
+}
+
+fn decode(mut value: &[u8]) -> bincode::Result<ForwardingConfig> {
+    let mut config: ForwardingConfig = bincode::deserialize_from(&mut value)?;
+    if !value.is_empty() {
+        config.run_copies = bincode::deserialize_from(value)?;
+    }
+    Ok(config)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/quincevalve_node/src/store/config_copy/tests.rs
+++ b/crates/quincevalve_node/src/store/config_copy/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_forwarding::config::{Account, CallerLimits};
+use quincevalve_forwarding::config::{Account, CallerLimits, CopyingEngine};
 
 use super::*;
 use crate::{
@@ -75,3 +75,22 @@
         assert_eq!(newer.config().map(|it| it.version), Some(3));
     });
 }
+
+// Guards against a configuration that VMs of different versions can't exchange: without copying engines the encoding is
+// the one before there were any, and settings of copies follow it.
+#[test]
+fn settings_of_copies_extend_the_encoding() {
+    let mut config = config(3);
+    let plain = encode(&config).unwrap();
+    assert_eq!(plain, bincode::serialize(&config).unwrap());
+    assert_eq!(decode(&plain).unwrap(), config);
+    let copying =
+        CopyingEngine { bytes_per_token: 10, link_mbps: 20, copy_ttl: Duration::from_secs(3) };
+    config.run_copies.engines.insert("engines".into(), copying);
+    config.run_copies.longest_pauses.insert("route".into(), Duration::from_millis(500));
+    let extended = encode(&config).unwrap();
+    assert!(extended.starts_with(&plain) && extended.len() > plain.len());
+    assert_eq!(decode(&extended).unwrap(), config);
+    // A VM of a version without these settings ignores what follows.
+    assert_eq!(bincode::deserialize::<ForwardingConfig>(&extended).unwrap().version, 3);
+}
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     node::Node,
-    ports::{DecodedSignals, EngineApi, HeaderNames, MigratedRequest, MigrationError},
+    ports::{DecodedSignals, EngineApi, HeaderNames, MigrationAnswer, MigrationError},
     quarantine::QuarantineStore,
     request::migration::MigrationClient,
     settings::{Bounds, Duties, NodeSettings},
@@ -30,7 +30,7 @@
         _: SocketAddr,
         _: SocketAddr,
         _: &str,
-    ) -> Result<MigratedRequest, MigrationError> {
+    ) -> Result<MigrationAnswer, MigrationError> {
         std::future::pending().await
     }
 }
@@ -57,6 +57,7 @@
         urgency: name("x-urgency"),
         last_event_id: name("last-event-id"),
         migrated_from: name("x-moved-from"),
+        copy_to: name("x-copy-to"),
         signals: |_| DecodedSignals::default(),
         internal: Vec::new(),
     }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -13,7 +13,8 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{
-        Account, CallerLimits, Engine, ForwardingConfig, RetrySafety, Route, Service, Target,
+        Account, CallerLimits, CopyingEngine, Engine, ForwardingConfig, RetrySafety, Route,
+        RunCopySettings, Service, Target,
     },
     peer_table::VmDescriptor,
     quota::QuotaLimits,
@@ -28,11 +29,13 @@
     Listeners,
     ports::{
         Change, Changes, CloudApi, CloudError, Commit, DecodedSignals, DutyHolder, EngineApi,
-        HeaderNames, LeaseId, MigratedRequest, MigrationError, PlatformStore, ReadConsistency,
-        RolloutStatus, ServerOrder, Snapshot, StoreError, StoreRevision, SystemItem,
+        HeaderNames, LeaseId, MigratedRequest, MigrationAnswer, MigrationError, PlatformStore,
+        ReadConsistency, RolloutStatus, ServerOrder, Snapshot, StoreError, StoreRevision,
+        SystemItem,
     },
     settings::{Bounds, Duties, NodeSettings},
 };
+use quincevalve_ports::CallError;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -421,20 +424,68 @@
     }
 }
 
-/// Engines that accept each migration and report the attempt id to the test.
+/// What a fake engine answers to the order to migrate a run.
+#[derive(Clone, Copy, Debug)]
+pub enum FakeMigration {
+    /// The run is stopped and copied; its handle is `copy-1`.
+    Migrated,
+    /// The run is stopped but not copied; its handle is `copy-1`.
+    Stopped,
+    /// The engine doesn't run the request.
+    NoRun,
+    /// The run is not stopped.
+    NoRoom,
+    /// An earlier order is in progress.
+    InProgress,
+    /// The engine can't be reached.
+    Failed,
+    /// There is no answer.
+    Unanswered,
+    /// The run is stopped and copied, but the answer takes this long.
+    MigratedAfter(Duration),
+}
+
+/// Engines that answer each migration in the same way and report it to the test.
 #[derive(Clone)]
-pub struct FakeEngines(mpsc::UnboundedSender<String>);
+pub struct FakeEngines {
+    migrations: mpsc::UnboundedSender<Migration>,
+    answer: FakeMigration,
+}
+
+/// An order to migrate a run, as an engine received it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Migration {
+    pub from: SocketAddr,
+    pub to: SocketAddr,
+    pub attempt_id: String,
+}
 
 impl EngineApi for FakeEngines {
     async fn migrate_request(
         &self,
         from: SocketAddr,
-        _: SocketAddr,
+        to: SocketAddr,
         attempt_id: &str,
-    ) -> Result<MigratedRequest, MigrationError> {
-        self.0.send(attempt_id.to_owned()).expect("the test receives migrations");
+    ) -> Result<MigrationAnswer, MigrationError> {
+        let migration = Migration { from, to, attempt_id: attempt_id.to_owned() };
+        self.migrations.send(migration).expect("the test receives migrations");
         let ticket = format!("{from}/copy-1").parse().expect("a header value");
-        Ok(MigratedRequest { ticket })
+        let request = MigratedRequest { ticket, generated: None };
+        match self.answer {
+            FakeMigration::Migrated => Ok(MigrationAnswer::Migrated(request)),
+            FakeMigration::Stopped => Ok(MigrationAnswer::Stopped(request)),
+            FakeMigration::NoRun => Ok(MigrationAnswer::NoRun),
+            FakeMigration::NoRoom => Ok(MigrationAnswer::NoRoom),
+            FakeMigration::InProgress => Ok(MigrationAnswer::InProgress),
+            FakeMigration::Failed => {
+                Err(MigrationError::Call { source: CallError::Answer { address: from } })
+            }
+            FakeMigration::Unanswered => std::future::pending().await,
+            FakeMigration::MigratedAfter(time) => {
+                sleep(time).await;
+                Ok(MigrationAnswer::Migrated(request))
+            }
+        }
     }
 }
 
@@ -466,6 +517,7 @@
         urgency: name("x-urgency"),
         last_event_id: name("last-event-id"),
         migrated_from: name("x-moved-from"),
+        copy_to: name("x-copy-to"),
         signals,
         internal: vec![name("x-moved-from"), name("x-urgency"), name("x-internal")],
     }
@@ -517,6 +569,38 @@
     }
 }
 
+/// Returns the configuration of a world, with engines that copy runs to each other. Routes promise pauses of at most 500
+/// ms.
+pub fn config_with_copies() -> ForwardingConfig {
+    let mut config = config();
+    let copying = CopyingEngine {
+        bytes_per_token: 163_840,
+        link_mbps: 740_000,
+        copy_ttl: Duration::from_secs(5),
+    };
+    let pauses = config.routes().map(|it| (it.name.clone(), Duration::from_millis(500))).collect();
+    config.run_copies = RunCopySettings {
+        engines: IndexMap::from([("engines".into(), copying)]),
+        longest_pauses: pauses,
+    };
+    config
+}
+
+/// What differs between worlds.
+pub struct Setup {
+    pub config: ForwardingConfig,
+    /// How engines answer orders to migrate a run.
+    pub migrations: FakeMigration,
+    /// The data centres of the servers in turn.
+    pub data_centres: &'static [&'static str],
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self { config: config(), migrations: FakeMigration::Migrated, data_centres: &["a"] }
+    }
+}
+
 fn config() -> ForwardingConfig {
     let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
     let engine = Engine { slots: 64, kv_tokens: 100_000, supports_migration: true };
@@ -572,6 +656,8 @@
     /// Sends these bytes, then the server's process exits and all its connections close. The server restarts under
     /// another name and at another port.
     SendAndExit(String),
+    /// Sends these bytes, waits for the notification, and sends the others.
+    SendMoreOnNotify(String, Rc<Notify>, String),
     /// Like [`Reply::SendAndExit`], but waits for the notification before the exit.
     SendAndExitOnNotify(String, Rc<Notify>),
 }
@@ -597,13 +683,18 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
-    pub migrations: mpsc::UnboundedReceiver<String>,
+    pub migrations: mpsc::UnboundedReceiver<Migration>,
 }
 
 impl Vm {
     /// Starts a VM's process and waits until it is ready.
     pub async fn start(name: &str, store: FakeStore) -> Self {
-        let vm = Self::spawn(name, store).await;
+        Self::start_with(name, store, FakeMigration::Migrated).await
+    }
+
+    /// Starts a VM's process whose engines answer orders to migrate in this way, and waits until it is ready.
+    pub async fn start_with(name: &str, store: FakeStore, migrations: FakeMigration) -> Self {
+        let vm = Self::spawn_with(settings(name), store, migrations).await;
         while !get(vm.ready, "/readyz").await.starts_with("HTTP/1.1 200") {
             sleep(Duration::from_millis(5)).await;
         }
@@ -612,22 +703,27 @@
 
     /// Starts a VM's process without waiting until it is ready.
     pub async fn spawn(name: &str, store: FakeStore) -> Self {
-        Self::spawn_with(settings(name), store).await
+        Self::spawn_with(settings(name), store, FakeMigration::Migrated).await
     }
 
     /// Starts a VM's process in a system that starts for the first time, without waiting until it is ready.
     pub async fn spawn_first_start(name: &str, store: FakeStore) -> Self {
-        Self::spawn_with(NodeSettings { is_first_start: true, ..settings(name) }, store).await
+        let settings = NodeSettings { is_first_start: true, ..settings(name) };
+        Self::spawn_with(settings, store, FakeMigration::Migrated).await
     }
 
-    async fn spawn_with(mut settings: NodeSettings, store: FakeStore) -> Self {
+    async fn spawn_with(
+        mut settings: NodeSettings,
+        store: FakeStore,
+        answer: FakeMigration,
+    ) -> Self {
         let listeners = Listeners::bind(&settings).await.expect("free ports");
         settings.peer_port = listeners.peer_address().expect("an address").port();
         let front = listeners.front_address().expect("an address");
         let ready = listeners.ready_address().expect("an address");
         let metrics = listeners.metrics_address().expect("an address");
         let (migrations_tx, migrations) = mpsc::unbounded_channel();
-        let engines = FakeEngines(migrations_tx);
+        let engines = FakeEngines { migrations: migrations_tx, answer };
         let process =
             quincevalve_node::run(settings, listeners, headers(), store, FakeCloud, engines);
         spawn_local(async move { process.await.expect("a process that runs") });
@@ -661,7 +757,7 @@
     pub arrivals: mpsc::UnboundedReceiver<Arrival>,
     /// Servers that waited for the close of their connection and observed it ([`Reply::SendAndWait`]).
     pub disconnects: mpsc::UnboundedReceiver<usize>,
-    pub migrations: mpsc::UnboundedReceiver<String>,
+    pub migrations: mpsc::UnboundedReceiver<Migration>,
     pub servers: Vec<SocketAddr>,
     /// Number of connections that servers accepted.
     pub connections: Rc<Cell<usize>>,
@@ -671,6 +767,14 @@
     /// Starts the process and `count` servers that reply as `script` says. It gets the number of requests that arrived
     /// before, over all servers, and the arrival.
     pub async fn start<F>(count: usize, script: F) -> Self
+    where
+        F: Fn(usize, &Arrival) -> Reply + 'static,
+    {
+        Self::start_with(count, Setup::default(), script).await
+    }
+
+    /// Starts a world with this setup.
+    pub async fn start_with<F>(count: usize, setup: Setup, script: F) -> Self
     where
         F: Fn(usize, &Arrival) -> Reply + 'static,
     {
@@ -693,11 +797,13 @@
             let address = listener.local_addr().expect("an address");
             servers.push(address);
             let name = format!("server-{at}");
-            store.shared.servers.borrow_mut().push((name.as_str().into(), entry(address)));
+            let data_centre = setup.data_centres[at % setup.data_centres.len()].into();
+            let entry = ServerEntry { data_centre, ..entry(address) };
+            store.shared.servers.borrow_mut().push((name.as_str().into(), entry));
             spawn_local(run_server(fleet.clone(), at, listener));
         }
-        *store.shared.config.borrow_mut() = Some(config());
-        let vm = Vm::start("vm-1", store.clone()).await;
+        *store.shared.config.borrow_mut() = Some(setup.config);
+        let vm = Vm::start_with("vm-1", store.clone(), setup.migrations).await;
         let Vm { front, ready, metrics, migrations } = vm;
         Self {
             front,
@@ -834,6 +940,11 @@
                 notify.notified().await;
                 return;
             }
+            Reply::SendMoreOnNotify(text, notify, more) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                notify.notified().await;
+                let _ = stream.write_all(more.as_bytes()).await;
+            }
             Reply::SendAndExit(text) => {
                 let _ = stream.write_all(text.as_bytes()).await;
                 exit.send_replace(true);
--- a/crates/quincevalve_node/tests/whole_path.rs
+++ b/crates/quincevalve_node/tests/whole_path.rs
@@ -406,7 +406,7 @@
             ..entry(world.servers[first.server])
         };
         world.store.put_server(&format!("server-{}", first.server), leaving);
-        assert_eq!(world.migrations.recv().await.as_deref(), Some("id-1"));
+        assert_eq!(world.migrations.recv().await.unwrap().attempt_id, "id-1");
         stopped.notify_one();
         let answer = caller.await.unwrap();
         assert_eq!(event_data(&answer), ["t1", "t2", "t3", "t4"]);
--- a/crates/quincevalve_recovery/src/continuation.rs
+++ b/crates/quincevalve_recovery/src/continuation.rs
@@ -15,13 +15,58 @@
     PrefixHolder,
     /// Recompute the prompt and the answer so far at any server.
     Recompute,
+    /// Continue at the server to which the source has migrated the KV cache.
+    Migrated,
+    /// Continue at the source, which has stopped the run and retained its KV cache.
+    Stopped,
+    /// Continue at a server that holds a copy of the run's KV cache.
+    Copy,
+    /// Keep reading a stream that is stalled but open.
+    KeepReading,
+    /// End the answer visibly incomplete.
+    Abort,
+}
+
+/// What is known about the server that the answer comes from, the source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SourceState {
+    /// It responds, and has the run.
+    Answers,
+    /// It could hand the run over but has not been asked to.
+    NotAsked,
+    /// It has stopped the run and migrated its KV cache to another server.
+    Migrated,
+    /// It has stopped the run and retained its KV cache.
+    Stopped,
+    /// It responds, but doesn't have the run.
+    RunGone,
+    /// It responds, but has not stopped the run.
+    Declined,
+    /// It doesn't respond.
+    Silent,
+}
+
+/// Whether the stream from the source can still be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum StreamState {
+    /// It can be read on.
+    Open,
+    /// It has ended or was closed.
+    #[default]
+    Closed,
 }
 
 /// The inputs of the choice for one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ContinuationOptions {
-    /// Whether the server still responds.
-    pub server_answers: bool,
+    /// What is known about the source.
+    pub source: SourceState,
+    /// State of the stream from the source.
+    pub stream: StreamState,
+    /// Whether another server holds a copy of the run's KV cache.
+    pub copy_held: bool,
+    /// Whether the request may be started again at another server.
+    pub may_recompute: bool,
     /// Time until the server shuts down; `None` if no shutdown is announced.
     pub time_until_shutdown: Option<Duration>,
     /// Whether another server is expected to hold the prefix.
@@ -62,14 +107,21 @@
 
 /// Chooses the way that recomputes the fewest tokens and, among equal ones, the fastest.
 ///
+/// A stalled stream is kept open unless the source no longer has the run or a copy of the run exists: the source may be
+/// working, and starting the request again would discard its work.
+///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
 /// use quincevalve_recovery::{Continuation, ContinuationOptions, MigrationCosts, choose_continuation};
+/// use quincevalve_recovery::{SourceState, StreamState};
 ///
 /// let options = ContinuationOptions {
-///     server_answers: true,
+///     source: SourceState::Answers,
+///     stream: StreamState::Open,
+///     copy_held: false,
+///     may_recompute: true,
 ///     time_until_shutdown: Some(Duration::from_secs(2)),
 ///     prefix_held: true,
 ///     prompt_tokens: 6_000,
@@ -81,15 +133,31 @@
 /// assert_eq!(choose_continuation(&options, &MigrationCosts::default()), Continuation::MigrateCache);
 /// ```
 pub fn choose_continuation(options: &ContinuationOptions, costs: &MigrationCosts) -> Continuation {
-    if options.server_answers {
-        let Some(remaining) = options.time_until_shutdown else { return Continuation::Resume };
-        let usable_time = remaining.saturating_sub(costs.margin);
-        if options.token_time * options.remaining_tokens <= usable_time {
-            return Continuation::Finish;
-        }
-        if migration_time(options, costs) <= usable_time {
-            return Continuation::MigrateCache;
+    match options.source {
+        SourceState::Answers => {
+            let Some(remaining) = options.time_until_shutdown else { return Continuation::Resume };
+            let usable_time = remaining.saturating_sub(costs.margin);
+            if options.token_time * options.remaining_tokens <= usable_time {
+                return Continuation::Finish;
+            }
+            if migration_time(options, costs) <= usable_time {
+                return Continuation::MigrateCache;
+            }
         }
+        SourceState::NotAsked => return Continuation::MigrateCache,
+        SourceState::Migrated => return Continuation::Migrated,
+        SourceState::Stopped => return Continuation::Stopped,
+        SourceState::RunGone | SourceState::Declined | SourceState::Silent => {}
+    }
+    if options.copy_held {
+        return Continuation::Copy;
+    }
+    let may_still_run = matches!(options.source, SourceState::Declined | SourceState::Silent);
+    if options.stream == StreamState::Open && may_still_run {
+        return Continuation::KeepReading;
+    }
+    if !options.may_recompute {
+        return Continuation::Abort;
     }
     if options.prefix_held { Continuation::PrefixHolder } else { Continuation::Recompute }
 }
--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -4,14 +4,20 @@
 mod hand_over;
 mod record;
 mod relay;
+mod run_recovery;
 
 pub use crate::{
     continuation::{
-        Continuation, ContinuationOptions, MigrationCosts, choose_continuation, migration_time,
+        Continuation, ContinuationOptions, MigrationCosts, SourceState, StreamState,
+        choose_continuation, migration_time,
     },
     hand_over::{
         HandOverAction, HandOverId, HandOverReceiver, HandOverSender, ReceiverVerdict, SendOutcome,
     },
     record::{AnswerForm, AnswerRecord, Call, Generation, RecordState, Work},
     relay::{Relay, RelayError, RelayStep},
+    run_recovery::{
+        ContinueFrom, HAND_OVER_LIMIT, HandOverAnswer, Obstacle, RecoveryAction,
+        RecoveryConditions, RecoveryEvent, RunRecovery, stall_limit,
+    },
 };
