Runs at engines that interrupt streams are copied to another engine

Cause: when an engine dies, the memory of its runs is gone, and non-resumable streams are lost.

Change: where a service's engines copy runs (`Backups`), the first sending orders a copy (`X-Quincevalve-Kv-Backup`) if the answer would be lost with a probability of 1 in 10, or 1 in 4 for a resumable stream of more than 4,000 prompt tokens. The probability comes from interruptions over stream-seconds by engine, shrunk towards the service's rate. The copy goes to an engine in another data centre with memory left, and counts as this VM's work there until the run ends. After a break or stall, a stream whose engine doesn't hand the run over continues from the copy.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -97,7 +97,7 @@
 impl WorkSum {
     /// Returns whether the work is large enough to affect the placement decisions of other VMs.
     pub fn is_significant(&self) -> bool {
-        self.requests > 0 || self.recent_prefill >= MIN_REPORTED_RECENT
+        self.requests > 0 || self.memory > 0 || self.recent_prefill >= MIN_REPORTED_RECENT
     }
 
     /// Returns whether `later` differs from this sum only by the decay of `recent_prefill`.
@@ -237,9 +237,19 @@
         self.own.remove(work);
     }
 
+    /// Adds the copy of a run of another server. It takes memory, but no slot.
+    pub fn add_copy(&mut self, tokens: u32) {
+        self.own.memory += u64::from(tokens);
+    }
+
+    /// Removes the copy of a run that ended.
+    pub fn remove_copy(&mut self, tokens: u32) {
+        self.own.memory = self.own.memory.saturating_sub(u64::from(tokens));
+    }
+
     /// Returns whether this VM has work at the server or recently sent it some.
     pub fn has_work(&self) -> bool {
-        self.own.requests > 0 || self.own.recent_prefill > 0
+        self.own.requests > 0 || self.own.memory > 0 || self.own.recent_prefill > 0
     }
 
     /// Returns this VM's own work at the server, as reported to its peers.
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -65,6 +65,7 @@
     proof_age_ms: Gauge,
     quarantined: Gauge,
     suppressed_lines: Counter,
+    copies: Family<AttemptLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -110,6 +111,8 @@
         registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
         registry.register("quarantined", "Requests kept from servers", quarantined.clone());
         registry.register("log_lines_left_out", "Log lines not written", suppressed_lines.clone());
+        let copies = Family::default();
+        registry.register("copies", "Copies of runs by result", copies.clone());
         Self {
             registry,
             requests,
@@ -125,6 +128,7 @@
             proof_age_ms,
             quarantined,
             suppressed_lines,
+            copies,
         }
     }
 }
@@ -160,6 +164,12 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// Counts a copy of a run by its result.
+    pub(crate) fn count_copy(&self, service: &str, result: &str) {
+        let labels = AttemptLabels { service: service.to_owned(), result: result.to_owned() };
+        self.copies.get_or_create(&labels).inc();
+    }
+
     /// Counts suppressed log lines.
     pub(crate) fn count_suppressed_lines(&self, lines: u64) {
         self.suppressed_lines.inc_by(lines);
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -30,6 +30,7 @@
     wall_clock::WallClock,
 };
 use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
+use quincevalve_recovery::RiskTable;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::{sync::Notify, time::Instant};
@@ -112,6 +113,8 @@
     pub(crate) state_copy: RefCell<StateCopy>,
     /// Signals of servers that are still to be reported to other VMs.
     pub(crate) signal_outbox: RefCell<SignalOutbox>,
+    /// How often streams of engines that copy runs were interrupted, by service.
+    pub(crate) engine_risks: RefCell<IndexMap<ServiceName, RiskTable>>,
     /// Wakes tasks that wait for a change of servers or VMs.
     pub(crate) changed: Notify,
 }
@@ -155,6 +158,7 @@
             config_copy: RefCell::default(),
             state_copy: RefCell::default(),
             signal_outbox: RefCell::default(),
+            engine_risks: RefCell::default(),
             changed: Notify::new(),
             settings,
             headers,
@@ -174,6 +178,8 @@
             return;
         }
         log::info!(from = known.unwrap_or_default(), version = config.version; "config-applied");
+        let copying = &config.run_copies.engines;
+        self.engine_risks.borrow_mut().retain(|service, _| copying.contains_key(service));
         *current = Some(Rc::new(config));
     }
 
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod body;
 pub(crate) mod connection_pool;
+pub(crate) mod copies;
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
 pub(crate) mod exit_check;
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -14,6 +14,7 @@
     quarantine,
     request::{
         body::AnswerBody,
+        copies::order_copy,
         exchange::{
             AttemptError, ServerAnswer, caller_response, exchange, record_first_answer,
             update_server,
@@ -55,6 +56,9 @@
         tried.push(place.server.clone());
         let mut guard = WorkGuard::new(node, &place);
         guard.start_tracking(&req, &place);
+        let copy = order_copy(node, &req, &place, &tried);
+        let extra: Vec<_> = copy.iter().map(|it| it.order_header(node)).collect();
+        guard.set_copy(copy);
         let sent = Instant::now();
         log_request!(
             node, req,
@@ -66,7 +70,7 @@
             digest = req.digest_if_cheap().map_or_else(String::new, |it| it.to_string());
             "placed"
         );
-        let failure = match exchange(node, &req, &place, &[]).await {
+        let failure = match exchange(node, &req, &place, &extra).await {
             Ok(answer) => {
                 match handle_answer(node, &req, &place, answer, guard, sent, runs).await {
                     Ok(answer) => return Ok(answer),
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -25,6 +25,7 @@
     request::{
         body::{AnswerAborted, AnswerBody},
         connection_pool::{Connection, KeepAlive},
+        copies::{RunCopy, StreamAtEngine, record_interruption},
         exchange::{ServerAnswer, caller_response, exchange, record_first_answer, update_server},
         exit_check::record_if_exited,
         identify::IdentifiedRequest,
@@ -44,6 +45,7 @@
     place: Placement,
     guard: WorkGuard,
     sent: Instant,
+    _stream: Option<StreamAtEngine>,
 }
 
 /// Why reading from a source stopped.
@@ -78,14 +80,16 @@
     req: &Rc<IdentifiedRequest>,
     place: &Placement,
     answer: ServerAnswer,
-    guard: WorkGuard,
+    mut guard: WorkGuard,
     sent: Instant,
     runs_before: u32,
 ) -> Response<AnswerBody> {
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let (head, incoming) = answer.response.into_parts();
     let response = caller_response(head.status, &head.headers, AnswerBody::Stream(rx));
+    let copy = guard.take_copy();
     let source = Source {
+        _stream: StreamAtEngine::start(node, req, place),
         incoming,
         connection: answer.connection,
         keep_alive: answer.keep_alive,
@@ -108,6 +112,7 @@
         runs_before,
         same_run_servers: 0,
         recovery: RunRecovery::default(),
+        copy,
         stall_limit: stall_limit_of(req),
         ignores_stall: false,
         reading_since: Instant::now(),
@@ -138,6 +143,8 @@
     /// Number of further servers at which the same run continued from its memory.
     same_run_servers: u32,
     recovery: RunRecovery,
+    /// The copy of the run that the stream's first server makes.
+    copy: Option<RunCopy>,
     /// Silence after which the stream counts as stalled; `None` if stalls are not detected.
     stall_limit: Option<Duration>,
     /// Whether the current silence has been handled already.
@@ -396,7 +403,8 @@
             record_if_exited(&self.node, &self.req, &place);
             self.leave(&place, &mut open);
         }
-        let to = find_server_now(&self.node, &self.req, servers);
+        let copy_place = self.copy.as_ref().and_then(|it| it.placement(&self.node, &place));
+        let to = copy_place.or_else(|| find_server_now(&self.node, &self.req, servers));
         let mut ticket = None;
         let mut event = event;
         loop {
@@ -430,6 +438,8 @@
                         self.continue_from(from, &place, to.as_ref(), ticket.as_ref(), servers);
                     if let Some(next) = next.await {
                         self.recovery.record_continuation();
+                        // The run that the copy follows has ended.
+                        self.copy = None;
                         self.reading_since = Instant::now();
                         return Some(next);
                     }
@@ -452,6 +462,7 @@
     fn leave(&self, place: &Placement, source: &mut Option<Source>) {
         if source.take().is_some() {
             update_server(&self.node, place, |it, _| it.load.record_failure());
+            record_interruption(&self.node, &self.req, place);
         }
     }
 
@@ -462,7 +473,7 @@
     ) -> RecoveryConditions {
         RecoveryConditions {
             can_ask_source: has_destination && self.supports_migration(),
-            copy_held: false,
+            copy_held: self.copy.is_some(),
             may_restart: self.may_restart(servers),
             obstacle: self.obstacle(),
             time_left: remaining(self.req.deadline),
@@ -520,20 +531,50 @@
         ticket: Option<&HeaderValue>,
         servers: &mut Vec<BackendServerName>,
     ) -> Option<Source> {
-        let place = match from {
+        let (place, ticket) = match from {
+            ContinueFrom::Copy => return self.continue_from_copy(source, servers).await,
             ContinueFrom::Start => return self.resume(servers).await,
             ContinueFrom::Migrated => {
                 let place = to?.clone();
                 self.add_same_run_server(&place, servers);
-                place
+                (place, ticket)
             }
-            ContinueFrom::Stopped => source.clone(),
-            ContinueFrom::Copy => return None,
+            ContinueFrom::Stopped => (source.clone(), ticket),
         };
         let next = self.resume_at(place, from, ticket.cloned());
         timeout(CONTINUATION_LIMIT, next).await.ok()?
     }
 
+    /// Continues at the engine that holds the copy of the run. The copy is used at most once.
+    async fn continue_from_copy(
+        &mut self,
+        source: &Placement,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let copy = self.copy.take()?;
+        let engine = self.req.config.run_copies.engines.get(&self.req.service)?;
+        if self.reading_since.elapsed() >= engine.copy_ttl {
+            copy.record_lost(&self.node, &self.req, "expired");
+            return None;
+        }
+        let Some(place) = copy.placement(&self.node, source) else {
+            copy.record_lost(&self.node, &self.req, "target-gone");
+            return None;
+        };
+        self.add_same_run_server(&place, servers);
+        let next = self.resume_at(place, ContinueFrom::Copy, Some(copy.ticket()));
+        let next = timeout(CONTINUATION_LIMIT, next).await;
+        match next {
+            Ok(Some(next)) => {
+                self.node.metrics.count_copy(self.req.service.as_str(), "used");
+                return Some(next);
+            }
+            Ok(None) => copy.record_lost(&self.node, &self.req, "refused"),
+            Err(_) => copy.record_lost(&self.node, &self.req, "unanswered"),
+        }
+        None
+    }
+
     fn add_same_run_server(&mut self, place: &Placement, servers: &mut Vec<BackendServerName>) {
         servers.push(place.server.clone());
         self.same_run_servers += 1;
@@ -627,6 +668,7 @@
         }
         guard.complete_prefill();
         Some(Source {
+            _stream: StreamAtEngine::start(&self.node, &self.req, &place),
             incoming: answer.response.into_body(),
             connection: answer.connection,
             keep_alive: answer.keep_alive,
--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -15,6 +15,7 @@
     clock,
     node::Node,
     request::{
+        copies::RunCopy,
         exchange::update_server,
         identify::IdentifiedRequest,
         refusal::{Refusal, Refused},
@@ -42,6 +43,8 @@
     prefill_pending: bool,
     /// Set if the attempt is compared with attempts at another version.
     tracker: Option<AttemptTracker>,
+    /// The copy of the run that was ordered with the request.
+    copy: Option<RunCopy>,
 }
 
 impl WorkGuard {
@@ -49,7 +52,25 @@
         update_server(node, place, |it, now| it.load.add_request(place.work, now));
         node.record_sent(place);
         let (server, start, work) = (place.server.clone(), place.start, place.work);
-        Self { node: node.clone(), server, start, work, prefill_pending: true, tracker: None }
+        Self {
+            node: node.clone(),
+            server,
+            start,
+            work,
+            prefill_pending: true,
+            tracker: None,
+            copy: None,
+        }
+    }
+
+    /// Keeps the copy that is ordered with the request.
+    pub(crate) fn set_copy(&mut self, copy: Option<RunCopy>) {
+        self.copy = copy;
+    }
+
+    /// Takes the copy that was ordered with the request, if any.
+    pub(crate) fn take_copy(&mut self) -> Option<RunCopy> {
+        self.copy.take()
     }
 
     /// Starts to track the attempt if it is compared with attempts at another version.
--- a/crates/quincevalve_node/tests/poison_request.rs
+++ b/crates/quincevalve_node/tests/poison_request.rs
@@ -6,8 +6,8 @@
 
 use quincevalve_forwarding::servers::ServerEntry;
 use support::{
-    Arrival, FakeStore, LAST_CHUNK, Reply, Vm, World, entry, events, exchange, metric, request,
-    run, sealed, stream_head,
+    Arrival, FakeStore, LAST_CHUNK, Reply, Setup, Vm, World, config_with_copies, entry, events,
+    exchange, metric, request, run, sealed, stream_head,
 };
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
@@ -174,6 +174,35 @@
     });
 }
 
+// A stream breaks off after its request was quarantined, at engines that copy runs. Its run must be neither handed over
+// nor continued from a copy.
+#[test]
+fn run_of_a_quarantined_request_does_not_continue_elsewhere() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let first = |it: &Arrival| stream_head(it) + &events(1..=1);
+        let setup = Setup { config: config_with_copies(), ..Setup::default() };
+        let script = script_with_held_attempt(first, release.clone());
+        let mut world = World::start_with(5, setup, script).await;
+        let front = world.front;
+        let held =
+            spawn_local(
+                async move { exchange(front, &request("/resumable/poison", "held", "")).await },
+            );
+        while world.arrivals.try_recv().is_err() {
+            sleep(POLL_INTERVAL).await;
+        }
+        repeat_until_quarantined(&world, "/resumable/poison").await;
+        world.drain_arrivals();
+        while world.migrations.try_recv().is_ok() {}
+        release.notify_waiters();
+        let answer = held.await.expect("an answer");
+        assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+        assert!(world.drain_arrivals().is_empty());
+        assert!(world.migrations.try_recv().is_err(), "the run was handed over");
+    });
+}
+
 // The engine of a quarantined request is reclaimed. Its run must not be migrated, because the other engine would exit
 // too.
 #[test]
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -519,7 +519,12 @@
         migrated_from: name("x-moved-from"),
         copy_to: name("x-copy-to"),
         signals,
-        internal: vec![name("x-moved-from"), name("x-urgency"), name("x-internal")],
+        internal: vec![
+            name("x-moved-from"),
+            name("x-copy-to"),
+            name("x-urgency"),
+            name("x-internal"),
+        ],
     }
 }
 
--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -1,6 +1,8 @@
 //! Complete answers despite failures: token order, continuation on another server, hand-over to another entry VM.
 
 mod continuation;
+mod copy_target;
+mod engine_risk;
 mod hand_over;
 mod record;
 mod relay;
@@ -11,6 +13,8 @@
         Continuation, ContinuationOptions, MigrationCosts, SourceState, StreamState,
         choose_continuation, migration_time,
     },
+    copy_target::{CopyCandidate, choose_copy_target},
+    engine_risk::{EngineCondition, EngineId, RiskTable, RunAtRisk, is_copy_due},
     hand_over::{
         HandOverAction, HandOverId, HandOverReceiver, HandOverSender, ReceiverVerdict, SendOutcome,
     },
