Recovery of streams: tests of its limits, freed copies reported at once

Cause: three limits of continuations had tests of the core only, and an engine that held nothing but copies kept their memory in the digests until the next regular one.

--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -100,7 +100,7 @@
             before.server_work.get(server).is_some_and(|it| it.differs_only_by_decay(*work))
         };
         let has_ended = |(server, work): (&u64, &WorkSum)| {
-            work.requests > 0 && !self.server_work.contains_key(server)
+            (work.requests > 0 || work.memory > 0) && !self.server_work.contains_key(server)
         };
         !self.server_work.iter().all(is_unchanged)
             || before.server_work.iter().any(has_ended)
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -509,7 +509,10 @@
                 }
             },
             Ok(Ok(Err(error))) => {
-                log::debug!(id = self.req.id, server = from.server.as_str(), error:% = error; "hand-over-failed");
+                log_request!(
+                    self.node, self.req, server = from.server.as_str(), error = error;
+                    "hand-over-failed"
+                );
                 (HandOverAnswer::NoAnswer, None)
             }
             Ok(Err(_)) | Err(_) => (HandOverAnswer::NoAnswer, None),
--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -17,7 +17,12 @@
 const TOKENS: &str = "x-tokens: 1000,400\r\n";
 
 fn with_copies(migrations: FakeMigration) -> Setup {
-    Setup { config: config_with_copies(), migrations, data_centres: &["a", "b"] }
+    Setup {
+        config: config_with_copies(),
+        migrations,
+        data_centres: &["a", "b"],
+        ..Setup::default()
+    }
 }
 
 fn event_data(answer: &str) -> Vec<&str> {
--- a/crates/quincevalve_node/tests/run_recovery.rs
+++ b/crates/quincevalve_node/tests/run_recovery.rs
@@ -3,13 +3,13 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use support::{
     Arrival, FakeMigration, LAST_CHUNK, Reply, Setup, World, chunk, config_with_copies, events,
     exchange, request, run, stream_head,
 };
-use tokio::{sync::Notify, task::spawn_local};
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Notify, task::spawn_local};
 
 const NOT_RUN: &str =
     "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
@@ -196,3 +196,56 @@
         assert_eq!(world.drain_arrivals().len(), 1);
     });
 }
+
+// A caller that disconnects while its stream is handed over needs no continuation. The engine frees the memory after the
+// handle's time to live.
+#[test]
+fn a_stream_whose_caller_left_does_not_continue() {
+    run(async {
+        let late = FakeMigration::MigratedAfter(Duration::from_millis(200));
+        let mut world = World::start_with(2, with_copies(late), breaks_once).await;
+        let mut caller = TcpStream::connect(world.front).await.unwrap();
+        caller.write_all(request("/stream/7", "id-1", "").as_bytes()).await.unwrap();
+        world.migrations.recv().await.unwrap();
+        drop(caller);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(world.drain_arrivals().len(), 1);
+    });
+}
+
+// Continuations must not multiply the load when all engines fail: each one spends a retry of the shared budget.
+#[test]
+fn continuations_spend_retries() {
+    run(async {
+        let script = |_, it: &Arrival| {
+            Reply::SendAndClose(stream_head(it) + &events(1..=2) + &chunk("id: 3\ndata: t"))
+        };
+        let setup = Setup { retry_slack: 3.0, ..with_copies(FakeMigration::Migrated) };
+        let mut world = World::start_with(8, setup, script).await;
+        for number in 0..5 {
+            let answer = world.send("/stream/7", &format!("id-{number}"), "").await;
+            assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+        }
+        // Five first attempts, and at most 0.2 of them plus 3 retries.
+        let sent = world.drain_arrivals().len();
+        assert!((6..=9).contains(&sent), "{sent}");
+    });
+}
+
+// A stream that meets failing engines only ends after three continuations.
+#[test]
+fn a_stream_continues_at_most_three_times() {
+    run(async {
+        let script = |number: usize, it: &Arrival| {
+            let number = number as u32 + 1;
+            Reply::SendAndClose(stream_head(it) + &events(number..=number))
+        };
+        let mut world = World::start_with(8, with_copies(FakeMigration::Migrated), script).await;
+        let answer = world.send("/stream/7", "id-1", "").await;
+        assert_eq!(event_data(&answer), ["t1", "t2", "t3", "t4"]);
+        assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+        let servers: Vec<_> = world.drain_arrivals().iter().map(|it| it.server).collect();
+        let distinct: HashSet<_> = servers.iter().collect();
+        assert_eq!((servers.len(), distinct.len()), (4, 4));
+    });
+}
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -598,11 +598,18 @@
     pub migrations: FakeMigration,
     /// The data centres of the servers in turn.
     pub data_centres: &'static [&'static str],
+    /// Number of retries that are allowed regardless of the number of requests.
+    pub retry_slack: f64,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Self { config: config(), migrations: FakeMigration::Migrated, data_centres: &["a"] }
+        Self {
+            config: config(),
+            migrations: FakeMigration::Migrated,
+            data_centres: &["a"],
+            retry_slack: 50.0,
+        }
     }
 }
 
@@ -694,12 +701,16 @@
 impl Vm {
     /// Starts a VM's process and waits until it is ready.
     pub async fn start(name: &str, store: FakeStore) -> Self {
-        Self::start_with(name, store, FakeMigration::Migrated).await
+        Self::start_with(settings(name), store, FakeMigration::Migrated).await
     }
 
     /// Starts a VM's process whose engines answer orders to migrate in this way, and waits until it is ready.
-    pub async fn start_with(name: &str, store: FakeStore, migrations: FakeMigration) -> Self {
-        let vm = Self::spawn_with(settings(name), store, migrations).await;
+    async fn start_with(
+        settings: NodeSettings,
+        store: FakeStore,
+        migrations: FakeMigration,
+    ) -> Self {
+        let vm = Self::spawn_with(settings, store, migrations).await;
         while !get(vm.ready, "/readyz").await.starts_with("HTTP/1.1 200") {
             sleep(Duration::from_millis(5)).await;
         }
@@ -808,7 +819,9 @@
             spawn_local(run_server(fleet.clone(), at, listener));
         }
         *store.shared.config.borrow_mut() = Some(setup.config);
-        let vm = Vm::start_with("vm-1", store.clone(), setup.migrations).await;
+        let mut settings = settings("vm-1");
+        settings.retries.slack = setup.retry_slack;
+        let vm = Vm::start_with(settings, store.clone(), setup.migrations).await;
         let Vm { front, ready, metrics, migrations } = vm;
         Self {
             front,
