--- a/crates/quincevalve_recovery/tests/run_recovery.rs
+++ b/crates/quincevalve_recovery/tests/run_recovery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
 use quincevalve_recovery::{
     ContinueFrom::{Copy, Migrated, Start, Stopped},
     HandOverAnswer::{self, Declined, NoAnswer, NoRun},
@@ -21,6 +22,7 @@
 };
 const NO_COPY: RecoveryConditions = RecoveryConditions { copy_held: false, ..CONDITIONS };
 const RESTARTABLE: RecoveryConditions = RecoveryConditions { may_restart: true, ..NO_COPY };
+const RESTARTABLE_COPY: RecoveryConditions = RecoveryConditions { may_restart: true, ..CONDITIONS };
 const QUARANTINED: RecoveryConditions =
     RecoveryConditions { obstacle: Some(Obstacle::Quarantined), ..CONDITIONS };
 const LATE: RecoveryConditions =
@@ -66,6 +68,10 @@
     uses_the_copy_without_a_hand_over: CANNOT_ASK, [Broke => Continue(Copy)];
     starts_again_without_a_copy: RESTARTABLE,
         [Broke => AskSource, HandOver(NoRun) => Continue(Start), Failed => Abort];
+    // The copy's engine is full or restarted.
+    starts_again_after_a_refused_copy: RESTARTABLE_COPY,
+        [Broke => AskSource, HandOver(NoAnswer) => Continue(Copy), Failed => Continue(Start),
+         Failed => Abort];
     never_starts_a_non_resumable_stream_again: NO_COPY,
         [Broke => AskSource, HandOver(NoAnswer) => Abort];
     continues_a_stalled_stream_from_its_copy: CONDITIONS,
@@ -99,3 +105,73 @@
     assert_eq!(recovery.handle(Broke, &CONDITIONS), Abort);
     assert_eq!(recovery.handle(Stalled, &CONDITIONS), KeepReading);
 }
+
+fn conditions() -> impl Strategy<Value = RecoveryConditions> {
+    let obstacle = prop::option::weighted(0.1, Just(Obstacle::Quarantined));
+    (any::<bool>(), any::<bool>(), any::<bool>(), obstacle, 0..3_000_u64).prop_map(
+        |(can_ask_source, copy_held, may_restart, obstacle, left_ms)| RecoveryConditions {
+            can_ask_source,
+            copy_held,
+            may_restart,
+            obstacle,
+            time_left: Duration::from_millis(left_ms),
+        },
+    )
+}
+
+fn answer() -> impl Strategy<Value = HandOverAnswer> {
+    use HandOverAnswer::{Migrated, Stopped};
+    prop_oneof![Just(Migrated), Just(Stopped), Just(NoRun), Just(Declined), Just(NoAnswer)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(9),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against rules that hold only in the listed orders of events.
+    #[test]
+    fn rules_hold_in_any_order_of_events(
+        failures in prop::collection::vec((any::<bool>(), answer(), 0..5_u32), 1..8),
+        conditions in conditions(),
+    ) {
+        let mut recovery = RunRecovery::default();
+        let mut continuations = 0;
+        for (is_stall, answer, failed_attempts) in failures {
+            let mut event = if is_stall { Stalled } else { Broke };
+            let mut left_source = !is_stall;
+            let mut failed = 0;
+            // Each failure is handled in a few steps.
+            for step in 0.. {
+                prop_assert!(step < 7, "endless");
+                event = match recovery.handle(event, &conditions) {
+                    AskSource => {
+                        prop_assert!(conditions.can_ask_source && step == 0);
+                        HandOver(answer)
+                    }
+                    Continue(from) => {
+                        prop_assert!(conditions.obstacle.is_none() && continuations < 3);
+                        prop_assert!(from != Start || conditions.may_restart);
+                        prop_assert!(from != Copy || conditions.copy_held);
+                        left_source = true;
+                        if failed == failed_attempts {
+                            recovery.record_continuation();
+                            continuations += 1;
+                            break;
+                        }
+                        failed += 1;
+                        Failed
+                    }
+                    KeepReading => {
+                        prop_assert!(!left_source);
+                        break;
+                    }
+                    Abort => break,
+                };
+            }
+        }
+    }
+}
