Copies of runs: a continuation takes one share of its engine's rate limit

Cause: the place of a copy was determined twice, for the hand-over and for the continuation, and each time took a request from this VM's share of the engine's limit. Under a tight limit the second one failed, and the copy was given up.

Change: a request is counted where it is sent; `copy-lost` has the cause `limited`. Unit tests of the place of a copy.

--- a/crates/quincevalve_node/src/request/copies.rs
+++ b/crates/quincevalve_node/src/request/copies.rs
@@ -41,16 +41,16 @@
     }
 
     /// Returns the placement of the request at the copy's engine, or `None` if the engine has restarted, left or may get
-    /// no requests.
+    /// no requests. The request must be counted with [`RunCopy::spend_allowance`] before it is sent.
     pub(crate) fn placement(&self, node: &Node, source: &Placement) -> Option<Placement> {
         let now = clock::now();
-        let mut servers = node.servers.borrow_mut();
+        let servers = node.servers.borrow();
         let (name, start) = (&self.memory.server, self.memory.start);
         let server = servers.get(name).filter(|it| it.entry.start == start)?;
         if !servers.is_eligible(server, now) || servers.expected_stop(name, start).is_some() {
             return None;
         }
-        let place = Placement {
+        Some(Placement {
             server: name.clone(),
             start,
             version: server.entry.version.clone(),
@@ -60,8 +60,18 @@
             peer_report_age: server.load.peer_report_age(now),
             unlisted_for: server.unlisted_for(now),
             ..source.clone()
-        };
-        servers.spend_allowance(name, start, now).then_some(place)
+        })
+    }
+
+    /// Returns whether the copy is at the server of a placement.
+    pub(crate) fn is_at(&self, place: &Placement) -> bool {
+        self.memory.server == place.server && self.memory.start == place.start
+    }
+
+    /// Takes one request from this VM's share of the rate limit of the copy's engine. Returns `false` if it is used up.
+    pub(crate) fn spend_allowance(&self, node: &Node) -> bool {
+        let (name, start) = (&self.memory.server, self.memory.start);
+        node.servers.borrow_mut().spend_allowance(name, start, clock::now())
     }
 
     /// Logs and counts that a copy that was needed could not be used.
--- a/crates/quincevalve_node/src/request/copies/tests.rs
+++ b/crates/quincevalve_node/src/request/copies/tests.rs
@@ -1,8 +1,13 @@
-//! Guards against engines that look full of copies of runs that have ended.
+//! Guards against engines that look full of copies of runs that have ended, and against copies that can't be used because
+//! looking at them took a share of their engine's rate limit.
 
 use std::rc::Rc;
 
-use quincevalve_forwarding::servers::ServerEntry;
+use quincevalve_forwarding::{
+    load::WorkSum,
+    server_signals::{RequestRate, ServerSignals},
+    servers::ServerEntry,
+};
 
 use super::*;
 use crate::test_node::{any_address, node, run};
@@ -60,3 +65,63 @@
         assert_eq!(memory_at(&node, &server), 0);
     });
 }
+
+fn source() -> Placement {
+    Placement {
+        server: "engine-0".into(),
+        start: ServerStart(1),
+        version: "v1".into(),
+        work: Work { prefill: 900, memory: 1_200, output: 200, urgency: 1 },
+        affinity: None,
+        predicted: Duration::from_millis(50),
+        baseline: None,
+        known_load: WorkSum::default(),
+        peer_report_age: Duration::ZERO,
+        unlisted_for: None,
+    }
+}
+
+#[test]
+fn the_place_of_a_copy_takes_no_share_of_a_rate_limit() {
+    run(|| {
+        let node = Rc::new(node("vm-1"));
+        let server: BackendServerName = "engine-1".into();
+        let now = clock::now();
+        node.servers.borrow_mut().apply_entry(&server, entry(1), now);
+        let signals = ServerSignals { limit: RequestRate::new(4.0), ..ServerSignals::default() };
+        if let Some(it) = node.servers.borrow_mut().get_mut(&server, ServerStart(1)) {
+            it.apply_signals(&signals, now);
+        }
+        let copy = RunCopy {
+            memory: CopyMemory::new(&node, server.clone(), ServerStart(1), 1_200),
+            address: HeaderValue::from_static("127.0.0.1:1"),
+            ticket: HeaderValue::from_static("127.0.0.1:1/id-1"),
+        };
+        for _ in 0..50 {
+            let place = copy.placement(&node, &source()).expect("a usable engine");
+            assert!(copy.is_at(&place));
+            assert_eq!(place.work, Work { prefill: 0, ..source().work });
+        }
+        assert!(copy.spend_allowance(&node));
+        let spent = (0..50).filter(|_| copy.spend_allowance(&node)).count();
+        assert!(spent < 50, "the engine has no limit");
+    });
+}
+
+#[test]
+fn a_leaving_engine_is_no_place_to_continue() {
+    run(|| {
+        let node = Rc::new(node("vm-1"));
+        let server: BackendServerName = "engine-1".into();
+        node.servers.borrow_mut().apply_entry(&server, entry(1), clock::now());
+        let copy = RunCopy {
+            memory: CopyMemory::new(&node, server.clone(), ServerStart(1), 1_200),
+            address: HeaderValue::from_static("127.0.0.1:1"),
+            ticket: HeaderValue::from_static("127.0.0.1:1/id-1"),
+        };
+        assert!(copy.placement(&node, &source()).is_some());
+        let leaving = ServerEntry { draining: true, ..entry(1) };
+        node.servers.borrow_mut().apply_entry(&server, leaving, clock::now());
+        assert_eq!(copy.placement(&node, &source()), None);
+    });
+}
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -539,6 +539,10 @@
             ContinueFrom::Start => return self.resume(servers).await,
             ContinueFrom::Migrated => {
                 let place = to?.clone();
+                let copy = self.copy.as_ref().filter(|it| it.is_at(&place));
+                if copy.is_some_and(|it| !it.spend_allowance(&self.node)) {
+                    return None;
+                }
                 self.add_same_run_server(&place, servers);
                 (place, ticket)
             }
@@ -564,6 +568,10 @@
             copy.record_lost(&self.node, &self.req, "target-gone");
             return None;
         };
+        if !copy.spend_allowance(&self.node) {
+            copy.record_lost(&self.node, &self.req, "limited");
+            return None;
+        }
         self.add_same_run_server(&place, servers);
         let next = self.resume_at(place, ContinueFrom::Copy, Some(copy.ticket()));
         let next = timeout(CONTINUATION_LIMIT, next).await;
