Configuration from peers: a damaged copy is an error again

Cause: to find the settings of copies that follow a configuration, it was decoded from a reader. bincode then allocates whatever length the bytes state, so that a damaged copy ended the process ("capacity overflow").

Change: the configuration is decoded from the slice, and its length computed from the result.

--- a/crates/quincevalve_node/src/store/config_copy.rs
+++ b/crates/quincevalve_node/src/store/config_copy.rs
@@ -81,10 +81,12 @@
     Ok(value)
 }
 
-fn decode(mut value: &[u8]) -> bincode::Result<ForwardingConfig> {
-    let mut config: ForwardingConfig = bincode::deserialize_from(&mut value)?;
-    if !value.is_empty() {
-        config.run_copies = bincode::deserialize_from(value)?;
+fn decode(value: &[u8]) -> bincode::Result<ForwardingConfig> {
+    let mut config: ForwardingConfig = bincode::deserialize(value)?;
+    // Decoding from a reader would report the end of the configuration, but allocates whatever length the bytes state.
+    let length = bincode::serialized_size(&config)? as usize;
+    if let Some(rest) = value.get(length..).filter(|it| !it.is_empty()) {
+        config.run_copies = bincode::deserialize(rest)?;
     }
     Ok(config)
 }
--- a/crates/quincevalve_node/src/store/config_copy/tests.rs
+++ b/crates/quincevalve_node/src/store/config_copy/tests.rs
@@ -94,3 +94,14 @@
     // A VM of a version without these settings ignores what follows.
     assert_eq!(bincode::deserialize::<ForwardingConfig>(&extended).unwrap().version, 3);
 }
+
+// Guards against a process that aborts on a damaged copy: a length in it may exceed any memory.
+#[test]
+fn a_damaged_copy_is_an_error() {
+    assert!(decode(&[0xff; 64]).is_err());
+    let mut config = config(3);
+    config.run_copies.longest_pauses.insert("route".into(), Duration::from_millis(500));
+    let mut damaged = encode(&config).unwrap();
+    damaged.extend([0xff; 64]);
+    assert!(decode(&damaged).is_err());
+}
