Recovery of streams: a stalled stream isn't closed for a copy that is gone

Cause: a copy that had expired, or whose engine was removed, restarted or limited, still counted as a copy. A stalled stream whose engine did not answer was closed for it and then ended as broken, although it could have been read on.

Change: whether the copy can be used is checked before the decision. A copy that is gone is logged and dropped; a limited one is kept while the stream is read on.

--- a/crates/quincevalve_node/src/request/copies.rs
+++ b/crates/quincevalve_node/src/request/copies.rs
@@ -74,6 +74,14 @@
         node.servers.borrow_mut().spend_allowance(name, start, clock::now())
     }
 
+    /// Returns whether the copy's engine currently gets no requests from this VM, because it rests or this VM's share of
+    /// its rate limit is used up.
+    pub(crate) fn is_restrained(&self, node: &Node) -> bool {
+        let servers = node.servers.borrow();
+        let server = servers.get(&self.memory.server);
+        server.is_some_and(|it| servers.restraint(it, clock::now()).is_some())
+    }
+
     /// Logs and counts that a copy that was needed could not be used.
     pub(crate) fn record_lost(&self, node: &Node, req: &IdentifiedRequest, cause: &str) {
         log_request!(
@@ -84,6 +92,28 @@
     }
 }
 
+/// Why a run can't continue from its copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CopyObstacle {
+    /// The stream has been silent for longer than engines keep copies.
+    Expired,
+    /// The copy's engine was removed, restarted or leaves.
+    TargetGone,
+    /// The copy's engine rests, or this VM's share of its rate limit is used up.
+    Limited,
+}
+
+impl CopyObstacle {
+    /// Returns how log lines name the obstacle.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::TargetGone => "target-gone",
+            Self::Limited => "limited",
+        }
+    }
+}
+
 /// The memory that a copy takes at its engine.
 struct CopyMemory {
     node: Rc<Node>,
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -25,7 +25,7 @@
     request::{
         body::{AnswerAborted, AnswerBody},
         connection_pool::{Connection, KeepAlive},
-        copies::{RunCopy, StreamAtEngine, record_interruption},
+        copies::{CopyObstacle, RunCopy, StreamAtEngine, record_interruption},
         exchange::{ServerAnswer, caller_response, exchange, record_first_answer, update_server},
         exit_check::record_if_exited,
         identify::IdentifiedRequest,
@@ -412,7 +412,7 @@
                 self.record_end("caller-left", servers);
                 return None;
             }
-            let conditions = self.recovery_conditions(to.is_some(), servers);
+            let conditions = self.recovery_conditions(&place, to.is_some(), servers);
             event = match self.recovery.handle(event, &conditions) {
                 RecoveryAction::AskSource => {
                     let answer;
@@ -446,10 +446,13 @@
                     RecoveryEvent::Failed
                 }
                 RecoveryAction::KeepReading if open.is_some() => {
+                    // A limit passes, and the stream may stall again.
+                    self.discard_copy_if(&place, |it| it != CopyObstacle::Limited);
                     self.ignores_stall = true;
                     return open;
                 }
                 RecoveryAction::KeepReading | RecoveryAction::Abort => {
+                    self.discard_copy_if(&place, |_| true);
                     self.record_end("broke-off", servers);
                     self.abort().await;
                     return None;
@@ -466,14 +469,39 @@
         }
     }
 
+    /// Returns why the run can't continue from its copy at present, or `None` if it can.
+    fn copy_obstacle(&self, copy: &RunCopy, source: &Placement) -> Option<CopyObstacle> {
+        let engine = self.req.config.run_copies.engines.get(&self.req.service);
+        if engine.is_none_or(|it| self.reading_since.elapsed() >= it.copy_ttl) {
+            return Some(CopyObstacle::Expired);
+        }
+        if copy.placement(&self.node, source).is_none() {
+            return Some(CopyObstacle::TargetGone);
+        }
+        copy.is_restrained(&self.node).then_some(CopyObstacle::Limited)
+    }
+
+    /// Discards a copy that can't be used for one of these reasons.
+    fn discard_copy_if(&mut self, source: &Placement, is_reason: impl Fn(CopyObstacle) -> bool) {
+        let obstacle = self.copy.as_ref().and_then(|it| self.copy_obstacle(it, source));
+        let Some(obstacle) = obstacle.filter(|it| is_reason(*it)) else { return };
+        if let Some(copy) = self.copy.take() {
+            copy.record_lost(&self.node, &self.req, obstacle.as_str());
+        }
+    }
+
     fn recovery_conditions(
         &self,
+        source: &Placement,
         has_destination: bool,
         servers: &[BackendServerName],
     ) -> RecoveryConditions {
         RecoveryConditions {
             can_ask_source: has_destination && self.supports_migration(),
-            copy_held: self.copy.is_some(),
+            copy_held: self
+                .copy
+                .as_ref()
+                .is_some_and(|it| self.copy_obstacle(it, source).is_none()),
             may_restart: self.may_restart(servers),
             obstacle: self.obstacle(),
             time_left: remaining(self.req.deadline),
@@ -536,7 +564,10 @@
     ) -> Option<Source> {
         let (place, ticket) = match from {
             ContinueFrom::Copy => return self.continue_from_copy(source, servers).await,
-            ContinueFrom::Start => return self.resume(servers).await,
+            ContinueFrom::Start => {
+                self.discard_copy_if(source, |_| true);
+                return self.resume(servers).await;
+            }
             ContinueFrom::Migrated => {
                 let place = to?.clone();
                 let copy = self.copy.as_ref().filter(|it| it.is_at(&place));
@@ -559,17 +590,15 @@
         servers: &mut Vec<BackendServerName>,
     ) -> Option<Source> {
         let copy = self.copy.take()?;
-        let engine = self.req.config.run_copies.engines.get(&self.req.service)?;
-        if self.reading_since.elapsed() >= engine.copy_ttl {
-            copy.record_lost(&self.node, &self.req, "expired");
-            return None;
-        }
-        let Some(place) = copy.placement(&self.node, source) else {
-            copy.record_lost(&self.node, &self.req, "target-gone");
-            return None;
+        let place = match self.copy_obstacle(&copy, source) {
+            None => copy.placement(&self.node, source)?,
+            Some(obstacle) => {
+                copy.record_lost(&self.node, &self.req, obstacle.as_str());
+                return None;
+            }
         };
         if !copy.spend_allowance(&self.node) {
-            copy.record_lost(&self.node, &self.req, "limited");
+            copy.record_lost(&self.node, &self.req, CopyObstacle::Limited.as_str());
             return None;
         }
         self.add_same_run_server(&place, servers);
--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -196,6 +196,51 @@
     });
 }
 
+/// Stalls a stream whose copy can't be used, and lets its engine, which answers no order, go on. Returns the answer.
+async fn resume_without_copy(copy_ttl: Duration, end_target: Option<fn(&World, usize)>) -> String {
+    let recovered = Rc::new(Notify::new());
+    let goes_on = recovered.clone();
+    let script = move |_, it: &Arrival| match is_first(it) {
+        true => break_off(it),
+        false => {
+            let head = stream_head(it) + &events(1..=2);
+            Reply::SendMoreOnNotify(head, goes_on.clone(), events(3..=4) + LAST_CHUNK)
+        }
+    };
+    let mut setup = with_copies(FakeMigration::Unanswered);
+    setup.config.run_copies.engines.values_mut().for_each(|it| it.copy_ttl = copy_ttl);
+    let mut world = World::start_with(4, setup, script).await;
+    lose_a_stream(&mut world).await;
+    world.migrations.recv().await.expect("an order for the lost stream");
+    let (front, text) = (world.front, request("/stream/7", "id-2", TOKENS));
+    let caller = spawn_local(async move { exchange(front, &text).await });
+    let first = world.arrivals.recv().await.expect("a request");
+    let target = copy_target(&world, &first);
+    end_target.into_iter().for_each(|it| it(&world, target));
+    world.migrations.recv().await.expect("an order to migrate");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    recovered.notify_one();
+    caller.await.expect("an answer")
+}
+
+macro_rules! reads_on_without_copy {
+    ($($name:ident: $copy_ttl_ms:literal, $end:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            run(async {
+                let answer = resume_without_copy(Duration::from_millis($copy_ttl_ms), $end).await;
+                assert!(is_complete(&answer), "{answer}");
+            });
+        })*
+    };
+}
+
+// A stalled stream that may still go on must not be closed for a copy that is known to be gone.
+reads_on_without_copy! {
+    a_stalled_stream_is_read_on_if_its_copy_expired: 500, None;
+    a_stalled_stream_is_read_on_if_the_target_of_its_copy_was_removed: 5_000, Some(remove);
+}
+
 // The engine is silent but alive, or the link to it is cut: the connection closes before the copy is used.
 #[test]
 fn a_stalled_stream_continues_from_its_copy() {
