Migration of streams at copying engines: the copy is used or dropped

Cause: after a migration the stream kept the copy that its first engine had made. Its memory stayed accounted for, and if the stream had moved to the copy's engine, a later break made that engine hand the run over to itself: the stream returned to an engine that it had left. A migration that failed, on the other hand, lost a non-resumable stream in spite of its copy. The silence before a migration also counted towards the stall at the next engine.

Change: a successful migration drops the copy and starts the silence anew. A failed one goes on with the decisions for a broken stream, without asking the engine again. Services without copying engines behave as before.

--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -350,14 +350,19 @@
             Some(migration) => migration.await.ok(),
             None => None,
         };
+        let place = source.place.clone();
         drop(source);
         if let (Some(Ok(MigrationAnswer::Migrated(migrated))), Some(to)) = (migrated, to) {
             servers.push(to.server.clone());
             let ticket = Some(migrated.ticket);
             if let Some(next) = self.resume_at(to, ContinueFrom::Migrated, ticket).await {
+                self.record_new_source();
                 return Some(next);
             }
         }
+        if self.continues_runs() {
+            return self.continue_run(place, None, None, RecoveryEvent::Broke, servers).await;
+        }
         if let Some(next) = self.resume(servers).await {
             return Some(next);
         }
@@ -405,8 +410,20 @@
         }
         let copy_place = self.copy.as_ref().and_then(|it| it.placement(&self.node, &place));
         let to = copy_place.or_else(|| find_server_now(&self.node, &self.req, servers));
+        self.continue_run(place, open, to, event, servers).await
+    }
+
+    /// Continues the run of a stream from `place`, which may still be open, and to which `to` is the destination of a
+    /// hand-over. Returns `None` if the stream has ended.
+    async fn continue_run(
+        &mut self,
+        place: Placement,
+        mut open: Option<Source>,
+        to: Option<Placement>,
+        mut event: RecoveryEvent,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
         let mut ticket = None;
-        let mut event = event;
         loop {
             if self.tx.is_closed() {
                 self.record_end("caller-left", servers);
@@ -438,9 +455,7 @@
                         self.continue_from(from, &place, to.as_ref(), ticket.as_ref(), servers);
                     if let Some(next) = next.await {
                         self.recovery.record_continuation();
-                        // The run that the copy follows has ended.
-                        self.copy = None;
-                        self.reading_since = Instant::now();
+                        self.record_new_source();
                         return Some(next);
                     }
                     RecoveryEvent::Failed
@@ -469,6 +484,13 @@
         }
     }
 
+    /// Prepares to read the stream from another server, or on another connection.
+    fn record_new_source(&mut self) {
+        // The run that the copy follows has ended.
+        self.copy = None;
+        self.reading_since = Instant::now();
+    }
+
     /// Returns why the run can't continue from its copy at present, or `None` if it can.
     fn copy_obstacle(&self, copy: &RunCopy, source: &Placement) -> Option<CopyObstacle> {
         let engine = self.req.config.run_copies.engines.get(&self.req.service);
--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -241,6 +241,75 @@
     a_stalled_stream_is_read_on_if_the_target_of_its_copy_was_removed: 5_000, Some(remove);
 }
 
+/// Announces that an engine leaves within the time in which its streams are migrated.
+fn announce_end(world: &World, server: usize) {
+    let mut entry = entry(world.servers[server]);
+    entry.data_centre = ["a", "b"][server % 2].into();
+    entry.draining = true;
+    entry.leaves_in = Some(Duration::from_millis(1_150));
+    world.store.put_server(&format!("server-{server}"), entry);
+}
+
+/// Has an engine with copied runs announce its end and break off its stream. Returns the answer and the arrivals.
+async fn leave_with_copy(
+    count: usize,
+    migrations: FakeMigration,
+    resumed: fn(&Arrival) -> Reply,
+) -> (String, World, Vec<Arrival>) {
+    let ended = Rc::new(Notify::new());
+    let ends = ended.clone();
+    let script = move |_, it: &Arrival| match it.header("x-moved-from") {
+        Some(_) if is_first(it) => Reply::Send(NOT_RUN.to_owned()),
+        Some(_) => resumed(it),
+        None if is_first(it) => break_off(it),
+        None => Reply::SendAndCloseOnNotify(stream_head(it) + &events(1..=2), ends.clone()),
+    };
+    let mut setup = with_copies(migrations);
+    // The stream must not count as stalled before its engine's end is known.
+    setup.config.run_copies.longest_pauses.clear();
+    let mut world = World::start_with(count, setup, script).await;
+    lose_a_stream(&mut world).await;
+    world.migrations.recv().await.expect("an order for the lost stream");
+    // The engines that refused the lost stream get requests again.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (front, text) = (world.front, request("/stream/7", "id-2", TOKENS));
+    let caller = spawn_local(async move { exchange(front, &text).await });
+    let first = world.arrivals.recv().await.expect("a request");
+    announce_end(&world, first.server);
+    world.migrations.recv().await.expect("an order to migrate");
+    ended.notify_one();
+    let answer = caller.await.expect("an answer");
+    let mut arrivals = vec![first];
+    arrivals.extend(world.drain_arrivals());
+    (answer, world, arrivals)
+}
+
+// The copy of a run that was migrated no longer follows it, and its engine may be the one that the stream left.
+#[test]
+fn a_migrated_stream_does_not_use_its_earlier_copy() {
+    run(async {
+        let resumed = |it: &Arrival| {
+            Reply::SendAndClose(stream_head(it) + &events(3..=3) + &chunk("id: 4\ndata: t"))
+        };
+        let migrated = FakeMigration::Migrated;
+        let (answer, _, arrivals) = leave_with_copy(2, migrated, resumed).await;
+        assert_eq!(event_data(&answer), ["t1", "t2", "t3"]);
+        assert!(arrivals[0].header("x-copy-to").is_some());
+        assert_eq!(arrivals.len(), 2, "the stream returned to an engine that it left");
+    });
+}
+
+// An engine that announced its end ends before its run is migrated.
+#[test]
+fn a_stream_whose_migration_fails_continues_from_its_copy() {
+    run(async {
+        let (answer, world, arrivals) = leave_with_copy(4, FakeMigration::Failed, complete).await;
+        assert!(is_complete(&answer), "{answer}");
+        assert_eq!(arrivals[1].server, copy_target(&world, &arrivals[0]));
+        assert_eq!(copies(&world, "used").await, Some(1));
+    });
+}
+
 // The engine is silent but alive, or the link to it is cut: the connection closes before the copy is used.
 #[test]
 fn a_stalled_stream_continues_from_its_copy() {
