Recovery of streams: a late hand-over is used while the stream is read on

Change: an unanswered order is kept while the stream is read on, and its answer is awaited first if the stream breaks off or stalls again. It is dropped as before once the stream continues elsewhere.

--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -48,6 +48,23 @@
     _stream: Option<StreamAtEngine>,
 }
 
+/// The order to a server to stop a run and copy its memory to another server.
+struct HandOverOrder {
+    from: Placement,
+    to: Placement,
+    answer: MigrationReceiver,
+}
+
+impl HandOverOrder {
+    /// Returns whether this orders the server of a placement to stop the run.
+    fn is_to_stop_at(&self, place: &Placement) -> bool {
+        self.from.server == place.server && self.from.start == place.start
+    }
+}
+
+/// Receives the answer to an order to migrate a run.
+type MigrationReceiver = oneshot::Receiver<Result<MigrationAnswer, MigrationError>>;
+
 /// Why reading from a source stopped.
 enum StreamEnd {
     /// The server completed the stream.
@@ -113,6 +130,7 @@
         same_run_servers: 0,
         recovery: RunRecovery::default(),
         copy,
+        unanswered_order: None,
         stall_limit: stall_limit_of(req),
         ignores_stall: false,
         reading_since: Instant::now(),
@@ -145,6 +163,8 @@
     recovery: RunRecovery,
     /// The copy of the run that the stream's first server makes.
     copy: Option<RunCopy>,
+    /// An order to hand the run over that its source has not answered in time.
+    unanswered_order: Option<HandOverOrder>,
     /// Silence after which the stream counts as stalled; `None` if stalls are not detected.
     stall_limit: Option<Duration>,
     /// Whether the current silence has been handled already.
@@ -372,11 +392,7 @@
     }
 
     /// Orders the server at `from` to stop the run and to copy its memory to `to`.
-    fn order_migration(
-        &self,
-        from: &Placement,
-        to: &Placement,
-    ) -> Option<oneshot::Receiver<Result<MigrationAnswer, MigrationError>>> {
+    fn order_migration(&self, from: &Placement, to: &Placement) -> Option<MigrationReceiver> {
         let (from, to) = {
             let table = self.node.servers.borrow();
             let address = |it: &Placement| {
@@ -408,8 +424,11 @@
             record_if_exited(&self.node, &self.req, &place);
             self.leave(&place, &mut open);
         }
-        let copy_place = self.copy.as_ref().and_then(|it| it.placement(&self.node, &place));
-        let to = copy_place.or_else(|| find_server_now(&self.node, &self.req, servers));
+        let earlier = self.unanswered_order.as_ref().filter(|it| it.is_to_stop_at(&place));
+        let to = earlier.map(|it| it.to.clone()).or_else(|| {
+            let copy_place = self.copy.as_ref().and_then(|it| it.placement(&self.node, &place));
+            copy_place.or_else(|| find_server_now(&self.node, &self.req, servers))
+        });
         self.continue_run(place, open, to, event, servers).await
     }
 
@@ -488,6 +507,7 @@
     fn record_new_source(&mut self) {
         // The run that the copy follows has ended.
         self.copy = None;
+        self.unanswered_order = None;
         self.reading_since = Instant::now();
     }
 
@@ -538,18 +558,42 @@
     }
 
     /// Orders the source to stop the run and copy its memory to `to`, and returns its answer with the header value from
-    /// which the run continues.
+    /// which the run continues. Waits for the answer to an earlier order instead if that may still stop the run.
     ///
     /// The stream is not read meanwhile: the continuation sends all events after the last one that the caller got.
     async fn ask_source(
-        &self,
+        &mut self,
         from: &Placement,
         to: Option<&Placement>,
     ) -> (HandOverAnswer, Option<HeaderValue>) {
-        let order = to.and_then(|to| self.order_migration(from, to));
-        let Some(order) = order else { return (HandOverAnswer::NoAnswer, None) };
-        // An answer that comes later is dropped; the engine frees the memory after the handle's time to live.
-        match timeout(HAND_OVER_LIMIT, order).await {
+        let until = Instant::now() + HAND_OVER_LIMIT;
+        let earlier = self.unanswered_order.take().filter(|it| it.is_to_stop_at(from));
+        if let Some(order) = earlier {
+            let (answer, ticket) = self.wait_for_hand_over(order, until).await;
+            if ticket.is_some() || self.unanswered_order.is_some() {
+                return (answer, ticket);
+            }
+        }
+        let order = to.and_then(|to| {
+            let answer = self.order_migration(from, to)?;
+            Some(HandOverOrder { from: from.clone(), to: to.clone(), answer })
+        });
+        match order {
+            Some(order) => self.wait_for_hand_over(order, until).await,
+            None => (HandOverAnswer::NoAnswer, None),
+        }
+    }
+
+    /// Waits for the answer to an order, and keeps the order if there is none in time.
+    ///
+    /// The source may execute it later. That answer is used if the stream is still read from the source then, and
+    /// dropped otherwise; the engine frees the memory after the handle's time to live.
+    async fn wait_for_hand_over(
+        &mut self,
+        mut order: HandOverOrder,
+        until: Instant,
+    ) -> (HandOverAnswer, Option<HeaderValue>) {
+        match timeout_at(until, &mut order.answer).await {
             Ok(Ok(Ok(answer))) => match answer {
                 MigrationAnswer::Migrated(it) => (HandOverAnswer::Migrated, Some(it.ticket)),
                 MigrationAnswer::Stopped(it) => (HandOverAnswer::Stopped, Some(it.ticket)),
@@ -560,12 +604,16 @@
             },
             Ok(Ok(Err(error))) => {
                 log_request!(
-                    self.node, self.req, server = from.server.as_str(), error = error;
+                    self.node, self.req, server = order.from.server.as_str(), error = error;
                     "hand-over-failed"
                 );
                 (HandOverAnswer::NoAnswer, None)
             }
-            Ok(Err(_)) | Err(_) => (HandOverAnswer::NoAnswer, None),
+            Ok(Err(_)) => (HandOverAnswer::NoAnswer, None),
+            Err(_) => {
+                self.unanswered_order = Some(order);
+                (HandOverAnswer::NoAnswer, None)
+            }
         }
     }
 
--- a/crates/quincevalve_node/tests/run_recovery.rs
+++ b/crates/quincevalve_node/tests/run_recovery.rs
@@ -185,6 +185,32 @@
     });
 }
 
+// A stalled engine that executes the order late ends the stream. Asked again, it no longer has the run, so that the late
+// answer is the only way to continue.
+#[test]
+fn a_late_hand_over_is_used_while_the_stream_is_read_on() {
+    run(async {
+        let stopped = Rc::new(Notify::new());
+        let stops = stopped.clone();
+        let script = move |number, it: &Arrival| match number {
+            0 => Reply::SendAndCloseOnNotify(stream_head(it) + &events(1..=2), stops.clone()),
+            _ => breaks_once(number, it),
+        };
+        let late = FakeMigration::MigratedAfter(Duration::from_millis(450));
+        let mut world = World::start_with(2, with_copies(late), script).await;
+        let front = world.front;
+        let text = request("/stream/7", "id-1", "");
+        let caller = spawn_local(async move { exchange(front, &text).await });
+        world.migrations.recv().await.expect("an order to migrate");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        stopped.notify_one();
+        let answer = caller.await.expect("an answer");
+        assert!(is_complete(&answer), "{answer}");
+        assert!(world.migrations.try_recv().is_err(), "the engine was asked again");
+        assert_eq!(world.drain_arrivals().len(), 2);
+    });
+}
+
 // Without copying engines, a broken stream is handled as before: its engine is not asked for it.
 #[test]
 fn without_copying_engines_no_engine_is_asked() {
