Recovery of streams: a stall is detected again where the stream continues

Cause: a stalled stream that was read on, then broke off and continued at another engine, kept the mark of its handled silence until the next event. If the next engine was silent too, the stream hung until its deadline.

Change: a new source starts with no handled silence.

Result: a_stall_is_detected_again_where_the_stream_continues failed without the change, and passes.

--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -508,6 +508,7 @@
         // The run that the copy follows has ended.
         self.copy = None;
         self.unanswered_order = None;
+        self.ignores_stall = false;
         self.reading_since = Instant::now();
     }
 
--- a/crates/quincevalve_node/tests/run_recovery.rs
+++ b/crates/quincevalve_node/tests/run_recovery.rs
@@ -211,6 +211,32 @@
     });
 }
 
+// A stream that was silent at its first engine must not be silent at the next one until its deadline.
+#[test]
+fn a_stall_is_detected_again_where_the_stream_continues() {
+    run(async {
+        let stopped = Rc::new(Notify::new());
+        let stops = stopped.clone();
+        let script = move |number, it: &Arrival| match number {
+            0 => Reply::SendAndCloseOnNotify(stream_head(it) + &events(1..=2), stops.clone()),
+            _ => Reply::SendAndWait(stream_head(it)),
+        };
+        let late = FakeMigration::MigratedAfter(Duration::from_millis(450));
+        let mut world = World::start_with(3, with_copies(late), script).await;
+        let front = world.front;
+        let text = request("/stream/7", "id-1", "");
+        let _caller = spawn_local(async move { exchange(front, &text).await });
+        world.migrations.recv().await.expect("an order to migrate");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        stopped.notify_one();
+        world.arrivals.recv().await.expect("the first attempt");
+        let second = world.arrivals.recv().await.expect("a continuation");
+        let order = tokio::time::timeout(Duration::from_secs(10), world.migrations.recv()).await;
+        let order = order.expect("an order to the second engine").expect("an order");
+        assert_eq!(order.from, world.servers[second.server]);
+    });
+}
+
 // Without copying engines, a broken stream is handled as before: its engine is not asked for it.
 #[test]
 fn without_copying_engines_no_engine_is_asked() {
