Tests of copies: satisfy clippy

Cause: two expressions in new tests were rejected by needless_for_each and match_bool.

Change: they are written as an if let and a match on the attempt id.

--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -200,9 +200,9 @@
 async fn resume_without_copy(copy_ttl: Duration, end_target: Option<fn(&World, usize)>) -> String {
     let recovered = Rc::new(Notify::new());
     let goes_on = recovered.clone();
-    let script = move |_, it: &Arrival| match is_first(it) {
-        true => break_off(it),
-        false => {
+    let script = move |_, it: &Arrival| match it.header("x-attempt") {
+        Some("first") => break_off(it),
+        _ => {
             let head = stream_head(it) + &events(1..=2);
             Reply::SendMoreOnNotify(head, goes_on.clone(), events(3..=4) + LAST_CHUNK)
         }
@@ -216,7 +216,9 @@
     let caller = spawn_local(async move { exchange(front, &text).await });
     let first = world.arrivals.recv().await.expect("a request");
     let target = copy_target(&world, &first);
-    end_target.into_iter().for_each(|it| it(&world, target));
+    if let Some(end_target) = end_target {
+        end_target(&world, target);
+    }
     world.migrations.recv().await.expect("an order to migrate");
     tokio::time::sleep(Duration::from_millis(500)).await;
     recovered.notify_one();
