--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -200,12 +200,12 @@
 async fn resume_without_copy(copy_ttl: Duration, end_target: Option<fn(&World, usize)>) -> String {
     let recovered = Rc::new(Notify::new());
     let goes_on = recovered.clone();
-    let script = move |_, it: &Arrival| match it.header("x-attempt") {
-        Some("first") => break_off(it),
-        _ => {
-            let head = stream_head(it) + &events(1..=2);
-            Reply::SendMoreOnNotify(head, goes_on.clone(), events(3..=4) + LAST_CHUNK)
+    let script = move |_, it: &Arrival| {
+        if is_first(it) {
+            return break_off(it);
         }
+        let head = stream_head(it) + &events(1..=2);
+        Reply::SendMoreOnNotify(head, goes_on.clone(), events(3..=4) + LAST_CHUNK)
     };
     let mut setup = with_copies(FakeMigration::Unanswered);
     setup.config.run_copies.engines.values_mut().for_each(|it| it.copy_ttl = copy_ttl);
