Recovery of streams: an engine is asked only while a retry is left

Cause: a stalled engine was ordered to stop its run although the retry budget was used up. The run could then continue nowhere, so that a stream that might have survived its pause was lost; many streams stall at once when a link is cut, and one VM's share is a few retries.

Change: a used-up budget is an obstacle to a continuation. A stalled stream is read on, a broken one ends.

Result: an_engine_is_not_asked_without_a_retry failed before, and passes.

--- a/crates/quincevalve_forwarding/src/retry_budget.rs
+++ b/crates/quincevalve_forwarding/src/retry_budget.rs
@@ -58,13 +58,29 @@
 
     /// Takes one retry from the budget of `vm_count` entry VMs; returns `false` if none remains.
     pub fn try_spend(&mut self, limits: &RetryLimits, vm_count: usize, now: TimePoint) -> bool {
+        let has_remaining = self.has_remaining(limits, vm_count, now);
+        if has_remaining {
+            self.retries.push_back(now);
+        }
+        has_remaining
+    }
+
+    /// Returns whether a retry remains in the budget of `vm_count` entry VMs.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quincevalve_forwarding::retry_budget::{RetryLimits, RetryBudget};
+    /// use quincevalve_names::TimePoint;
+    /// let limits = RetryLimits { ratio: 0.2, slack: 2.0, window: Duration::from_secs(10) };
+    /// let mut budget = RetryBudget::default();
+    /// assert!(budget.has_remaining(&limits, 1, TimePoint::ZERO));
+    /// assert!(budget.try_spend(&limits, 1, TimePoint::ZERO));
+    /// assert!(!budget.has_remaining(&limits, 1, TimePoint::ZERO));
+    /// ```
+    pub fn has_remaining(&mut self, limits: &RetryLimits, vm_count: usize, now: TimePoint) -> bool {
         self.evict_expired(limits.window, now);
         let allowed = USED_FRACTION * limits.shared().share(self.requests.len() as u64, vm_count);
-        if (self.retries.len() + 1) as f64 > allowed {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        (self.retries.len() + 1) as f64 <= allowed
     }
 
     fn evict_expired(&mut self, window: Duration, now: TimePoint) {
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -555,7 +555,10 @@
         if quarantine::is_quarantined(&self.node, &self.req) {
             return Some(Obstacle::Quarantined);
         }
-        (self.has_begun && self.last_event_id.is_none()).then_some(Obstacle::UnknownPosition)
+        if self.has_begun && self.last_event_id.is_none() {
+            return Some(Obstacle::UnknownPosition);
+        }
+        (!self.node.has_retry_left(&self.req.service)).then_some(Obstacle::NoRetryLeft)
     }
 
     /// Orders the source to stop the run and copy its memory to `to`, and returns its answer with the header value from
--- a/crates/quincevalve_node/tests/run_recovery.rs
+++ b/crates/quincevalve_node/tests/run_recovery.rs
@@ -284,6 +284,29 @@
     });
 }
 
+// Without a retry a run can't continue anywhere, so a stalled engine that may still go on must not be told to stop it.
+#[test]
+fn an_engine_is_not_asked_without_a_retry() {
+    run(async {
+        let recovered = Rc::new(Notify::new());
+        let goes_on = recovered.clone();
+        let script = move |_, it: &Arrival| {
+            let head = stream_head(it) + &events(1..=2);
+            Reply::SendMoreOnNotify(head, goes_on.clone(), events(3..=4) + LAST_CHUNK)
+        };
+        let setup = Setup { retry_slack: 0.0, ..with_copies(FakeMigration::Migrated) };
+        let mut world = World::start_with(2, setup, script).await;
+        let front = world.front;
+        let text = request("/stream/7", "id-1", "");
+        let caller = spawn_local(async move { exchange(front, &text).await });
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        recovered.notify_one();
+        let answer = caller.await.expect("an answer");
+        assert!(is_complete(&answer), "{answer}");
+        assert!(world.migrations.try_recv().is_err(), "the engine was asked");
+    });
+}
+
 // A stream that meets failing engines only ends after three continuations.
 #[test]
 fn a_stream_continues_at_most_three_times() {
--- a/crates/quincevalve_recovery/src/run_recovery.rs
+++ b/crates/quincevalve_recovery/src/run_recovery.rs
@@ -89,6 +89,8 @@
     Quarantined,
     /// Events without ids were forwarded, so that a continuation would lose or duplicate events.
     UnknownPosition,
+    /// The service's retry budget is used up, so that a run that its source stopped would be lost.
+    NoRetryLeft,
 }
 
 /// The conditions at the time of an event.
--- a/crates/quincevalve_recovery/tests/run_recovery.rs
+++ b/crates/quincevalve_recovery/tests/run_recovery.rs
@@ -29,6 +29,8 @@
     RecoveryConditions { time_left: Duration::from_millis(20), ..CONDITIONS };
 const NO_POSITION: RecoveryConditions =
     RecoveryConditions { obstacle: Some(Obstacle::UnknownPosition), ..CONDITIONS };
+const NO_RETRY: RecoveryConditions =
+    RecoveryConditions { obstacle: Some(Obstacle::NoRetryLeft), ..CONDITIONS };
 const CANNOT_ASK: RecoveryConditions = RecoveryConditions { can_ask_source: false, ..CONDITIONS };
 
 fn check(conditions: RecoveryConditions, steps: &[(RecoveryEvent, RecoveryAction)]) {
@@ -89,6 +91,8 @@
          Failed => Abort];
     never_continues_a_quarantined_request: QUARANTINED, [Broke => Abort, Stalled => KeepReading];
     does_not_continue_past_the_deadline: LATE, [Broke => Abort, Stalled => KeepReading];
+    // A source that is asked stops the run, which then can't continue.
+    does_not_ask_without_a_retry: NO_RETRY, [Broke => Abort, Stalled => KeepReading];
     // Without a position, events would be duplicated.
     does_not_continue_without_a_position: NO_POSITION, [Broke => Abort];
 }
