--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -1,17 +1,27 @@
 //! Complete answers despite failures: token order, continuation on another server, hand-over to another entry VM.
 
 mod continuation;
+mod copy_target;
+mod engine_risk;
 mod hand_over;
 mod record;
 mod relay;
+mod run_recovery;
 
 pub use crate::{
     continuation::{
-        Continuation, ContinuationOptions, MigrationCosts, choose_continuation, migration_time,
+        Continuation, ContinuationOptions, MigrationCosts, SourceState, StreamState,
+        choose_continuation, migration_time,
     },
+    copy_target::{CopyCandidate, choose_copy_target},
+    engine_risk::{EngineCondition, EngineId, RiskTable, RunAtRisk, is_copy_due},
     hand_over::{
         HandOverAction, HandOverId, HandOverReceiver, HandOverSender, ReceiverVerdict, SendOutcome,
     },
     record::{AnswerForm, AnswerRecord, Call, Generation, RecordState, Work},
     relay::{Relay, RelayError, RelayStep},
+    run_recovery::{
+        ContinueFrom, HAND_OVER_LIMIT, HandOverAnswer, Obstacle, RecoveryAction,
+        RecoveryConditions, RecoveryEvent, RunRecovery, stall_limit,
+    },
 };
