Copies of runs: only engines that remain in service raise the risk

Cause: a mass crash, a silent engine or a cut link counted as interruptions, so that copies were ordered for streams at sound engines.

Change: an interruption counts once the engine has answered the order to hand the run over. Connections lost before an answer don't count, since a copy can't save these. A resumable stream is copied only if its prompt takes longer to process again than the route promises to pause.

Tests: the fake engine of the stream that is lost first now answers that it has no run, as an engine in service does; the case of 4,000 prompt tokens becomes one of the promised pause, at the same probability.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -34,6 +34,11 @@
     STEP_MS + STEP_MS_PER_REQUEST * f64::from(requests)
 }
 
+/// Returns the time in which an engine processes a prompt of `tokens` that it doesn't have cached.
+pub fn recompute_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / PREFILL_PER_MS / 1_000.0)
+}
+
 impl Work {
     /// Returns the seconds of engine time that the work takes when the engine's batch is full of such work.
     pub fn busy_seconds(self, slots: u32) -> f64 {
--- a/crates/quincevalve_node/src/request/copies.rs
+++ b/crates/quincevalve_node/src/request/copies.rs
@@ -5,7 +5,7 @@
 use http::{HeaderName, HeaderValue};
 use quincevalve_forwarding::{
     config::{CopyingEngine, Engine},
-    load::{Work, step_ms},
+    load::{Work, recompute_time, step_ms},
     placement::Placement,
     servers::{Server, ServerStart, ServerTable, start_hash},
 };
@@ -162,6 +162,7 @@
     now: TimePoint,
 ) -> Option<RunAtRisk> {
     let prompt = req.prompt?;
+    let longest_pause = req.config.run_copies.longest_pauses.get(&req.route.name);
     let servers = node.servers.borrow();
     let server = servers.get(&place.server).filter(|it| it.entry.start == place.start)?;
     if servers.expected_stop(&place.server, place.start).is_some() {
@@ -177,7 +178,8 @@
     let duration = place.predicted + Duration::from_secs_f64(generation_ms / 1_000.0);
     Some(RunAtRisk {
         is_resumable: req.retry_safety().is_retryable(),
-        prompt_tokens: prompt.input,
+        recompute: recompute_time(prompt.input),
+        longest_pause: longest_pause.copied(),
         duration,
         transfer: copying.transfer_time(prompt.input),
         loss_probability: risk.loss_probability(engine_id(place), condition, duration, now),
@@ -228,7 +230,7 @@
     EngineId(start_hash(&place.server, place.start))
 }
 
-/// Records that an engine interrupted a stream, or lost the connection of a request, unless its end was expected.
+/// Records that an engine that is still in service interrupted a stream, unless its end was expected.
 pub(crate) fn record_interruption(node: &Node, req: &IdentifiedRequest, place: &Placement) {
     if !req.config.run_copies.engines.contains_key(&req.service) || !req.retry_safety().is_stream()
     {
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -20,7 +20,6 @@
     request::{
         body::AnswerBody,
         connection_pool::{Connection, KeepAlive},
-        copies::record_interruption,
         exit_check::record_if_exited,
         identify::{IdentifiedRequest, header_text, is_hop_by_hop},
         signals::apply_signals,
@@ -109,7 +108,6 @@
             // The other idle connections to this server have probably failed too.
             node.connections.drop_idle(place);
             update_server(node, place, |it, now| it.load.record_unreachable(now));
-            record_interruption(node, req, place);
             record_if_exited(node, req, place);
             return Err(AttemptError::MayHaveRun);
         }
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -417,6 +417,11 @@
                 RecoveryAction::AskSource => {
                     let answer;
                     (answer, ticket) = self.ask_source(&place, to.as_ref()).await;
+                    // An engine that doesn't answer has crashed or is cut off, gets no more requests, and says nothing
+                    // about the others. One that answers is in service and will interrupt further streams.
+                    if answer != HandOverAnswer::NoAnswer {
+                        record_interruption(&self.node, &self.req, &place);
+                    }
                     if answer == HandOverAnswer::NoRun
                         && let Some(mut source) = open.take()
                     {
@@ -462,7 +467,6 @@
     fn leave(&self, place: &Placement, source: &mut Option<Source>) {
         if source.take().is_some() {
             update_server(&self.node, place, |it, _| it.load.record_failure());
-            record_interruption(&self.node, &self.req, place);
         }
     }
 
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -445,6 +445,9 @@
     MigratedAfter(Duration),
 }
 
+/// Id of an attempt that its engine, still in service, broke off: it answers that it doesn't run it.
+pub const BROKEN_ATTEMPT: &str = "broken";
+
 /// Engines that answer each migration in the same way and report it to the test.
 #[derive(Clone)]
 pub struct FakeEngines {
@@ -471,6 +474,9 @@
         self.migrations.send(migration).expect("the test receives migrations");
         let ticket = format!("{from}/copy-1").parse().expect("a header value");
         let request = MigratedRequest { ticket, generated: None };
+        if attempt_id == BROKEN_ATTEMPT {
+            return Ok(MigrationAnswer::NoRun);
+        }
         match self.answer {
             FakeMigration::Migrated => Ok(MigrationAnswer::Migrated(request)),
             FakeMigration::Stopped => Ok(MigrationAnswer::Stopped(request)),
--- a/crates/quincevalve_recovery/src/engine_risk.rs
+++ b/crates/quincevalve_recovery/src/engine_risk.rs
@@ -25,10 +25,9 @@
 const NEARLY_FULL: f64 = 0.85;
 /// Loss probability from which on a non-resumable stream is copied: a lost answer weighs as much as ten transfers.
 const MIN_LOSS_PROBABILITY: f64 = 0.1;
-/// Loss probability from which on a resumable stream with a long prompt is copied. Only its processed prompt is lost.
+/// Loss probability from which on a resumable stream is copied whose prompt takes longer to process again than its route
+/// promises to pause. Only that time is lost.
 const MIN_RECOMPUTE_PROBABILITY: f64 = 0.25;
-/// Number of prompt tokens from which on a prompt is long.
-const LONG_PROMPT_TOKENS: u32 = 4_000;
 /// Maximum fraction of the answer's expected duration that the transfer of the prompt's memory may take. A copy that is
 /// complete only near the end protects nothing.
 const MAX_TRANSFER_FRACTION: f64 = 0.5;
@@ -138,7 +137,7 @@
         }
     }
 
-    /// Records that an engine interrupted a stream, or that a connection to it was lost.
+    /// Records that an engine interrupted a stream and remained in service.
     pub fn record_interruption(&mut self, engine: EngineId, now: TimePoint) {
         self.service.get_or_insert(DecayedRate::new(now)).record_interruption(now);
         self.engines
@@ -215,8 +214,10 @@
 pub struct RunAtRisk {
     /// Whether another server can continue the stream without the run's memory.
     pub is_resumable: bool,
-    /// Number of prompt tokens.
-    pub prompt_tokens: u32,
+    /// Time to process the prompt again.
+    pub recompute: Duration,
+    /// Longest pause between events that the route promises, if any.
+    pub longest_pause: Option<Duration>,
     /// Expected time until the answer is complete.
     pub duration: Duration,
     /// Time to transfer the prompt's memory.
@@ -233,7 +234,8 @@
 ///
 /// let run = RunAtRisk {
 ///     is_resumable: false,
-///     prompt_tokens: 12_000,
+///     recompute: Duration::from_millis(130),
+///     longest_pause: Some(Duration::from_millis(500)),
 ///     duration: Duration::from_secs(3),
 ///     transfer: Duration::from_millis(30),
 ///     loss_probability: 0.2,
@@ -243,7 +245,8 @@
 /// ```
 pub fn is_copy_due(run: &RunAtRisk) -> bool {
     let is_likely_lost = if run.is_resumable {
-        run.prompt_tokens > LONG_PROMPT_TOKENS && run.loss_probability >= MIN_RECOMPUTE_PROBABILITY
+        run.longest_pause.is_some_and(|it| run.recompute > it)
+            && run.loss_probability >= MIN_RECOMPUTE_PROBABILITY
     } else {
         run.loss_probability >= MIN_LOSS_PROBABILITY
     };
