Recovery of streams: a copy isn't used while the source declines to stop

Cause: a source that answers 409, or 503 without a handle, has not stopped the run; going on from the copy would put two engines to work on it.

Change: after such an answer a stalled stream is read on, and a broken one ends or starts again where its route allows it. Tests: the case that used the copy becomes two that don't, and one with real sockets.

--- a/crates/quincevalve_node/tests/copies.rs
+++ b/crates/quincevalve_node/tests/copies.rs
@@ -103,7 +103,20 @@
     continues_from_the_copy_of_a_dead_engine: Failed;
     continues_from_the_copy_if_the_engine_dropped_the_run: NoRun;
     continues_from_the_copy_if_the_engine_does_not_answer: Unanswered;
-    continues_from_the_copy_if_the_engine_declines: InProgress;
+}
+
+// Guards against two engines at work on one run: an engine that declines to stop the run still has it.
+#[test]
+fn a_copy_is_not_used_if_the_engine_declines() {
+    run(async {
+        let mut world = World::start_with(4, with_copies(FakeMigration::InProgress), dies).await;
+        lose_a_stream(&mut world).await;
+        let answer = world.send("/stream/7", "id-2", TOKENS).await;
+        assert_eq!(event_data(&answer), ["t1", "t2"]);
+        assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+        assert_eq!(world.drain_arrivals().len(), 1);
+        assert_eq!(copies(&world, "used").await, None);
+    });
 }
 
 // The target is full or restarted: it answers that it did not run the request. The answer ends visibly broken.
--- a/crates/quincevalve_recovery/src/continuation.rs
+++ b/crates/quincevalve_recovery/src/continuation.rs
@@ -149,7 +149,8 @@
         SourceState::Stopped => return Continuation::Stopped,
         SourceState::RunGone | SourceState::Declined | SourceState::Silent => {}
     }
-    if options.copy_held {
+    // A source that declines still works on the run, so the stream must not continue elsewhere from a copy.
+    if options.copy_held && options.source != SourceState::Declined {
         return Continuation::Copy;
     }
     let may_still_run = matches!(options.source, SourceState::Declined | SourceState::Silent);
--- a/crates/quincevalve_recovery/tests/run_recovery.rs
+++ b/crates/quincevalve_recovery/tests/run_recovery.rs
@@ -65,8 +65,11 @@
         [Broke => AskSource, HandOver(NoAnswer) => Continue(Copy)];
     uses_the_copy_when_the_source_dropped_the_run: CONDITIONS,
         [Broke => AskSource, HandOver(NoRun) => Continue(Copy)];
-    uses_the_copy_when_the_source_declines: CONDITIONS,
-        [Broke => AskSource, HandOver(Declined) => Continue(Copy)];
+    // The source still works on the run: a copy would be a second engine at work on it.
+    ends_a_broken_stream_whose_source_declines: CONDITIONS,
+        [Broke => AskSource, HandOver(Declined) => Abort];
+    reads_on_after_a_stall_if_the_source_declines_in_spite_of_a_copy: CONDITIONS,
+        [Stalled => AskSource, HandOver(Declined) => KeepReading];
     uses_the_copy_without_a_hand_over: CANNOT_ASK, [Broke => Continue(Copy)];
     starts_again_without_a_copy: RESTARTABLE,
         [Broke => AskSource, HandOver(NoRun) => Continue(Start), Failed => Abort];
