Admission: any number of urgencies, and a queue whose capacity is found by trying to place

Cause: a request that finds no server polls every 12 ms for an eighth of its objective, in no defined order, and is then refused. The fair queue knew two classes and a number of places, and a VM in front of model engines has neither.

Change: the fair queue orders by urgency (any number; less urgent ones share one start in eight by turns), within an urgency requests that can be on time before late ones, then accounts by share. A new core, WaitingQueue, is tried in passes: the head, then up to three more of other accounts or sizes, the last of them the one that was not tried for longest, so that no request blocks the rest. It predicts waits from the measured rate of starts, refuses on arrival or while waiting, and tells requests that were displaced by more urgent arrivals from others. The turns of less urgent work are counted only while it waits; before, a turn could fall on an empty queue.

Tests changed: properties.rs names the urgencies as constants instead of variants; nothing else in it.

--- a/crates/quincevalve_admission/src/admission.rs
+++ b/crates/quincevalve_admission/src/admission.rs
@@ -14,13 +14,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
-/// Latency class of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Urgency {
+/// Urgency of a request; 0 is the most urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Urgency(pub u8);
+
+impl Urgency {
     /// A caller waits for the first token, so its latency matters.
-    Interactive,
+    pub const INTERACTIVE: Self = Self(0);
     /// Only the completion time matters.
-    Bulk,
+    pub const BULK: Self = Self(1);
+}
+
+/// Number of prompt tokens per unit of cost.
+const TOKENS_PER_COST_UNIT: u32 = 512;
+
+/// Returns the cost that counts against an account's share for a request with a prompt of this size.
+pub const fn request_cost(prompt_tokens: u32) -> u32 {
+    1 + prompt_tokens / TOKENS_PER_COST_UNIT
 }
 
 /// Limits of an account.
@@ -54,7 +64,7 @@
     pub ticket: Ticket,
     /// Account that the request belongs to.
     pub account: AccountIndex,
-    /// Latency class of the request.
+    /// Urgency of the request.
     pub urgency: Urgency,
     /// Time by which the latency objective of the request's class must be met.
     pub deadline: TimePoint,
@@ -112,7 +122,7 @@
 /// let arrival = |ticket| Arrival {
 ///     ticket: Ticket(ticket),
 ///     account,
-///     urgency: Urgency::Interactive,
+///     urgency: Urgency::INTERACTIVE,
 ///     deadline: TimePoint::from_millis(2_000),
 ///     required_time: Duration::from_millis(100),
 ///     cost: 1,
@@ -209,14 +219,18 @@
         }
         // Latest time at which the request can start and still meet its deadline.
         let latest_start = TimePoint(arrival.deadline.0 - arrival.required_time.as_micros() as u64);
-        let entry = QueuedRequest { ticket: arrival.ticket, latest_start, cost: arrival.cost };
+        let entry = QueuedRequest {
+            ticket: arrival.ticket,
+            latest_start,
+            on_time_until: latest_start,
+            cost: arrival.cost,
+        };
         self.queue.push(arrival.account, arrival.urgency, entry);
         Decision::Wait
     }
 
     fn waiting_for(&self, account: AccountIndex) -> u32 {
-        let interactive = self.queue.queued_in_class(account, Urgency::Interactive);
-        interactive + self.queue.queued_in_class(account, Urgency::Bulk)
+        self.queue.queued_up_to(account, Urgency(u8::MAX))
     }
 
     /// Returns the mean time between two starts of the account's requests at its fair share.
@@ -228,13 +242,9 @@
     /// Returns the predicted queueing time of an arrival.
     ///
     /// Only the account's own waiting requests count, served at the rate of its fair share; the queues of
-    /// other accounts don't lengthen the wait. Interactive requests don't wait for bulk requests.
+    /// other accounts don't lengthen the wait. A request doesn't wait for less urgent ones.
     fn predicted_wait(&self, arrival: &Arrival) -> Duration {
-        let interactive = self.queue.queued_in_class(arrival.account, Urgency::Interactive);
-        let ahead = match arrival.urgency {
-            Urgency::Interactive => interactive,
-            Urgency::Bulk => self.waiting_for(arrival.account),
-        };
+        let ahead = self.queue.queued_up_to(arrival.account, arrival.urgency);
         self.start_interval(arrival.account) * (ahead + 1)
     }
 
--- a/crates/quincevalve_admission/src/lib.rs
+++ b/crates/quincevalve_admission/src/lib.rs
@@ -3,11 +3,16 @@
 mod admission;
 mod fair_queue;
 mod shares;
+mod start_rate;
+mod waiting;
 
 pub use crate::{
     admission::{
         AccountIndex, AccountLimits, Admission, AdmissionSettings, Arrival, Decision,
-        RefusalReason, Ticket, Urgency,
+        RefusalReason, Ticket, Urgency, request_cost,
     },
     shares::{Demand, own_share},
+    waiting::{
+        Candidate, WaitRefusal, WaitRefusalCause, WaitingQueue, WaitingRequest, WaitingSettings,
+    },
 };
--- a/crates/quincevalve_admission/tests/properties.rs
+++ b/crates/quincevalve_admission/tests/properties.rs
@@ -67,7 +67,7 @@
                     let arrival = Arrival {
                         ticket: Ticket(next),
                         account: AccountIndex(account),
-                        urgency: if bulk { Urgency::Bulk } else { Urgency::Interactive },
+                        urgency: if bulk { Urgency::BULK } else { Urgency::INTERACTIVE },
                         deadline: now + Duration::from_millis(patience_ms),
                         required_time: Duration::from_millis(50),
                         cost: 1,
@@ -132,12 +132,12 @@
         admission.arrive(TimePoint::ZERO, &arrival)
     };
     for ticket in 0..u64::from(CAPACITY) {
-        assert_eq!(arrive(&mut admission, ticket, Urgency::Interactive), Decision::Run);
+        assert_eq!(arrive(&mut admission, ticket, Urgency::INTERACTIVE), Decision::Run);
     }
-    assert_eq!(arrive(&mut admission, 99, Urgency::Bulk), Decision::Wait);
+    assert_eq!(arrive(&mut admission, 99, Urgency::BULK), Decision::Wait);
     let mut starts = 0;
     for ticket in 100..140 {
-        arrive(&mut admission, ticket, Urgency::Interactive);
+        arrive(&mut admission, ticket, Urgency::INTERACTIVE);
         admission.finish(account, Duration::from_millis(10));
         starts += 1;
         if admission.start_next() == Some(Ticket(99)) {
--- a/crates/quincevalve_entry/src/filters/admit.rs
+++ b/crates/quincevalve_entry/src/filters/admit.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexSet;
 use quincevalve_admission::{
     AccountIndex, AccountLimits, Admission, AdmissionSettings, Arrival, Decision, RefusalReason,
-    Ticket, Urgency,
+    Ticket, Urgency, request_cost,
 };
 use quincevalve_inventory::Promise;
 use quincevalve_names::{ClientAccountName, Outcome, TimePoint};
@@ -234,12 +234,12 @@
             ticket: Ticket(self.next_ticket),
             account,
             urgency: match request.urgency() {
-                quincevalve_routing::Urgency::Interactive => Urgency::Interactive,
-                quincevalve_routing::Urgency::Bulk => Urgency::Bulk,
+                quincevalve_routing::Urgency::Interactive => Urgency::INTERACTIVE,
+                quincevalve_routing::Urgency::Bulk => Urgency::BULK,
             },
             deadline: request.promise_deadline(),
             required_time,
-            cost: 1 + request.prompt_tokens() / TOKENS_PER_COST_UNIT,
+            cost: request_cost(request.prompt_tokens()),
         }
     }
 
@@ -253,9 +253,6 @@
     }
 }
 
-/// Number of prompt tokens per unit of cost that counts against an account's share.
-const TOKENS_PER_COST_UNIT: u32 = 512;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PermitState {
     Waiting,
--- a/crates/quincevalve_measure/src/experiments/admission.rs
+++ b/crates/quincevalve_measure/src/experiments/admission.rs
@@ -121,7 +121,7 @@
         let arrival = Arrival {
             ticket: Ticket(number as u64),
             account: AccountIndex(request.account as u32),
-            urgency: if request.bulk { Urgency::Bulk } else { Urgency::Interactive },
+            urgency: if request.bulk { Urgency::BULK } else { Urgency::INTERACTIVE },
             deadline: request.at + latency_target_of(request),
             required_time: if request.bulk { request.held } else { Duration::ZERO },
             cost: if request.bulk { 10 } else { 1 },
