Requests without room wait in a queue instead of polling

Cause: find_server polled every 12 ms for an eighth of the objective, each request for itself; bulk work and other accounts took the slots that an urgent request waited for, and requests with seconds left were refused.

Change: request/waiting.rs keeps one WaitingQueue per service that has engines and routes of different urgencies; one task of server_selection runs its passes when a slot or prompt is done, a digest is applied, servers change, and every 12 ms while requests wait. The placed request's work is counted at the decision, so find_server returns the WorkGuard. No server, limits and rests keep today's answers and times. Disconnected callers leave the queue, SIGTERM refuses waiting requests that can't finish, retries wait without the servers that were tried, and a roll-out that changes gives waiting requests the versions of a retry.

A service without a queue polls as before.

Tests changed: none in what they check; the support module takes a configuration.

--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -143,6 +143,7 @@
     match cause {
         "stale-config" => "the VM had no new proof of its configuration; see store-lost above",
         "busy" => "no server would have answered in time; see servers-ordered",
+        "displaced" => "more urgent requests took the capacity that it waited for; see placed",
         "no-server" => "no server of the service was usable; see server-removed",
         "over-quota" => "the account had spent its quota over all VMs",
         "servers-refused" => "each server that was asked said that it did not run it",
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -49,6 +49,11 @@
     version: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -65,6 +70,8 @@
     proof_age_ms: Gauge,
     quarantined: Gauge,
     suppressed_lines: Counter,
+    waiting: Family<ServiceLabels, Gauge>,
+    wait: Family<ServiceLabels, Histogram>,
 }
 
 impl Default for Metrics {
@@ -110,6 +117,16 @@
         registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
         registry.register("quarantined", "Requests kept from servers", quarantined.clone());
         registry.register("log_lines_left_out", "Log lines not written", suppressed_lines.clone());
+        let waiting = Family::default();
+        let wait = Family::<ServiceLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
+        });
+        registry.register("waiting", "Requests that wait for a server", waiting.clone());
+        registry.register(
+            "wait_seconds",
+            "Time that requests waited until they were placed or refused",
+            wait.clone(),
+        );
         Self {
             registry,
             requests,
@@ -125,6 +142,8 @@
             proof_age_ms,
             quarantined,
             suppressed_lines,
+            waiting,
+            wait,
         }
     }
 }
@@ -160,6 +179,12 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// Records how long a request waited for a server.
+    pub(crate) fn observe_wait(&self, service: &str, waited: Duration) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.wait.get_or_create(&labels).observe(waited.as_secs_f64());
+    }
+
     /// Counts suppressed log lines.
     pub(crate) fn count_suppressed_lines(&self, lines: u64) {
         self.suppressed_lines.inc_by(lines);
@@ -179,6 +204,10 @@
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         self.quarantined.set(gauge(node.poison.borrow().stored_entries().count()));
+        for (service, count) in node.waiting.counts() {
+            let labels = ServiceLabels { service: service.as_str().to_owned() };
+            self.waiting.get_or_create(&labels).set(gauge(count));
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics-not-encoded");
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -40,7 +40,9 @@
     peers::Peers,
     ports::HeaderNames,
     quarantine::QuarantineStore,
-    request::{connection_pool::ConnectionPool, migration::MigrationClient},
+    request::{
+        connection_pool::ConnectionPool, migration::MigrationClient, waiting::WaitingRequests,
+    },
     settings::NodeSettings,
     store::{config_copy::ConfigCopy, state_copy::StateCopy, view::StoreView},
 };
@@ -114,6 +116,8 @@
     pub(crate) signal_outbox: RefCell<SignalOutbox>,
     /// Wakes tasks that wait for a change of servers or VMs.
     pub(crate) changed: Notify,
+    /// Requests that wait for a server.
+    pub(crate) waiting: WaitingRequests,
 }
 
 impl Node {
@@ -156,6 +160,7 @@
             state_copy: RefCell::default(),
             signal_outbox: RefCell::default(),
             changed: Notify::new(),
+            waiting: WaitingRequests::default(),
             settings,
             headers,
         }
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -113,6 +113,7 @@
         rollouts::refresh(node);
     }
     node.servers.borrow_mut().set_peer_work(&peer_sum.server_work, now);
+    node.waiting.wake();
 }
 
 /// Measures the demand at all VMs. Every VM does so, so that the next holder of the duties can plan at once.
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -1,7 +1,7 @@
 //! Processing of a caller's request.
 //!
 //! [`frontend`] accepts the request, [`identify`] finds its route, account and prompt, and [`dispatch`] runs attempts
-//! until one yields an answer: [`server_selection`] picks a server, [`exchange`] sends the request over a connection of
+//! until one yields an answer: [`server_selection`] picks a server, [`waiting`] holds requests until one has capacity, [`exchange`] sends the request over a connection of
 //! [`connection_pool`], and [`relay`] forwards a streamed answer.
 
 pub(crate) mod body;
@@ -17,3 +17,4 @@
 pub(crate) mod server_selection;
 mod signals;
 pub(crate) mod trace;
+pub(crate) mod waiting;
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -22,7 +22,7 @@
         identify::IdentifiedRequest,
         refusal::{Refusal, Refused, promises_not_run},
         relay,
-        server_selection::{RETRY_AFTER_RANGE, WorkGuard, find_server, unlisted_ms},
+        server_selection::{FoundServer, RETRY_AFTER_RANGE, WorkGuard, find_server, unlisted_ms},
         trace::log_request,
     },
 };
@@ -46,14 +46,13 @@
         if let Some(prompt) = req.prompt.filter(|_| tried.is_empty()) {
             node.record_demand(&req.service, prompt.expected_work(), found.is_ok());
         }
-        let place = match found {
-            Ok(place) => place,
+        let FoundServer { place, mut guard, waited } = match found {
+            Ok(found) => found,
             Err(refused) if runs == 0 => return Err(refused),
             // A request that may have run must not be refused with a status that says it has not.
             Err(_) => return Err(Refusal::ServerFailed.into()),
         };
         tried.push(place.server.clone());
-        let mut guard = WorkGuard::new(node, &place);
         guard.start_tracking(&req, &place);
         let sent = Instant::now();
         log_request!(
@@ -63,6 +62,7 @@
             predicted_ms = place.predicted.as_millis() as u64, running = place.known_load.requests,
             prefill = place.known_load.prefill, recent = place.known_load.recent_prefill,
             told_age_ms = place.peer_report_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place),
+            waited_ms = waited.as_millis() as u64,
             digest = req.digest_if_cheap().map_or_else(String::new, |it| it.to_string());
             "placed"
         );
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -24,7 +24,7 @@
         body::AnswerBody,
         dispatch::dispatch,
         identify::{IdentifiedRequest, header_text, identify},
-        refusal::{Refusal, Refused},
+        refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
         trace::log_request,
     },
 };
@@ -50,8 +50,6 @@
 const STARTUP_WINDOW: Duration = Duration::from_millis(500);
 /// Fraction of the peers that must be reachable; below it, this VM itself is considered isolated rather than its peers.
 const MIN_REACHABLE_FRACTION: f64 = 0.5;
-/// Retry time sent to a caller by a VM that stops or is isolated. The caller reaches another VM at once.
-const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Maximum time for reading the body of a request that could not be identified. The body is read so that a connection
 /// reset doesn't discard the refusal.
 const UNIDENTIFIED_BODY_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -7,6 +7,9 @@
 
 use crate::request::body::AnswerBody;
 
+/// Retry time sent to a caller by a VM that stops or is isolated. The caller reaches another VM at once.
+pub(crate) const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Why a request is answered without a server's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -28,6 +31,8 @@
     NoServer,
     /// All servers are too busy to answer it in time.
     Busy,
+    /// More urgent requests that arrived after it took the capacity that it waited for.
+    Displaced,
     /// All servers have signalled limits, and this VM has used up its share of them.
     Limited,
     /// All servers have rejected this VM's requests and asked for rest.
@@ -57,6 +62,7 @@
             | Self::Stopping
             | Self::NoServer
             | Self::Busy
+            | Self::Displaced
             | Self::Limited
             | Self::Resting
             | Self::ServersRefused
@@ -86,6 +92,7 @@
             Self::Stopping => "stopping",
             Self::NoServer => "no-server",
             Self::Busy => "busy",
+            Self::Displaced => "displaced",
             Self::Limited => "limited",
             Self::Resting => "resting",
             Self::ServersRefused => "servers-refused",
--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -1,31 +1,33 @@
-//! Picks a server with free capacity for a request, immediately or after a short wait.
+//! Picks a server with free capacity for a request, immediately or after a wait.
 
 use std::{rc::Rc, time::Duration};
 
 use quincevalve_forwarding::{
+    config::Route,
     load::Work,
     placement::{Placement, PlacementError, PlacementRequest},
     rollout::{scope::VersionScope, table::VersionChoice},
     servers::ServerStart,
 };
-use quincevalve_names::BackendServerName;
+use quincevalve_names::{BackendServerName, ServiceName};
 use tokio::time::{Instant, sleep};
 
 use crate::{
     clock,
-    node::Node,
+    node::{Node, remaining},
     request::{
         exchange::update_server,
         identify::IdentifiedRequest,
         refusal::{Refusal, Refused},
+        waiting::{TICK, WaitResult},
     },
     rollouts::{self, AttemptTracker},
 };
 
-/// Fraction of its latency objective for which a request waits at most when all servers are too busy. If the request is
-/// refused in the end, the wait has cost the caller that time.
+/// Fraction of its latency objective for which a request outside a queue waits at most. If the request is refused in the
+/// end, the wait has cost the caller that time.
 const MAX_WAIT_FRACTION: f64 = 0.125;
-/// Interval between two attempts to place a waiting request. Many requests and tokens complete in that time.
+/// Interval between two attempts to place a request outside a queue. Many requests and tokens complete in that time.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(12);
 /// Minimum and maximum time after which a refused caller should retry.
 pub(super) const RETRY_AFTER_RANGE: (Duration, Duration) =
@@ -79,6 +81,7 @@
         {
             server.load.complete_prefill(self.work);
         }
+        self.node.waiting.wake();
     }
 }
 
@@ -88,6 +91,7 @@
         if let Some(server) = self.node.servers.borrow_mut().get_mut(&self.server, self.start) {
             server.load.remove_request(self.work);
         }
+        self.node.waiting.wake();
     }
 }
 
@@ -96,27 +100,65 @@
     place.unlisted_for.map_or(-1, |it| it.as_millis() as i64)
 }
 
-/// Picks a server for the request, immediately or after a short wait.
+/// A server that has capacity for a request, with the request's work accounted for.
+pub(super) struct FoundServer {
+    pub(super) place: Placement,
+    pub(super) guard: WorkGuard,
+    /// How long the request waited in a queue.
+    pub(super) waited: Duration,
+}
+
+impl FoundServer {
+    fn new(node: &Rc<Node>, place: Placement, waited: Duration) -> Self {
+        node.servers.borrow_mut().spend_allowance(&place.server, place.start, clock::now());
+        let guard = WorkGuard::new(node, &place);
+        Self { place, guard, waited }
+    }
+}
+
+/// Picks a server for the request, immediately or after a wait.
+///
+/// A request for which no server has capacity waits in its service's queue. Where there is no queue, no server, or all
+/// servers are limited or resting, it tries again for a fraction of its objective.
 pub(super) async fn find_server(
-    node: &Node,
-    req: &IdentifiedRequest,
+    node: &Rc<Node>,
+    req: &Rc<IdentifiedRequest>,
     tried: &[BackendServerName],
-) -> Result<Placement, Refused> {
+) -> Result<FoundServer, Refused> {
     let wait_end = req.arrived + req.route.objective.mul_f64(MAX_WAIT_FRACTION);
-    let choice = if tried.is_empty() {
+    let mut choice = if tried.is_empty() {
         rollouts::choose_versions(node, req)
     } else {
         rollouts::choice_for_retry(node, &req.service)
     };
     loop {
-        let elapsed = req.arrived.elapsed();
-        let objective = req.route.objective.mul_f64(MAX_PREDICTED_FRACTION);
-        let latency_budget = objective.saturating_sub(elapsed).max(objective / 4);
-        let request = placement_request(node, req, tried, latency_budget);
-        let error = match place(node, &request, &choice) {
-            Ok(place) => return Ok(place),
+        let request = placement_request(node, req, tried, latency_budget(req));
+        let may_start = node.waiting.may_start_at_once(req);
+        let mut error = match pick(node, &request, &choice) {
+            Ok(place) if may_start => {
+                node.waiting.record_immediate_start(req, clock::now());
+                return Ok(FoundServer::new(node, place, Duration::ZERO));
+            }
+            Ok(place) => PlacementError::Busy { predicted: place.predicted },
             Err(error) => error,
         };
+        if let PlacementError::Busy { predicted } = error
+            && node.waiting.is_enabled(req)
+        {
+            let since = Instant::now();
+            let now = clock::now();
+            let result = node.waiting.wait(req, tried, &choice, predicted, &node.rng, now).await;
+            node.metrics.observe_wait(req.service.as_str(), since.elapsed());
+            error = match result {
+                WaitResult::Placed(found) => {
+                    return Ok(FoundServer { waited: since.elapsed(), ..*found });
+                }
+                WaitResult::Refused(refused) => return Err(refused),
+                WaitResult::Unplaceable(error) => error,
+            };
+            // The versions may have changed during the wait.
+            choice = rollouts::choice_for_retry(node, &req.service);
+        }
         let retry_delay = match error {
             PlacementError::Resting { wait } => wait,
             _ => PLACEMENT_INTERVAL,
@@ -128,6 +170,48 @@
     }
 }
 
+/// Returns the maximum time until the first answer that a server is picked for.
+fn latency_budget(req: &IdentifiedRequest) -> Duration {
+    let objective = req.route.objective.mul_f64(MAX_PREDICTED_FRACTION);
+    objective.saturating_sub(req.arrived.elapsed()).max(objective / 4)
+}
+
+/// Returns the latency budget of a request that can only miss its objective.
+///
+/// Slots, memory and prompts in process limit what an engine gets, so a prompt takes any engine that answers before the
+/// deadline. Calls without a prompt are limited by their budget alone, and get that of a new request.
+fn late_latency_budget(req: &IdentifiedRequest) -> Duration {
+    if req.prompt.is_some() {
+        remaining(req.deadline)
+    } else {
+        req.route.objective.mul_f64(MAX_PREDICTED_FRACTION)
+    }
+}
+
+/// Places waiting requests as capacity becomes free, for as long as the process runs.
+pub(crate) async fn place_waiting_requests(node: Rc<Node>) {
+    loop {
+        if node.waiting.is_empty() {
+            node.waiting.woken().await;
+        } else {
+            tokio::select! {
+                () = node.waiting.woken() => {}
+                () = node.changed.notified() => {}
+                () = sleep(TICK) => {}
+            }
+        }
+        let retry_choice = |service: &ServiceName| rollouts::choice_for_retry(&node, service);
+        let can_finish = |route: &Route| node.can_finish(route);
+        node.waiting.run_pass(clock::now(), &node.rng, retry_choice, can_finish, |it, is_late| {
+            let budget =
+                if is_late { late_latency_budget(&it.req) } else { latency_budget(&it.req) };
+            let request = placement_request(&node, &it.req, &it.tried, budget);
+            let place = pick(&node, &request, &it.choice)?;
+            Ok(FoundServer::new(&node, place, Duration::ZERO))
+        });
+    }
+}
+
 /// Picks a server that can continue a stream, if one is available immediately.
 pub(crate) fn find_server_now(
     node: &Node,
@@ -135,7 +219,10 @@
     tried: &[BackendServerName],
 ) -> Option<Placement> {
     let choice = rollouts::choice_for_retry(node, &req.service);
-    place(node, &placement_request(node, req, tried, req.route.objective), &choice).ok()
+    let place =
+        pick(node, &placement_request(node, req, tried, req.route.objective), &choice).ok()?;
+    node.servers.borrow_mut().spend_allowance(&place.server, place.start, clock::now());
+    Some(place)
 }
 
 fn placement_request<'a>(
@@ -157,26 +244,24 @@
 }
 
 /// Picks the best server among those whose versions the request may be sent to.
-fn place(
+fn pick(
     node: &Node,
     request: &PlacementRequest<'_>,
     choice: &VersionChoice,
 ) -> Result<Placement, PlacementError> {
     let now = clock::now();
-    let mut servers = node.servers.borrow_mut();
+    let servers = node.servers.borrow();
     let mut rng = node.rng.borrow_mut();
     let mut place_in = |scope: Option<&VersionScope>| {
         servers.place(&PlacementRequest { scope, ..*request }, &mut *rng, now)
     };
-    let place = match choice {
+    match choice {
         VersionChoice::Any => place_in(None),
         VersionChoice::One(scope) => place_in(Some(scope)),
         VersionChoice::WithFallback(first, second) => {
             place_in(Some(first)).or_else(|_| place_in(Some(second)))
         }
-    }?;
-    servers.spend_allowance(&place.server, place.start, now);
-    Ok(place)
+    }
 }
 
 /// Converts a failed placement into a refusal of the request.
--- /dev/null
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -0,0 +1,330 @@
+//! Requests that wait for a server: one queue per service of model engines whose routes differ in urgency.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use indexmap::{IndexMap, IndexSet};
+use quincevalve_admission::{
+    AccountIndex, Ticket, Urgency, WaitRefusal, WaitRefusalCause, WaitingQueue, WaitingRequest,
+    WaitingSettings,
+};
+use quincevalve_forwarding::{
+    config::{ForwardingConfig, Route},
+    placement::PlacementError,
+    rollout::table::VersionChoice,
+};
+use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName, TimePoint};
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
+};
+
+use crate::request::{
+    identify::IdentifiedRequest,
+    refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
+    server_selection::FoundServer,
+};
+
+/// A request in a queue.
+pub(super) struct Waiter {
+    pub(super) req: Rc<IdentifiedRequest>,
+    /// Servers that have already received the request.
+    pub(super) tried: Vec<BackendServerName>,
+    /// The versions of the servers that the request may be sent to.
+    pub(super) choice: VersionChoice,
+    result: oneshot::Sender<WaitResult>,
+}
+
+/// How a wait ended.
+pub(super) enum WaitResult {
+    Placed(Box<FoundServer>),
+    Refused(Refused),
+    /// There is no server, or all of them are limited or resting: waiting for capacity is pointless.
+    Unplaceable(PlacementError),
+}
+
+/// The queue of one service.
+struct ServiceQueue {
+    queue: WaitingQueue,
+    /// Accounts by index; requests without an account share one.
+    accounts: IndexSet<Option<ClientAccountName>>,
+    waiters: IndexMap<Ticket, Waiter>,
+    /// Versions that retries could be sent to in the last pass since the queue was empty. Another value shows that a
+    /// roll-out changed.
+    retry_choice: Option<VersionChoice>,
+    /// Whether the service has a queue, and the version of the configuration that this follows from.
+    is_enabled: Option<(u64, bool)>,
+}
+
+impl Default for ServiceQueue {
+    fn default() -> Self {
+        Self {
+            queue: WaitingQueue::new(WaitingSettings { tick: TICK, ..WaitingSettings::default() }),
+            accounts: IndexSet::new(),
+            waiters: IndexMap::new(),
+            retry_choice: None,
+            is_enabled: None,
+        }
+    }
+}
+
+/// Maximum time between two passes while requests wait: the estimate of recently sent prompts decays without an event.
+pub(super) const TICK: Duration = Duration::from_millis(12);
+
+#[derive(Default)]
+struct Queues {
+    services: IndexMap<ServiceName, ServiceQueue>,
+    last_ticket: u64,
+}
+
+/// The waiting requests of all services.
+#[derive(Default)]
+pub(crate) struct WaitingRequests {
+    queues: RefCell<Queues>,
+    count: Cell<usize>,
+    wakeup: Notify,
+}
+
+impl WaitingRequests {
+    /// Starts a pass soon, since capacity may have become free.
+    pub(crate) fn wake(&self) {
+        if !self.is_empty() {
+            self.wakeup.notify_one();
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.count.get() == 0
+    }
+
+    /// Waits for the next call of [`Self::wake`].
+    pub(super) async fn woken(&self) {
+        self.wakeup.notified().await;
+    }
+
+    /// Returns the number of waiting requests of each service that ever had some.
+    pub(crate) fn counts(&self) -> Vec<(ServiceName, usize)> {
+        let queues = self.queues.borrow();
+        let enabled = queues.services.iter().filter(|(_, it)| it.is_enabled.is_some_and(|it| it.1));
+        enabled.map(|(name, it)| (name.clone(), it.queue.len())).collect()
+    }
+
+    /// Returns whether requests of the service wait in a queue rather than poll.
+    pub(super) fn is_enabled(&self, req: &IdentifiedRequest) -> bool {
+        self.queues.borrow_mut().of(req).is_enabled.is_some_and(|it| it.1)
+    }
+
+    /// Returns whether a request may be placed at once, since none waits that would start before it.
+    pub(super) fn may_start_at_once(&self, req: &IdentifiedRequest) -> bool {
+        let queues = self.queues.borrow();
+        let queue = queues.services.get(&req.service);
+        queue.is_none_or(|it| it.queue.may_start_at_once(Urgency(req.urgency)))
+    }
+
+    /// Records that a request was placed without a wait.
+    pub(super) fn record_immediate_start(&self, req: &IdentifiedRequest, now: TimePoint) {
+        let mut queues = self.queues.borrow_mut();
+        let service = queues.of(req);
+        if service.is_enabled.is_some_and(|it| it.1) {
+            let account = service.account(req);
+            service.queue.record_immediate_start(
+                now,
+                account,
+                Urgency(req.urgency),
+                prompt_tokens(req),
+            );
+        }
+    }
+
+    /// Waits until a server has capacity for a request, or the request is refused.
+    ///
+    /// If the caller disconnects, the future is dropped and the request leaves the queue.
+    pub(super) async fn wait(
+        &self,
+        req: &Rc<IdentifiedRequest>,
+        tried: &[BackendServerName],
+        choice: &VersionChoice,
+        predicted: Duration,
+        rng: &RefCell<Pcg64Mcg>,
+        now: TimePoint,
+    ) -> WaitResult {
+        let (tx, result) = oneshot::channel();
+        let ticket = {
+            let mut queues = self.queues.borrow_mut();
+            queues.last_ticket += 1;
+            let ticket = Ticket(queues.last_ticket);
+            let service = queues.of(req);
+            let request = WaitingRequest {
+                ticket,
+                account: service.account(req),
+                urgency: Urgency(req.urgency),
+                objective_end: time_point(req.arrived + req.route.objective, now),
+                deadline: time_point(req.deadline, now),
+                required_time: predicted,
+                prompt_tokens: prompt_tokens(req),
+            };
+            let refusal = service.queue.arrive(now, &request, &mut *rng.borrow_mut());
+            if let Some(refusal) = refusal {
+                return WaitResult::Refused(refused(refusal));
+            }
+            let waiter = Waiter {
+                req: req.clone(),
+                tried: tried.to_vec(),
+                choice: choice.clone(),
+                result: tx,
+            };
+            if service.waiters.is_empty() {
+                service.retry_choice = None;
+            }
+            service.waiters.insert(ticket, waiter);
+            ticket
+        };
+        let _place = PlaceInQueue { waiting: self, service: &req.service, ticket };
+        self.count.set(self.count.get() + 1);
+        self.wake();
+        // The sender is dropped only with the whole process.
+        result.await.unwrap_or(WaitResult::Refused(Refusal::Stopping.into()))
+    }
+
+    /// Tries to place waiting requests, and refuses those that can't be answered in time.
+    ///
+    /// `retry_choice` returns the versions to which retries of a service may be sent, `can_finish` whether a request of
+    /// a route can finish before this process exits, and `try_place` places a request that can only be late or not.
+    pub(super) fn run_pass(
+        &self,
+        now: TimePoint,
+        rng: &RefCell<Pcg64Mcg>,
+        retry_choice: impl Fn(&ServiceName) -> VersionChoice,
+        can_finish: impl Fn(&Route) -> bool,
+        mut try_place: impl FnMut(&Waiter, bool) -> Result<FoundServer, PlacementError>,
+    ) {
+        let mut queues = self.queues.borrow_mut();
+        for (name, service) in queues.services.iter_mut().filter(|(_, it)| !it.queue.is_empty()) {
+            service.refresh_choices(retry_choice(name));
+            service.refuse_unfinishable(&can_finish);
+            for refusal in service.queue.begin_pass(now, &mut *rng.borrow_mut()) {
+                service.end(refusal.ticket, WaitResult::Refused(refused(refusal)));
+            }
+            while let Some(candidate) = service.queue.next_candidate() {
+                let ticket = candidate.ticket;
+                let Some(waiter) = service.waiters.get(&ticket) else {
+                    service.queue.remove(ticket);
+                    continue;
+                };
+                match try_place(waiter, candidate.is_late) {
+                    Ok(found) => {
+                        service.queue.record_placed(now, ticket);
+                        service.end(ticket, WaitResult::Placed(Box::new(found)));
+                    }
+                    Err(PlacementError::Busy { predicted }) => {
+                        service.queue.record_not_placed(ticket, predicted);
+                    }
+                    Err(error) => {
+                        service.queue.remove(ticket);
+                        service.end(ticket, WaitResult::Unplaceable(error));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Queues {
+    /// Returns the queue of a request's service, after a check whether it is enabled.
+    fn of(&mut self, req: &IdentifiedRequest) -> &mut ServiceQueue {
+        if !self.services.contains_key(&req.service) {
+            self.services.insert(req.service.clone(), ServiceQueue::default());
+        }
+        let service = &mut self.services[&req.service];
+        let version = req.config.version;
+        if service.is_enabled.is_none_or(|it| it.0 != version) {
+            service.is_enabled = Some((version, has_queue(&req.config, &req.service)));
+        }
+        service
+    }
+}
+
+impl ServiceQueue {
+    fn account(&mut self, req: &IdentifiedRequest) -> AccountIndex {
+        let index = self.accounts.get_index_of(&req.account);
+        let index = index.unwrap_or_else(|| self.accounts.insert_full(req.account.clone()).0);
+        AccountIndex(index as u32)
+    }
+
+    /// Applies a change of a roll-out: requests may have been meant for a version that is halted or gone.
+    fn refresh_choices(&mut self, retry_choice: VersionChoice) {
+        if self.retry_choice.as_ref().is_some_and(|it| *it != retry_choice) {
+            for waiter in self.waiters.values_mut() {
+                waiter.choice = retry_choice.clone();
+            }
+        }
+        self.retry_choice = Some(retry_choice);
+    }
+
+    /// Refuses the requests that can't finish before the process exits.
+    fn refuse_unfinishable(&mut self, can_finish: impl Fn(&Route) -> bool) {
+        let unfinishable = self.waiters.iter().filter(|(_, it)| !can_finish(&it.req.route));
+        let unfinishable: Vec<_> = unfinishable.map(|(ticket, _)| *ticket).collect();
+        for ticket in unfinishable {
+            self.queue.remove(ticket);
+            let retry_after = Some(OTHER_VM_RETRY_AFTER);
+            let refused = Refused { refusal: Refusal::Stopping, retry_after };
+            self.end(ticket, WaitResult::Refused(refused));
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, result: WaitResult) {
+        if let Some(waiter) = self.waiters.swap_remove(&ticket) {
+            // If the caller disconnects before it gets the result, dropping the result frees the server's capacity.
+            let _ = waiter.result.send(result);
+        }
+    }
+}
+
+/// Frees a request's place in the queue when the request is placed or refused, or when its caller disconnects.
+struct PlaceInQueue<'a> {
+    waiting: &'a WaitingRequests,
+    service: &'a ServiceName,
+    ticket: Ticket,
+}
+
+impl Drop for PlaceInQueue<'_> {
+    fn drop(&mut self) {
+        self.waiting.count.set(self.waiting.count.get() - 1);
+        if let Some(service) = self.waiting.queues.borrow_mut().services.get_mut(self.service) {
+            service.queue.remove(self.ticket);
+            service.waiters.swap_remove(&self.ticket);
+        }
+        self.waiting.wake();
+    }
+}
+
+/// Returns whether a service has model engines, and routes of different urgencies.
+fn has_queue(config: &ForwardingConfig, service: &ServiceName) -> bool {
+    let has_engine = config.services.get(service).is_some_and(|it| it.engine.is_some());
+    let routes = config.routes().filter(|it| it.targets.iter().any(|it| it.service == *service));
+    let (least, most) = routes
+        .fold((u8::MAX, 0), |(least, most), it| (least.min(it.urgency), most.max(it.urgency)));
+    has_engine && least < most
+}
+
+fn prompt_tokens(req: &IdentifiedRequest) -> u32 {
+    req.prompt.map_or(0, |it| it.input)
+}
+
+fn refused(refusal: WaitRefusal) -> Refused {
+    let cause = match refusal.cause {
+        WaitRefusalCause::Busy => Refusal::Busy,
+        WaitRefusalCause::Displaced => Refusal::Displaced,
+    };
+    Refused { refusal: cause, retry_after: Some(refusal.retry_after) }
+}
+
+/// Converts a time of the runtime's clock to the clock of the decision cores, on which it is `now`.
+fn time_point(at: Instant, now: TimePoint) -> TimePoint {
+    now + at.saturating_duration_since(Instant::now())
+}
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -17,7 +17,7 @@
     peers,
     ports::{CloudApi, EngineApi, HeaderNames, PlatformStore},
     quarantine::{QuarantineStore, run_quarantine_task},
-    request::{frontend, migration::MigrationClient},
+    request::{frontend, migration::MigrationClient, server_selection::place_waiting_requests},
     settings::NodeSettings,
     store::sync::{follow_store, maintain_entry},
 };
@@ -142,6 +142,7 @@
     spawn_local(frontend::serve_ready(node.clone(), ready));
     spawn_local(crate::metrics::serve_metrics(node.clone(), metrics));
     spawn_local(frontend::serve_callers(node.clone(), front, closing));
+    spawn_local(place_waiting_requests(node.clone()));
     spawn_local(follow_store(node.clone(), store.clone(), socket.clone()));
     spawn_local(maintain_entry(node.clone(), store.clone()));
     spawn_local(run_quarantine_task(node.clone(), store.clone(), quarantine_commands));
@@ -168,6 +169,7 @@
     log::info!(requests = node.in_flight.get(), age_us = clock::now().as_micros(); "draining");
     let until = since + node.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
     node.phase.set(Phase::Draining { until });
+    node.waiting.wake();
     sleep(CLOSE_IDLE_AFTER).await;
     closing.send_replace(true);
     while Instant::now() < until {
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -518,8 +518,29 @@
 }
 
 fn config() -> ForwardingConfig {
+    let routes = vec![
+        route("/safe/", RetrySafety::Idempotent),
+        route("/once/", RetrySafety::NonIdempotent),
+        route("/stream/", RetrySafety::Stream),
+        route("/resumable/", RetrySafety::ResumableStream),
+        Route { anonymous: true, ..route("/open/", RetrySafety::NonIdempotent) },
+    ];
+    config_with(routes, 64)
+}
+
+/// Returns a configuration with routes of different urgencies to engines with one slot, so that requests wait.
+pub fn queue_config() -> ForwardingConfig {
+    let routes = vec![
+        Route { urgency: 0, ..route("/urgent/", RetrySafety::NonIdempotent) },
+        Route { urgency: 2, ..route("/bulk/", RetrySafety::NonIdempotent) },
+        Route { urgency: 2, ..route("/stream/", RetrySafety::Stream) },
+    ];
+    config_with(routes, 1)
+}
+
+fn config_with(routes: Vec<Route>, slots: u32) -> ForwardingConfig {
     let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
-    let engine = Engine { slots: 64, kv_tokens: 100_000, supports_migration: true };
+    let engine = Engine { slots, kv_tokens: 100_000, supports_migration: true };
     let service = Service { engine: Some(engine), ..Service::default() };
     let limits = CallerLimits {
         head_bytes: 16 << 10,
@@ -527,13 +548,6 @@
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
-    let routes = vec![
-        route("/safe/", RetrySafety::Idempotent),
-        route("/once/", RetrySafety::NonIdempotent),
-        route("/stream/", RetrySafety::Stream),
-        route("/resumable/", RetrySafety::ResumableStream),
-        Route { anonymous: true, ..route("/open/", RetrySafety::NonIdempotent) },
-    ];
     ForwardingConfig::new(
         1,
         routes,
@@ -671,6 +685,14 @@
     /// Starts the process and `count` servers that reply as `script` says. It gets the number of requests that arrived
     /// before, over all servers, and the arrival.
     pub async fn start<F>(count: usize, script: F) -> Self
+    where
+        F: Fn(usize, &Arrival) -> Reply + 'static,
+    {
+        Self::start_with(config(), count, script).await
+    }
+
+    /// Like [`Self::start`], with another configuration.
+    pub async fn start_with<F>(config: ForwardingConfig, count: usize, script: F) -> Self
     where
         F: Fn(usize, &Arrival) -> Reply + 'static,
     {
@@ -696,7 +718,7 @@
             store.shared.servers.borrow_mut().push((name.as_str().into(), entry(address)));
             spawn_local(run_server(fleet.clone(), at, listener));
         }
-        *store.shared.config.borrow_mut() = Some(config());
+        *store.shared.config.borrow_mut() = Some(config);
         let vm = Vm::start("vm-1", store.clone()).await;
         let Vm { front, ready, metrics, migrations } = vm;
         Self {
