--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -359,3 +359,6 @@
 fn time_point(at: Instant, now: TimePoint) -> TimePoint {
     now + at.saturating_duration_since(Instant::now())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -0,0 +1,149 @@
+use std::{future::Future, sync::Arc};
+
+use http::{Method, Request};
+use quincevalve_forwarding::{
+    config::{CallerLimits, RetrySafety, Service, Target},
+    rollout::scope::VersionScope,
+};
+use rand::SeedableRng;
+use tokio::task::{LocalSet, spawn_local, yield_now};
+
+use super::*;
+use crate::{clock, request::identify::identify, store::sync::confirm_freshness, test_node};
+
+const NOW: TimePoint = TimePoint::from_millis(1_000);
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&rt.expect("a runtime"), test);
+}
+
+fn route(urgency: u8) -> Route {
+    Route {
+        name: format!("r-{urgency}").as_str().into(),
+        host: "a.example".to_owned(),
+        prefix: format!("/{urgency}/"),
+        targets: vec![Target { service: "engines".into(), weight: 1 }],
+        retry_safety: RetrySafety::Idempotent,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(1),
+        max_servers: 2,
+        urgency,
+        anonymous: true,
+    }
+}
+
+fn config(urgencies: &[u8], engine: Option<Engine>) -> ForwardingConfig {
+    let limits = CallerLimits {
+        head_bytes: 16 << 10,
+        body_bytes: 1_000,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = IndexMap::from([("engines".into(), Service { engine, ..Service::default() })]);
+    let routes = urgencies.iter().map(|it| route(*it)).collect();
+    ForwardingConfig::new(1, routes, services, IndexMap::new(), limits)
+}
+
+const ENGINE: Option<Engine> =
+    Some(Engine { slots: 8, kv_tokens: 100_000, supports_migration: false });
+
+fn identified(path: &str) -> Rc<IdentifiedRequest> {
+    let node = test_node::node("vm-1");
+    node.apply_config(config(&[0, 2], ENGINE));
+    confirm_freshness(&node, clock::now());
+    let req = Request::builder().method(Method::POST).uri(path).header("host", "a.example");
+    let req = req.header("x-attempt", "id-1").body(()).expect("a request");
+    Rc::new(identify(&node, &req, Instant::now()).expect("a known route"))
+}
+
+/// Lets a request wait and returns its future's result once it ends.
+async fn start_waiting(
+    waiting: &Rc<WaitingRequests>,
+    choice: VersionChoice,
+) -> tokio::task::JoinHandle<WaitResult> {
+    let (waiting, req) = (waiting.clone(), identified("/2/"));
+    let task = spawn_local(async move {
+        let rng = RefCell::new(Pcg64Mcg::seed_from_u64(1));
+        waiting.wait(&req, &[], &choice, Duration::from_millis(50), &rng, NOW).await
+    });
+    yield_now().await;
+    task
+}
+
+/// Runs a pass whose attempts fail with `error`, and returns the choices of the waiting requests.
+fn pass(
+    waiting: &WaitingRequests,
+    retry_choice: &VersionChoice,
+    error: PlacementError,
+) -> Vec<VersionChoice> {
+    let rng = RefCell::new(Pcg64Mcg::seed_from_u64(1));
+    let mut choices = Vec::new();
+    waiting.run_pass(
+        NOW,
+        &rng,
+        |_| retry_choice.clone(),
+        |_| true,
+        |waiter, _| {
+            choices.push(waiter.choice.clone());
+            Err(error)
+        },
+    );
+    choices
+}
+
+fn busy() -> PlacementError {
+    PlacementError::Busy { predicted: Duration::from_millis(50) }
+}
+
+// Guards against a waiting request that goes to a version that was halted meanwhile, and against canaries that lose their
+// version whenever a pass runs.
+#[test]
+fn a_change_of_a_rollout_reaches_waiting_requests() {
+    run(async {
+        let waiting = Rc::new(WaitingRequests::default());
+        let canary = VersionChoice::One(Arc::new(VersionScope::Only("v2".into())));
+        let without_new = VersionChoice::One(Arc::new(VersionScope::Except(vec!["v2".into()])));
+        let task = start_waiting(&waiting, canary.clone()).await;
+        let during_rollout = VersionChoice::Any;
+        for _ in 0..2 {
+            assert_eq!(pass(&waiting, &during_rollout, busy()), std::slice::from_ref(&canary));
+        }
+        assert_eq!(pass(&waiting, &without_new, busy()), [without_new]);
+        task.abort();
+    });
+}
+
+// Guards against a request that waits for capacity while all servers rest: it gets the answer that it would get without
+// a queue, and doesn't keep others from being tried.
+#[test]
+fn a_request_leaves_the_queue_if_servers_rest() {
+    run(async {
+        let waiting = Rc::new(WaitingRequests::default());
+        let tasks = [
+            start_waiting(&waiting, VersionChoice::Any).await,
+            start_waiting(&waiting, VersionChoice::Any).await,
+        ];
+        let resting = PlacementError::Resting { wait: Duration::from_millis(300) };
+        assert_eq!(pass(&waiting, &VersionChoice::Any, resting).len(), 2);
+        for task in tasks {
+            let result = task.await.expect("a result");
+            assert!(matches!(result, WaitResult::Unplaceable(it) if it == resting));
+        }
+        assert!(waiting.is_empty());
+    });
+}
+
+// Guards against requests that wait instead of being refused soon where an order by urgency makes no difference.
+#[test]
+fn only_engines_with_routes_of_different_urgencies_have_a_queue() {
+    let service = "engines".into();
+    assert!(has_queue(&config(&[0, 2], ENGINE), &service));
+    assert!(!has_queue(&config(&[1, 1], ENGINE), &service));
+    assert!(!has_queue(&config(&[], ENGINE), &service));
+    assert!(!has_queue(&config(&[0, 2], None), &service));
+    assert!(!has_queue(&config(&[0, 2], ENGINE), &"other".into()));
+}
