Queue: the wait leaves time to generate the answer

Cause: the bound of a wait was the deadline less the predicted first event. A stream that starts just before it is cut off at the deadline, after it has taken an engine's time and possibly half of its answer has been read.

Change: the time to generate the expected tokens, at most half of the request's time, is kept free as well, both in the bound of the wait and in the latency budget of late prompts.

--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -19,7 +19,7 @@
         exchange::update_server,
         identify::IdentifiedRequest,
         refusal::{Refusal, Refused},
-        waiting::{TICK, WaitResult, engine},
+        waiting::{TICK, WaitResult, engine, first_answer_deadline},
     },
     rollouts::{self, AttemptTracker},
 };
@@ -183,7 +183,7 @@
 /// deadline. Calls without a prompt are limited by their budget alone, and get that of a new request.
 fn late_latency_budget(req: &IdentifiedRequest) -> Duration {
     if req.prompt.is_some() {
-        remaining(req.deadline)
+        remaining(first_answer_deadline(req))
     } else {
         req.route.objective.mul_f64(MAX_PREDICTED_FRACTION)
     }
--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -13,6 +13,7 @@
 };
 use quincevalve_forwarding::{
     config::{Engine, ForwardingConfig, Route},
+    load::step_ms,
     placement::PlacementError,
     rollout::table::VersionChoice,
 };
@@ -84,6 +85,10 @@
 /// Maximum time between two passes while requests wait: the estimate of recently sent prompts decays without an event.
 pub(super) const TICK: Duration = Duration::from_millis(12);
 
+/// Maximum fraction of a request's time that is kept for generating its answer. Callers that don't say how many tokens they
+/// expect often allow far more than they get.
+const MAX_GENERATION_FRACTION: f64 = 0.5;
+
 #[derive(Default)]
 struct Queues {
     services: IndexMap<ServiceName, ServiceQueue>,
@@ -181,7 +186,7 @@
                 account: service.account(req),
                 urgency: Urgency(req.urgency),
                 objective_end: time_point(req.arrived + req.route.objective, now),
-                deadline: time_point(req.deadline, now),
+                deadline: time_point(first_answer_deadline(req), now),
                 required_time: predicted,
                 prompt_tokens: prompt_tokens(req),
             };
@@ -343,6 +348,19 @@
     req.config.services.get(&req.service).and_then(|it| it.engine)
 }
 
+/// Returns the time by which the first answer must come so that the whole answer is complete by the deadline.
+///
+/// A stream that starts later would be cut off at its deadline, after it has taken an engine's time.
+pub(super) fn first_answer_deadline(req: &IdentifiedRequest) -> Instant {
+    let generation_time = req.prompt.zip(engine(req)).map(|(prompt, engine)| {
+        let tokens = prompt.expected_work().output;
+        Duration::from_secs_f64(step_ms(engine.slots) * f64::from(tokens) / 1_000.0)
+    });
+    let max_time =
+        req.deadline.saturating_duration_since(req.arrived).mul_f64(MAX_GENERATION_FRACTION);
+    req.deadline - generation_time.unwrap_or_default().min(max_time)
+}
+
 fn prompt_tokens(req: &IdentifiedRequest) -> u32 {
     req.prompt.map_or(0, |it| it.input)
 }
--- a/crates/quincevalve_node/src/request/waiting/tests.rs
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -51,12 +51,13 @@
 const ENGINE: Option<Engine> =
     Some(Engine { slots: 8, kv_tokens: 100_000, supports_migration: false });
 
-fn identified(path: &str) -> Rc<IdentifiedRequest> {
+fn identified(path: &str, tokens: &str) -> Rc<IdentifiedRequest> {
     let node = test_node::node("vm-1");
     node.apply_config(config(&[0, 2], ENGINE));
     confirm_freshness(&node, clock::now());
     let req = Request::builder().method(Method::POST).uri(path).header("host", "a.example");
-    let req = req.header("x-attempt", "id-1").body(()).expect("a request");
+    let req =
+        req.header("x-attempt", "id-1").header("x-tokens", tokens).body(()).expect("a request");
     Rc::new(identify(&node, &req, Instant::now()).expect("a known route"))
 }
 
@@ -65,7 +66,7 @@
     waiting: &Rc<WaitingRequests>,
     choice: VersionChoice,
 ) -> tokio::task::JoinHandle<WaitResult> {
-    let (waiting, req) = (waiting.clone(), identified("/2/"));
+    let (waiting, req) = (waiting.clone(), identified("/2/", "100,10"));
     let task = spawn_local(async move {
         let rng = RefCell::new(Pcg64Mcg::seed_from_u64(1));
         waiting.wait(&req, &[], &choice, Duration::from_millis(50), &rng, NOW).await
@@ -147,3 +148,19 @@
     assert!(!has_queue(&config(&[0, 2], None), &service));
     assert!(!has_queue(&config(&[0, 2], ENGINE), &"other".into()));
 }
+
+// Guards against a stream that starts so late that its deadline cuts it off.
+#[test]
+fn the_wait_leaves_time_for_the_whole_answer() {
+    run(async {
+        let left = |tokens| {
+            let req = identified("/2/", tokens);
+            req.deadline - first_answer_deadline(&req)
+        };
+        // Of the maximum number of tokens, half are expected.
+        let expected = Duration::from_secs_f64(step_ms(8) * 1_000.0 / 1_000.0);
+        assert_eq!(left("100,2000"), expected);
+        assert_eq!(left("none"), Duration::ZERO);
+        assert_eq!(left("100,100000"), Duration::from_secs(10));
+    });
+}
