--- a/crates/quincevalve_admission/tests/waiting_load/main.rs
+++ b/crates/quincevalve_admission/tests/waiting_load/main.rs
@@ -43,6 +43,7 @@
         length_ms: LENGTH_MS,
         policy,
         crashes: Vec::new(),
+        joins: Vec::new(),
     }
 }
 
@@ -232,6 +233,32 @@
     assert!(on_time as f64 >= 0.99 * urgent.len() as f64);
 }
 
+// Guards against engines that stay idle after they come back while requests wait: in the second after that, requests take
+// their slots.
+#[test]
+fn servers_that_come_back_are_in_use_at_once() {
+    for vms in [1, 4] {
+        let outcome = Play::new(Load {
+            rates: vec![(0, MIXED_CAPACITY * 0.9), (2_000, MIXED_CAPACITY * 2.0)],
+            joins: (0..SERVERS / 2).map(|it| (4_000, it)).collect(),
+            length_ms: 6_000,
+            ..load(1, vms, Policy::Queue)
+        })
+        .run();
+        let starts = |window: Range<u64>| {
+            let started = outcome.requests.iter().filter_map(|it| it.started_ms);
+            started.filter(|it| window.contains(it)).count()
+        };
+        let free_slots = USABLE_SLOTS as usize * SERVERS / 2;
+        println!(
+            "{vms} VMs: starts before {}, after {}",
+            starts(3_000..4_000),
+            starts(4_000..5_000)
+        );
+        assert!(starts(4_000..5_000) >= free_slots, "{} of {free_slots}", starts(4_000..5_000));
+    }
+}
+
 // Guards against a refusal that blames the load where more urgent arrivals are the cause.
 #[test]
 fn requests_pushed_out_by_more_urgent_ones_are_refused_as_displaced() {
--- a/crates/quincevalve_admission/tests/waiting_load/play.rs
+++ b/crates/quincevalve_admission/tests/waiting_load/play.rs
@@ -60,6 +60,8 @@
     pub(crate) policy: Policy,
     /// Servers that crash at the given millisecond.
     pub(crate) crashes: Vec<(u64, usize)>,
+    /// Servers that start only at the given millisecond.
+    pub(crate) joins: Vec<(u64, usize)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -160,8 +162,10 @@
             (0..load.servers).map(|it| format!("server-{it}").as_str().into()).collect();
         let vms = (0..load.vms).map(|at| {
             let mut table = ServerTable::default();
-            for name in &names {
-                table.apply_entry(name, entry(), TimePoint::ZERO);
+            for (at, name) in names.iter().enumerate() {
+                if load.joins.iter().all(|it| it.1 != at) {
+                    table.apply_entry(name, entry(), TimePoint::ZERO);
+                }
             }
             Vm {
                 table,
@@ -190,6 +194,12 @@
             for (_, server) in self.load.crashes.clone().into_iter().filter(|(at, _)| *at == now) {
                 self.crash(server, now);
             }
+            for (_, server) in self.load.joins.iter().filter(|(at, _)| *at == now) {
+                for vm in &mut self.vms {
+                    vm.table.apply_entry(&self.names[*server], entry(), time(now));
+                    vm.has_capacity_news = true;
+                }
+            }
             self.step_servers(now);
             if now % DIGEST_MS == 0 {
                 self.exchange_loads(now);
