Queue: less urgent requests that are due and find no server don't hold up urgent ones

Cause: while a less urgent start is due, each pass tried less urgent requests of up to three accounts first. If they found no server, urgent requests were left only the last attempt of the pass, and those of the same account were taken to fail too, although the most urgent ones may go to fuller engines. Change: the start that is due decides only the first attempt of a pass, the others go by urgency; a failure says nothing of more urgent requests.

--- a/crates/quincevalve_admission/src/fair_queue.rs
+++ b/crates/quincevalve_admission/src/fair_queue.rs
@@ -102,10 +102,17 @@
     /// Returns the next request to start among those that `accepts` accepts.
     pub(crate) fn next(&self, accepts: impl Fn(&QueuedRequest) -> bool) -> Option<Position> {
         let due = self.due_urgency();
-        let classes = || self.waiting.keys();
-        let first = classes().filter(|it| Some(it.urgency) == due);
-        let rest = classes().filter(|it| Some(it.urgency) != due);
-        first.chain(rest).find_map(|class| self.next_of(*class, &accepts))
+        let first = self.waiting.keys().filter(|it| Some(it.urgency) == due);
+        first.chain(self.waiting.keys()).find_map(|class| self.next_of(*class, &accepts))
+    }
+
+    /// Returns the next request to start among those that `accepts` accepts, without the start that is due to less
+    /// urgent work.
+    pub(crate) fn next_by_urgency(
+        &self,
+        accepts: impl Fn(&QueuedRequest) -> bool,
+    ) -> Option<Position> {
+        self.waiting.keys().find_map(|class| self.next_of(*class, &accepts))
     }
 
     /// Returns the less urgent class of work to which the next start is due.
--- a/crates/quincevalve_admission/src/waiting.rs
+++ b/crates/quincevalve_admission/src/waiting.rs
@@ -114,14 +114,17 @@
 #[derive(Clone, Debug, Default)]
 struct Pass {
     number: u64,
-    failed: Vec<(AccountIndex, u32)>,
+    failed: Vec<WaitingRequest>,
 }
 
 impl Pass {
-    /// Returns whether a request of the same account that is no larger found no server in this pass.
+    /// Returns whether a request of the same account that is no larger found no server in this pass. A failure says
+    /// nothing of more urgent requests, which may go to fuller engines.
     fn has_failed_like(&self, request: &WaitingRequest) -> bool {
-        self.failed.iter().any(|(account, tokens)| {
-            *account == request.account && *tokens <= request.prompt_tokens
+        self.failed.iter().any(|it| {
+            it.account == request.account
+                && it.prompt_tokens <= request.prompt_tokens
+                && it.urgency <= request.urgency
         })
     }
 }
@@ -362,7 +365,8 @@
 
     /// Returns the waiting request that should be placed next in this pass, if any.
     ///
-    /// After the first failure these are requests of other accounts or smaller ones. The last one, or each if there are no
+    /// After the first failure these are requests of other accounts, smaller or more urgent ones, by urgency: the start that
+    /// is due to less urgent work doesn't hold up urgent work if it finds no server. The last one, or each if there are no
     /// such requests, is the one that has not been tried for the longest time, so that each is tried eventually whatever
     /// waits before it.
     pub fn next_candidate(&self) -> Option<Candidate> {
@@ -376,8 +380,14 @@
                 .get(&it.ticket)
                 .is_some_and(|it| is_untried(it) && !self.pass.has_failed_like(&it.request))
         };
-        let next =
-            || self.queue.next(accepts).and_then(|it| self.queue.get(it)).map(|it| it.ticket);
+        let next = || {
+            let position = if failures == 0 {
+                self.queue.next(accepts)
+            } else {
+                self.queue.next_by_urgency(accepts)
+            };
+            position.and_then(|it| self.queue.get(it)).map(|it| it.ticket)
+        };
         let longest_untried = || {
             let untried = self.entries.values().filter(|it| is_untried(it));
             untried.min_by_key(|it| (it.tried_in_pass, it.arrival)).map(|it| it.request.ticket)
@@ -411,7 +421,7 @@
     pub fn record_deferred(&mut self, ticket: Ticket) {
         let Some(entry) = self.entries.get_mut(&ticket) else { return };
         entry.tried_in_pass = self.pass.number;
-        self.pass.failed.push((entry.request.account, entry.request.prompt_tokens));
+        self.pass.failed.push(entry.request);
     }
 
     /// Removes a waiting request whose caller disconnected or that needn't wait; returns `false` if it doesn't wait.
--- a/crates/quincevalve_admission/tests/waiting.rs
+++ b/crates/quincevalve_admission/tests/waiting.rs
@@ -234,3 +234,27 @@
     let passes = large.len() as u64 + 1;
     assert!((1..=passes).any(|it| is_tried(&mut fixture, it)));
 }
+
+// Guards against urgent requests that aren't tried because the less urgent ones that are due find no server, although
+// urgent ones may go to fuller engines.
+#[test]
+fn due_requests_that_find_no_server_do_not_hold_up_urgent_ones() {
+    let mut fixture = Fixture::new();
+    let less_urgent: Vec<_> = (0..20).map(|account| fixture.arrive(0, account, 2)).collect();
+    let mut urgent: Vec<_> = (0..14).map(|_| fixture.arrive(0, 0, 0)).collect();
+    for now in 1..=14 {
+        fixture.begin_pass(now);
+        let mut has_room = true;
+        while let Some(Candidate { ticket, .. }) = fixture.queue.next_candidate() {
+            if has_room && urgent.contains(&ticket) {
+                has_room = false;
+                urgent.retain(|it| *it != ticket);
+                fixture.queue.record_placed(ms(now), ticket);
+            } else {
+                fixture.queue.record_not_placed(ticket, PREDICTED);
+            }
+        }
+    }
+    assert!(urgent.is_empty(), "{} of 14 urgent requests wait", urgent.len());
+    assert!(less_urgent.iter().all(|it| fixture.queue.is_waiting(*it)));
+}
