Queue: less urgent work starts although urgent work alone exceeds the capacity

Cause: while less urgent requests wait, the most urgent ones go to engines with up to 1.5 requests per slot, and those placed on arrival didn't count towards the one start in eight. If urgent work alone exceeds the capacity, engines stay beyond their slots, where less urgent work finds no server. Change: starts on arrival count, and the rule for full engines stops once less urgent work has missed one of its starts, until it gets one.

--- a/crates/quincevalve_admission/src/fair_queue.rs
+++ b/crates/quincevalve_admission/src/fair_queue.rs
@@ -155,18 +155,31 @@
 
     /// Removes a request that starts. It is charged separately.
     pub(crate) fn start_at(&mut self, position: Position) -> Option<QueuedRequest> {
-        let most_urgent = self.waiting.keys().next()?.urgency;
-        let least_urgent = self.waiting.keys().next_back()?.urgency;
-        let urgency = position.class.urgency;
-        if urgency > most_urgent {
+        self.count_start(position.class.urgency);
+        self.remove_at(position)
+    }
+
+    /// Counts a start towards the next one that less urgent work is due, whether or not the request was queued.
+    pub(crate) fn count_start(&mut self, urgency: Urgency) {
+        let mut waiting = self.waiting.keys().map(|it| it.urgency);
+        if waiting.next().is_some_and(|most_urgent| urgency > most_urgent) {
             self.urgent_starts = 0;
             self.last_less_urgent = Some(urgency);
-        } else if least_urgent > most_urgent {
+        } else if self.has_less_urgent(urgency) {
             self.urgent_starts += 1;
         } else {
             self.urgent_starts = 0;
         }
-        self.remove_at(position)
+    }
+
+    /// Returns whether less urgent work waits.
+    pub(crate) fn has_less_urgent(&self, urgency: Urgency) -> bool {
+        self.waiting.keys().next_back().is_some_and(|it| it.urgency > urgency)
+    }
+
+    /// Returns whether less urgent work was due a start one period ago and has not found a server since.
+    pub(crate) fn is_less_urgent_overdue(&self) -> bool {
+        self.urgent_starts + 1 >= 2 * LESS_URGENT_START_PERIOD
     }
 
     fn remove_at(&mut self, position: Position) -> Option<QueuedRequest> {
--- a/crates/quincevalve_admission/src/waiting.rs
+++ b/crates/quincevalve_admission/src/waiting.rs
@@ -214,9 +214,12 @@
     /// Engines admit requests in order of urgency, so a most urgent request gets the next slot of a full engine while less
     /// urgent ones wait. Loads that other VMs report are old by several starts. If urgent requests were sent only where a
     /// slot seems free, all VMs would send them to the same few engines, and bulk work would take most free slots first.
+    /// Less urgent work never finds a slot while engines are kept full, so this stops while a start is overdue to it.
     pub fn usable_slots(&self, slots: u32, urgency: Urgency) -> u32 {
-        let has_less_urgent = self.queue.classes().any(|it| it.urgency > urgency);
-        if urgency == Urgency(0) && has_less_urgent {
+        if urgency == Urgency(0)
+            && self.queue.has_less_urgent(urgency)
+            && !self.queue.is_less_urgent_overdue()
+        {
             return (f64::from(slots) * MAX_REQUESTS_PER_SLOT) as u32;
         }
         slots
@@ -232,6 +235,7 @@
     ) {
         self.rate.advance(now, !self.is_empty());
         self.queue.set_weight(account, 1);
+        self.queue.count_start(urgency);
         self.record_start(account, urgency, prompt_tokens, self.arrivals);
     }
 
--- a/crates/quincevalve_admission/tests/waiting_load/main.rs
+++ b/crates/quincevalve_admission/tests/waiting_load/main.rs
@@ -282,3 +282,24 @@
     assert!(!displaced.is_empty());
     assert!(displaced.iter().all(|it| it.kind.urgency == 2));
 }
+
+// Guards against bulk work that starves because urgent requests alone exceed the capacity and keep all engines full.
+#[test]
+fn bulk_work_starts_while_urgent_work_alone_exceeds_the_capacity() {
+    let urgent = kind(0, (826, 150), 500, 12_000, 0.9);
+    let bulk = kind(2, (2_000, 150), 2_000, 15_000, 0.1);
+    let outcome = Play::new(Load {
+        kinds: vec![urgent, bulk],
+        rates: vec![(0, 28.0 * SERVERS as f64 * 1.5)],
+        length_ms: 8_000,
+        ..load(1, 1, Policy::Queue)
+    })
+    .run();
+    for second in (3_000..8_000).step_by(1_000) {
+        let bulk = outcome.requests.iter().filter(|it| it.kind.urgency == 2);
+        let starts = bulk.filter_map(|it| it.started_ms);
+        let starts = starts.filter(|it| (second..second + 1_000).contains(it)).count();
+        println!("bulk starts in the second after {second} ms: {starts}");
+        assert!(starts > 0, "bulk work starves at {second} ms");
+    }
+}
