Queue: a request waits for its VM's share although other servers rest

Cause: where a VM has used up its share at some servers and all others rest or are limited, the attempt's error is the one of the others. The request left the queue and was refused, although a slot that it may take follows within the time of a digest. Change: while servers are left out because of the share, only their absence ends an attempt, never the wait.

--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -260,9 +260,8 @@
                     Err(PlacementError::Busy { predicted }) => {
                         service.queue.record_not_placed(ticket, predicted);
                     }
-                    Err(PlacementError::NoServer) if is_limited => {
-                        service.queue.record_deferred(ticket);
-                    }
+                    // The servers at which the share is used up will take the request soon.
+                    Err(_) if is_limited => service.queue.record_deferred(ticket),
                     Err(error) => {
                         service.queue.remove(ticket);
                         service.end(ticket, WaitResult::Unplaceable(error));
--- a/crates/quincevalve_node/src/request/waiting/tests.rs
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -3,13 +3,22 @@
 use http::{Method, Request};
 use quincevalve_forwarding::{
     config::{CallerLimits, RetrySafety, Service, Target},
+    load::{Work, WorkSum},
+    placement::Placement,
     rollout::scope::VersionScope,
+    servers::ServerStart,
 };
 use rand::SeedableRng;
-use tokio::task::{LocalSet, spawn_local, yield_now};
+use tokio::task::{JoinHandle, LocalSet, spawn_local, yield_now};
 
 use super::*;
-use crate::{clock, request::identify::identify, store::sync::confirm_freshness, test_node};
+use crate::{
+    clock,
+    node::Node,
+    request::{identify::identify, server_selection::WorkGuard},
+    store::sync::confirm_freshness,
+    test_node,
+};
 
 const NOW: TimePoint = TimePoint::from_millis(1_000);
 
@@ -65,7 +74,7 @@
 async fn start_waiting(
     waiting: &Rc<WaitingRequests>,
     choice: VersionChoice,
-) -> tokio::task::JoinHandle<WaitResult> {
+) -> JoinHandle<WaitResult> {
     let (waiting, req) = (waiting.clone(), identified("/2/", "100,10"));
     let task = spawn_local(async move {
         let rng = RefCell::new(Pcg64Mcg::seed_from_u64(1));
@@ -139,6 +148,55 @@
     });
 }
 
+/// A server found by an attempt, without an entry in the table of servers.
+fn found(node: &Rc<Node>) -> FoundServer {
+    let place = Placement {
+        server: "server-1".into(),
+        start: ServerStart(1),
+        version: "v1".into(),
+        work: Work::default(),
+        affinity: None,
+        predicted: Duration::from_millis(50),
+        baseline: None,
+        known_load: WorkSum::default(),
+        peer_report_age: Duration::ZERO,
+        unlisted_for: None,
+    };
+    let guard = WorkGuard::new(node, &place);
+    FoundServer { place, guard, waited: Duration::ZERO }
+}
+
+// Guards against a request that is refused because all servers rest except the one at which this VM has used up its
+// share of the slots for the moment.
+#[test]
+fn a_request_waits_for_this_vms_share_while_other_servers_rest() {
+    run(async {
+        let waiting = Rc::new(WaitingRequests::default());
+        let tasks = [
+            start_waiting(&waiting, VersionChoice::Any).await,
+            start_waiting(&waiting, VersionChoice::Any).await,
+        ];
+        let node = Rc::new(test_node::node("vm-1"));
+        let rng = RefCell::new(Pcg64Mcg::seed_from_u64(1));
+        // With as many VMs as slots, the share is one start.
+        waiting.run_pass(
+            NOW,
+            &rng,
+            8,
+            |_| VersionChoice::Any,
+            |_| true,
+            |_, attempt| {
+                if attempt.excluded.is_empty() {
+                    return Ok(found(&node));
+                }
+                Err(PlacementError::Resting { wait: Duration::from_millis(300) })
+            },
+        );
+        assert_eq!(waiting.counts(), [("engines".into(), 1)]);
+        tasks.iter().for_each(JoinHandle::abort);
+    });
+}
+
 // Guards against requests that wait instead of being refused soon where an order by urgency makes no difference.
 #[test]
 fn only_engines_with_routes_of_different_urgencies_have_a_queue() {
