Queue: a request may wait for the version that has servers

Cause: where one of the two versions that a request may be sent to has no usable server, the error of the second attempt hid that the servers of the other are only busy. With polling this made no difference, but now such a request doesn't enter the queue, or leaves it, and is refused as no-server, resting or limited. Change: busy servers of the first version come before other errors of the second. Result: the new test fails without the change (NoServer) and passes with it.

--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -273,7 +273,15 @@
         VersionChoice::Any => place_in(None),
         VersionChoice::One(scope) => place_in(Some(scope)),
         VersionChoice::WithFallback(first, second) => {
-            place_in(Some(first)).or_else(|_| place_in(Some(second)))
+            let error = match place_in(Some(first)) {
+                Ok(place) => return Ok(place),
+                Err(error) => error,
+            };
+            // If servers of the first scope are only busy, the request may wait for them.
+            place_in(Some(second)).map_err(|fallback| match error {
+                PlacementError::Busy { .. } => error,
+                _ => fallback,
+            })
         }
     }
 }
@@ -299,3 +307,6 @@
 fn signalled_refusal(refusal: Refusal, wait: Duration) -> Refused {
     Refused { refusal, retry_after: Some(wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)) }
 }
+
+#[cfg(test)]
+mod tests;
