Queue: quincevalve_waiting follows a queue that the configuration ends

Cause: the metric was set only for services that have a queue, so it kept its last value if a new configuration ended the queue while requests waited. Change: services that ever had a queue are counted. Result: the new test fails without the change and passes with it.

--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -72,6 +72,8 @@
     retry_choice: Option<VersionChoice>,
     /// Whether the service has a queue, and the version of the configuration that this follows from.
     is_enabled: Option<(u64, bool)>,
+    /// Whether the service has or had a queue.
+    ever_enabled: bool,
 }
 
 impl Default for ServiceQueue {
@@ -83,6 +85,7 @@
             waiters: IndexMap::new(),
             retry_choice: None,
             is_enabled: None,
+            ever_enabled: false,
         }
     }
 }
@@ -125,11 +128,12 @@
         self.wakeup.notified().await;
     }
 
-    /// Returns the number of waiting requests of each service that ever had some.
+    /// Returns the number of waiting requests of each service that ever had a queue, so that a count doesn't stay as it
+    /// was when a change of the configuration ends the queue.
     pub(crate) fn counts(&self) -> Vec<(ServiceName, usize)> {
         let queues = self.queues.borrow();
-        let enabled = queues.services.iter().filter(|(_, it)| it.is_enabled.is_some_and(|it| it.1));
-        enabled.map(|(name, it)| (name.clone(), it.queue.len())).collect()
+        let with_queue = queues.services.iter().filter(|(_, it)| it.ever_enabled);
+        with_queue.map(|(name, it)| (name.clone(), it.queue.len())).collect()
     }
 
     /// Returns whether requests of the service wait in a queue rather than poll.
@@ -281,7 +285,9 @@
         let service = &mut self.services[&req.service];
         let version = req.config.version;
         if service.is_enabled.is_none_or(|it| it.0 != version) {
-            service.is_enabled = Some((version, has_queue(&req.config, &req.service)));
+            let is_enabled = has_queue(&req.config, &req.service);
+            service.is_enabled = Some((version, is_enabled));
+            service.ever_enabled |= is_enabled;
         }
         service
     }
--- a/crates/quincevalve_node/src/request/waiting/tests.rs
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -61,8 +61,12 @@
     Some(Engine { slots: 8, kv_tokens: 100_000, supports_migration: false });
 
 fn identified(path: &str, tokens: &str) -> Rc<IdentifiedRequest> {
+    identified_with(config(&[0, 2], ENGINE), path, tokens)
+}
+
+fn identified_with(config: ForwardingConfig, path: &str, tokens: &str) -> Rc<IdentifiedRequest> {
     let node = test_node::node("vm-1");
-    node.apply_config(config(&[0, 2], ENGINE));
+    node.apply_config(config);
     confirm_freshness(&node, clock::now());
     let req = Request::builder().method(Method::POST).uri(path).header("host", "a.example");
     let req =
@@ -208,6 +212,22 @@
     assert!(!has_queue(&config(&[0, 2], ENGINE), &"other".into()));
 }
 
+// Guards against a metric that keeps its last value when a change of the configuration ends a queue.
+#[test]
+fn a_queue_that_the_configuration_ends_is_still_counted() {
+    run(async {
+        let waiting = Rc::new(WaitingRequests::default());
+        let task = start_waiting(&waiting, VersionChoice::Any).await;
+        let mut without_queue = config(&[2], ENGINE);
+        without_queue.version = 2;
+        assert!(!waiting.is_enabled(&identified_with(without_queue, "/2/", "100,10")));
+        assert_eq!(waiting.counts(), [("engines".into(), 1)]);
+        task.abort();
+        assert!(task.await.is_err());
+        assert_eq!(waiting.counts(), [("engines".into(), 0)]);
+    });
+}
+
 // Guards against a stream that starts so late that its deadline cuts it off.
 #[test]
 fn the_wait_leaves_time_for_the_whole_answer() {
