Queue: starts at servers are forgotten when others are recorded

Cause: starts that other VMs know of were dropped only when a less urgent request was tried, so they piled up for as long as only the most urgent requests waited. Change: they are dropped at each start too. Result: no behaviour changes, the existing tests pass; there is no test of the memory.

--- a/crates/quincevalve_admission/src/server_share.rs
+++ b/crates/quincevalve_admission/src/server_share.rs
@@ -43,14 +43,13 @@
 {
     /// Records a start at a server.
     pub fn record_start(&mut self, now: TimePoint, server: K) {
+        self.forget_reported(now);
         self.starts.push_back((now, server));
     }
 
     /// Returns the servers with `slots` slots at which one of `vms` VMs has used up its share.
     pub fn used_up(&mut self, now: TimePoint, slots: u32, vms: usize) -> Vec<K> {
-        while self.starts.front().is_some_and(|(at, _)| now.since(*at) >= REPORT_DELAY) {
-            self.starts.pop_front();
-        }
+        self.forget_reported(now);
         let share = (slots as usize).div_ceil(vms.max(1));
         let mut used_up: Vec<K> = Vec::new();
         for (_, server) in &self.starts {
@@ -61,4 +60,10 @@
         }
         used_up
     }
+
+    fn forget_reported(&mut self, now: TimePoint) {
+        while self.starts.front().is_some_and(|(at, _)| now.since(*at) >= REPORT_DELAY) {
+            self.starts.pop_front();
+        }
+    }
 }
