--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -1,8 +1,8 @@
 //! Processing of a caller's request.
 //!
 //! [`frontend`] accepts the request, [`identify`] finds its route, account and prompt, and [`dispatch`] runs attempts
-//! until one yields an answer: [`server_selection`] picks a server, [`waiting`] holds requests until one has capacity, [`exchange`] sends the request over a connection of
-//! [`connection_pool`], and [`relay`] forwards a streamed answer.
+//! until one yields an answer: [`server_selection`] picks a server, [`waiting`] holds requests until one has capacity,
+//! [`exchange`] sends the request over a connection of [`connection_pool`], and [`relay`] forwards a streamed answer.
 
 pub(crate) mod body;
 pub(crate) mod connection_pool;
