Queue: the generator is borrowed for one statement of a pass

Cause: the generator's borrow lasted for the whole loop over the refusals of a pass, so code that a refusal wakes or drops there would panic on a second borrow; none does so today. Change: the refusals are bound first. Result: no behaviour changes.

--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -239,7 +239,8 @@
         for (name, service) in queues.services.iter_mut().filter(|(_, it)| !it.queue.is_empty()) {
             service.refresh_choices(retry_choice(name));
             service.refuse_unfinishable(&can_finish);
-            for refusal in service.queue.begin_pass(now, &mut *rng.borrow_mut()) {
+            let refusals = service.queue.begin_pass(now, &mut *rng.borrow_mut());
+            for refusal in refusals {
                 service.end(refusal.ticket, WaitResult::Refused(refused(refusal)));
             }
             while let Some(candidate) = service.queue.next_candidate() {
