Queue: a removal looks for empty classes only if it emptied one

Cause: each removal walked all classes and accounts, and the predicted order of starts removes each waiting request from a copy, at each arrival and up to 166 times a second. Change: only a removal that empties an account's queue walks them.

--- a/crates/quincevalve_admission/src/fair_queue.rs
+++ b/crates/quincevalve_admission/src/fair_queue.rs
@@ -184,8 +184,11 @@
 
     fn remove_at(&mut self, position: Position) -> Option<QueuedRequest> {
         let accounts = self.waiting.get_mut(&position.class)?;
-        let removed = accounts.get_mut(&position.account)?.remove(position.index);
-        self.drop_empty();
+        let queue = accounts.get_mut(&position.account)?;
+        let removed = queue.remove(position.index);
+        if queue.is_empty() {
+            self.drop_empty();
+        }
         removed
     }
 
