--- a/crates/quincevalve_admission/src/lib.rs
+++ b/crates/quincevalve_admission/src/lib.rs
@@ -2,12 +2,19 @@
 
 mod admission;
 mod fair_queue;
+mod server_share;
 mod shares;
+mod start_rate;
+mod waiting;
 
 pub use crate::{
     admission::{
         AccountIndex, AccountLimits, Admission, AdmissionSettings, Arrival, Decision,
-        RefusalReason, Ticket, Urgency,
+        RefusalReason, Ticket, Urgency, request_cost,
     },
+    server_share::ServerShare,
     shares::{Demand, own_share},
+    waiting::{
+        Candidate, WaitRefusal, WaitRefusalCause, WaitingQueue, WaitingRequest, WaitingSettings,
+    },
 };
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -49,6 +49,11 @@
     version: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -66,6 +71,8 @@
     quarantined: Gauge,
     suppressed_lines: Counter,
     copies: Family<AttemptLabels, Counter>,
+    waiting: Family<ServiceLabels, Gauge>,
+    wait: Family<ServiceLabels, Histogram>,
 }
 
 impl Default for Metrics {
@@ -113,6 +120,16 @@
         registry.register("log_lines_left_out", "Log lines not written", suppressed_lines.clone());
         let copies = Family::default();
         registry.register("copies", "Copies of runs by result", copies.clone());
+        let waiting = Family::default();
+        let wait = Family::<ServiceLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
+        });
+        registry.register("waiting", "Requests that wait for a server", waiting.clone());
+        registry.register(
+            "wait_seconds",
+            "Time that requests waited until they were placed or refused",
+            wait.clone(),
+        );
         Self {
             registry,
             requests,
@@ -129,6 +146,8 @@
             quarantined,
             suppressed_lines,
             copies,
+            waiting,
+            wait,
         }
     }
 }
@@ -170,6 +189,12 @@
         self.copies.get_or_create(&labels).inc();
     }
 
+    /// Records how long a request waited for a server.
+    pub(crate) fn observe_wait(&self, service: &str, waited: Duration) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.wait.get_or_create(&labels).observe(waited.as_secs_f64());
+    }
+
     /// Counts suppressed log lines.
     pub(crate) fn count_suppressed_lines(&self, lines: u64) {
         self.suppressed_lines.inc_by(lines);
@@ -189,6 +214,10 @@
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
         self.quarantined.set(gauge(node.poison.borrow().stored_entries().count()));
+        for (service, count) in node.waiting.counts() {
+            let labels = ServiceLabels { service: service.as_str().to_owned() };
+            self.waiting.get_or_create(&labels).set(gauge(count));
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "metrics-not-encoded");
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -41,7 +41,9 @@
     peers::Peers,
     ports::HeaderNames,
     quarantine::QuarantineStore,
-    request::{connection_pool::ConnectionPool, migration::MigrationClient},
+    request::{
+        connection_pool::ConnectionPool, migration::MigrationClient, waiting::WaitingRequests,
+    },
     settings::NodeSettings,
     store::{config_copy::ConfigCopy, state_copy::StateCopy, view::StoreView},
 };
@@ -117,6 +119,8 @@
     pub(crate) engine_risks: RefCell<IndexMap<ServiceName, RiskTable>>,
     /// Wakes tasks that wait for a change of servers or VMs.
     pub(crate) changed: Notify,
+    /// Requests that wait for a server.
+    pub(crate) waiting: WaitingRequests,
 }
 
 impl Node {
@@ -160,6 +164,7 @@
             signal_outbox: RefCell::default(),
             engine_risks: RefCell::default(),
             changed: Notify::new(),
+            waiting: WaitingRequests::default(),
             settings,
             headers,
         }
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -1,8 +1,8 @@
 //! Processing of a caller's request.
 //!
 //! [`frontend`] accepts the request, [`identify`] finds its route, account and prompt, and [`dispatch`] runs attempts
-//! until one yields an answer: [`server_selection`] picks a server, [`exchange`] sends the request over a connection of
-//! [`connection_pool`], and [`relay`] forwards a streamed answer.
+//! until one yields an answer: [`server_selection`] picks a server, [`waiting`] holds requests until one has capacity,
+//! [`exchange`] sends the request over a connection of [`connection_pool`], and [`relay`] forwards a streamed answer.
 
 pub(crate) mod body;
 pub(crate) mod connection_pool;
@@ -18,3 +18,4 @@
 pub(crate) mod server_selection;
 mod signals;
 pub(crate) mod trace;
+pub(crate) mod waiting;
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -620,8 +620,33 @@
 }
 
 fn config() -> ForwardingConfig {
+    let routes = vec![
+        route("/safe/", RetrySafety::Idempotent),
+        route("/once/", RetrySafety::NonIdempotent),
+        route("/stream/", RetrySafety::Stream),
+        route("/resumable/", RetrySafety::ResumableStream),
+        Route { anonymous: true, ..route("/open/", RetrySafety::NonIdempotent) },
+    ];
+    config_with(routes, 64)
+}
+
+/// Returns a setup with routes of different urgencies to engines with one slot, so that requests wait.
+pub fn queue_setup() -> Setup {
+    Setup { config: queue_config(), ..Setup::default() }
+}
+
+fn queue_config() -> ForwardingConfig {
+    let routes = vec![
+        Route { urgency: 0, ..route("/urgent/", RetrySafety::NonIdempotent) },
+        Route { urgency: 2, ..route("/bulk/", RetrySafety::NonIdempotent) },
+        Route { urgency: 2, ..route("/stream/", RetrySafety::Stream) },
+    ];
+    config_with(routes, 1)
+}
+
+fn config_with(routes: Vec<Route>, slots: u32) -> ForwardingConfig {
     let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
-    let engine = Engine { slots: 64, kv_tokens: 100_000, supports_migration: true };
+    let engine = Engine { slots, kv_tokens: 100_000, supports_migration: true };
     let service = Service { engine: Some(engine), ..Service::default() };
     let limits = CallerLimits {
         head_bytes: 16 << 10,
@@ -629,13 +654,6 @@
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
-    let routes = vec![
-        route("/safe/", RetrySafety::Idempotent),
-        route("/once/", RetrySafety::NonIdempotent),
-        route("/stream/", RetrySafety::Stream),
-        route("/resumable/", RetrySafety::ResumableStream),
-        Route { anonymous: true, ..route("/open/", RetrySafety::NonIdempotent) },
-    ];
     ForwardingConfig::new(
         1,
         routes,
