--- a/crates/quincevalve_forwarding/src/peer_table.rs
+++ b/crates/quincevalve_forwarding/src/peer_table.rs
@@ -21,6 +21,8 @@
 const MAX_VMS_OF_SMALL_SYSTEM: usize = 16;
 /// Number of VMs that read the store for all: one, and a second in case the first can't.
 const MAX_STORE_READERS: usize = 2;
+/// Number of VMs of each data centre that may decide quotas for others: the strongest, as for collectors.
+const MAX_QUOTA_OWNERS_PER_CENTRE: usize = 3;
 /// Time without an answer after which a VM counts as unresponsive; a collector answers ten times in it.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time without datagrams after which a VM counts as stopped; VMs report several times a second.
@@ -235,6 +237,32 @@
         reporters.map(|(name, _)| name.as_str())
     }
 
+    /// Returns the candidates for deciding an account's quota for all VMs, in the same order at all VMs that know the
+    /// same VMs: the strongest of each data centre, by rendezvous score with the account's hash `key`.
+    ///
+    /// Excludes unlisted VMs from which nothing was received recently: they have stopped.
+    pub fn quota_owners(&self, key: u64, now: TimePoint) -> Vec<&str> {
+        let mut candidates: Vec<(u64, &str)> = Vec::new();
+        for centre in self.ranking.centres() {
+            let names = self.ranking.of(centre).filter(|it| !self.has_stopped(it, now));
+            let scored = names.map(|it| (rendezvous_score(key, self.hash_of(it)), it));
+            candidates.extend(scored.take(MAX_QUOTA_OWNERS_PER_CENTRE));
+        }
+        candidates.sort_unstable_by(|a, b| b.cmp(a));
+        candidates.into_iter().map(|(_, name)| name).collect()
+    }
+
+    fn hash_of(&self, name: &str) -> u64 {
+        self.peers.get(name).map_or(self.me_hash, |it| it.hash)
+    }
+
+    /// Returns whether a VM is unlisted and nothing was received from it recently.
+    fn has_stopped(&self, name: &str, now: TimePoint) -> bool {
+        self.peers.get(name).is_some_and(|it| {
+            !it.listed && it.received_at.is_none_or(|at| now.since(at) > REPORT_TIMEOUT)
+        })
+    }
+
     /// Returns the name of the VM at an address.
     pub fn name_of(&self, address: SocketAddr) -> Option<&str> {
         self.names.get(&address).map(String::as_str)
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -1,9 +1,16 @@
 //! Quotas of accounts over all entry VMs together.
 
+pub mod asker;
+pub mod messages;
+pub mod owner;
+mod reserve;
+
 use std::{collections::HashMap, time::Duration};
 
 use quincevalve_names::{ClientAccountName, TimePoint};
+use serde::{Deserialize, Serialize};
 
+use self::reserve::{OWNER_TOLERANCE_FRACTION, RejectedRequests, reserve};
 use crate::{
     config::{ForwardingConfig, Quota, QuotaUnit},
     rate::Rate,
@@ -23,7 +30,7 @@
 }
 
 /// Rejection of a request because its account exceeds the quota.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OverQuota {
     /// Time until the account's bucket has enough units again, at its rate.
     pub retry_after: Duration,
@@ -128,6 +135,8 @@
     ramp_width: f64,
     /// Cost of a large request; `None` if all requests cost the same.
     large_cost: Option<f64>,
+    /// Units below zero down to which an owner admits requests: the part of the tolerance that only owners grant.
+    owner_debt: f64,
 }
 
 impl BucketParameters {
@@ -144,11 +153,13 @@
                 burst: quota.burst,
                 ramp_width,
                 large_cost,
+                owner_debt: 0.0,
             };
         }
         let spread_rate = SPREAD_FRACTION * quota.burst / window;
         let window_total = quota.per_second * window + quota.burst;
-        let tolerated = USED_TOLERANCE_FRACTION * (limits.overage * window_total + limits.slack);
+        let tolerance = limits.overage * window_total + limits.slack;
+        let tolerated = USED_TOLERANCE_FRACTION * tolerance;
         let instant_burst = INSTANT_BURST_FRACTION * quota.burst;
         let ramp_width = RAMP_FRACTION * instant_burst;
         Self {
@@ -156,6 +167,7 @@
             burst: instant_burst + tolerated,
             ramp_width,
             large_cost,
+            owner_debt: (OWNER_TOLERANCE_FRACTION - USED_TOLERANCE_FRACTION) * tolerance,
         }
     }
 }
@@ -170,6 +182,10 @@
     peer_spending: f64,
     /// Burst of the quota for which `level` was computed.
     burst: f64,
+    /// Time until which the account counts as contended.
+    contended_until: Option<TimePoint>,
+    /// Requests that this VM rejected as the account's owner.
+    rejected: RejectedRequests,
 }
 
 impl Bucket {
@@ -182,6 +198,8 @@
             own_rate,
             peer_spending: 0.0,
             burst,
+            contended_until: None,
+            rejected: RejectedRequests::new(since),
         }
     }
 
@@ -199,13 +217,57 @@
     /// get up to a second of its whole rate more from each VM. The last reported spending therefore counts until a new
     /// report arrives or the spending VM counts as unreachable; after that, only a fraction of the rate is used.
     fn refill(&mut self, quota: &BucketParameters, reachable_fraction: f64, now: TimePoint) {
-        let seconds = now.since(self.updated_at).as_secs_f64();
+        self.level = self.level_at(quota, reachable_fraction, now);
+        self.updated_at = now;
+    }
+
+    /// Returns the level at `now`.
+    fn level_at(&self, quota: &BucketParameters, reachable_fraction: f64, now: TimePoint) -> f64 {
+        let mut elapsed = now.since(self.updated_at);
+        if self.was_contended_at(self.updated_at) {
+            // A VM that was frozen doesn't know what the others spent meanwhile.
+            elapsed = elapsed.min(MAX_REPORT_GAP);
+        }
+        let seconds = elapsed.as_secs_f64();
         let gain = quota.per_second * reachable_fraction - self.peer_spending;
         let max_level = quota.burst * reachable_fraction;
         // A large request of this VM may have caused a larger debt.
         let min_level = self.level.min(-quota.burst * MAX_DEBT_BURSTS);
-        self.level = (self.level + gain * seconds).min(max_level).max(min_level);
-        self.updated_at = now;
+        (self.level + gain * seconds).min(max_level).max(min_level)
+    }
+
+    fn was_contended_at(&self, at: TimePoint) -> bool {
+        self.contended_until.is_some_and(|it| at < it)
+    }
+
+    /// Keeps this side's share of a contended account's level when contact to other VMs is lost.
+    ///
+    /// Both sides of a partition know the same level, and the lost VMs' spending, which no longer arrives, continues
+    /// within their share. If each side kept the whole level and added all that was subtracted in advance for that
+    /// spending, the account would get both twice.
+    fn keep_share(&mut self, level_before: f64, share: f64) {
+        self.level = self.level.min(level_before + (self.level - level_before).max(0.0) * share);
+        if self.level > 0.0 {
+            self.level *= share;
+        }
+    }
+
+    /// Records whether the account is near its limit: by the spending of all VMs, at `rate` units per second, or by the
+    /// level.
+    fn update_contention(
+        &mut self,
+        rate: f64,
+        quota: &BucketParameters,
+        reachable_fraction: f64,
+        now: TimePoint,
+    ) {
+        let spending = self.peer_spending + self.own_rate.per_second(now);
+        let level = self.level_at(quota, reachable_fraction, now);
+        if spending > CONTENDED_RATE_FRACTION * rate * reachable_fraction
+            || level < CONTENDED_LEVEL_FRACTION * quota.burst * reachable_fraction
+        {
+            self.contended_until = Some(now + CONTENTION_HOLD);
+        }
     }
 
     /// Raises the level when a VM first receives the reports of the others, which currently spend `peer_spending`.
@@ -250,6 +312,10 @@
     reachable_fraction: f64,
     /// Whether nearly all other VMs have been in contact since this VM started.
     has_peer_contact: bool,
+    /// When the spending of other VMs was last applied.
+    applied_at: Option<TimePoint>,
+    /// When it was applied again after a gap.
+    resumed_at: Option<TimePoint>,
     buckets: HashMap<ClientAccountName, Bucket>,
 }
 
@@ -262,6 +328,8 @@
             started_at: now,
             reachable_fraction: 1.0,
             has_peer_contact: false,
+            applied_at: None,
+            resumed_at: None,
             buckets: HashMap::new(),
         }
     }
@@ -298,6 +366,97 @@
         Ok(())
     }
 
+    /// Returns whether the quota can be decided by one VM for all: quotas in tokens that are counted over a window.
+    pub fn is_coordinated(&self, quota: &Quota) -> bool {
+        matches!(quota.unit, QuotaUnit::Tokens { .. }) && !self.limits.window.is_zero()
+    }
+
+    /// Returns whether an account is near its limit, so that one VM should decide on its requests for all VMs.
+    ///
+    /// An account without spending isn't contended, and this changes nothing of it.
+    pub fn is_contended(
+        &mut self,
+        account: &ClientAccountName,
+        quota: &Quota,
+        now: TimePoint,
+    ) -> bool {
+        if !self.is_coordinated(quota) {
+            return false;
+        }
+        let Some(bucket) = self.buckets.get_mut(account) else { return false };
+        let parameters = &BucketParameters::new(quota, &self.limits);
+        bucket.update_contention(quota.per_second, parameters, self.reachable_fraction, now);
+        bucket.was_contended_at(now)
+    }
+
+    /// Returns whether this VM knows enough of the other VMs' spending to decide for them. A VM that has just started,
+    /// or was frozen, has received no reports yet.
+    pub fn can_own(&self, now: TimePoint) -> bool {
+        let is_current = self.applied_at.is_none_or(|it| now.since(it) <= MAX_REPORT_GAP);
+        let has_resumed = self.resumed_at.is_none_or(|it| now.since(it) >= RESUME_DELAY);
+        let has_started = self.has_peer_contact || now.since(self.started_at) >= OWNER_START_DELAY;
+        is_current && has_resumed && has_started
+    }
+
+    /// Decides on a request of any VM as the account's owner, and charges its cost to this VM's bucket.
+    ///
+    /// All requests of the account come here, so the level is exact and no chance is needed: a request is admitted
+    /// while the level is above a reserve that rises with its size and with lower urgency. `draw`, a random number from
+    /// 0 to 1, varies the time to retry.
+    pub fn try_spend_as_owner(
+        &mut self,
+        account: &ClientAccountName,
+        quota: &Quota,
+        request: QuotaRequest,
+        draw: f64,
+        now: TimePoint,
+    ) -> Result<(), OverQuota> {
+        let reachable_fraction = self.reachable_fraction;
+        let quota = &BucketParameters::new(quota, &self.limits);
+        let since = self.started_at;
+        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
+        bucket.apply_quota_change(quota);
+        bucket.refill(quota, reachable_fraction, now);
+        // The other VMs ask instead of spending, so what they report is spending that decays. Its remainder is less
+        // than what was subtracted in advance for unreported spending.
+        let unspent =
+            bucket.peer_spending * (REPORT_DELAY_S - SPENDING_TIME_CONSTANT.as_secs_f64()).max(0.0);
+        let level = bucket.level + unspent;
+        let reserve = reserve(request, quota) * reachable_fraction;
+        if level <= reserve {
+            let rate = quota.per_second * reachable_fraction;
+            let retry_after =
+                bucket.rejected.retry_after(request, reserve - level, rate, draw, now);
+            return Err(OverQuota { retry_after, level, peer_spending: bucket.peer_spending });
+        }
+        bucket.spend(request.cost, now);
+        Ok(())
+    }
+
+    /// Decides on a request of a contended account whose owner doesn't answer: as [`Self::try_spend`], except that
+    /// urgent and small requests may use the part of the tolerance that is kept for this.
+    pub fn try_spend_without_owner(
+        &mut self,
+        account: &ClientAccountName,
+        quota: &Quota,
+        request: QuotaRequest,
+        draw: f64,
+        now: TimePoint,
+    ) -> Result<(), OverQuota> {
+        let refused = match self.try_spend(account, quota, request, draw, now) {
+            Ok(()) => return Ok(()),
+            Err(over) => over,
+        };
+        let parameters = &BucketParameters::new(quota, &self.limits);
+        let reserve = reserve(request, parameters);
+        let Some(bucket) = self.buckets.get_mut(account) else { return Err(refused) };
+        if reserve >= 0.0 || bucket.level <= reserve * self.reachable_fraction {
+            return Err(refused);
+        }
+        bucket.spend(request.cost, now);
+        Ok(())
+    }
+
     /// Refunds the cost of a request that was rejected later and has not run.
     pub fn refund(&mut self, account: &ClientAccountName, cost: f64, now: TimePoint) {
         if let Some(bucket) = self.buckets.get_mut(account) {
@@ -321,10 +480,15 @@
         config: &ForwardingConfig,
         now: TimePoint,
     ) {
+        if self.applied_at.is_some_and(|it| now.since(it) > MAX_REPORT_GAP) {
+            self.resumed_at = Some(now);
+        }
+        self.applied_at = Some(now);
         let is_first_contact = !self.has_peer_contact && reachable_fraction >= MIN_CONTACT_FRACTION;
         self.has_peer_contact |= is_first_contact;
         for (account, it) in &config.accounts {
             let Some(quota) = it.quota else { continue };
+            let rate = quota.per_second;
             let quota = BucketParameters::new(&quota, &self.limits);
             let peer_spending = spending.get(account).copied().unwrap_or_default().max(0.0);
             if peer_spending > 0.0 && !self.buckets.contains_key(account) {
@@ -338,7 +502,16 @@
             }
             let max_level = quota.burst
                 * if is_first_contact { reachable_fraction } else { self.reachable_fraction };
+            let level_before = bucket.level;
             bucket.apply_peer_spending(peer_spending, max_level);
+            // Contention is tracked from the first request that could be decided by an owner.
+            if bucket.contended_until.is_some() {
+                if bucket.was_contended_at(now) && reachable_fraction < self.reachable_fraction {
+                    let share = reachable_fraction / self.reachable_fraction;
+                    bucket.keep_share(level_before, share);
+                }
+                bucket.update_contention(rate, &quota, reachable_fraction, now);
+            }
         }
         self.reachable_fraction = reachable_fraction;
     }
@@ -349,3 +522,16 @@
 const MIN_CONTACT_FRACTION: f64 = 0.8;
 /// Minimum spending of an account that is reported, in units per second. Less has no influence on any decision.
 const MIN_REPORTED_SPENDING: f64 = 0.05;
+/// Fraction of its rate above which the known spending of all VMs makes an account contended.
+const CONTENDED_RATE_FRACTION: f64 = 0.8;
+/// Fraction of the bucket's burst below which the level makes an account contended.
+const CONTENDED_LEVEL_FRACTION: f64 = 0.5;
+/// Time for which an account stays contended, so that its decisions don't move between VMs with each digest.
+const CONTENTION_HOLD: Duration = Duration::from_secs(2);
+/// Time after its start from which a VM decides for others without contact to nearly all of them: in a partition it may
+/// never have that, and the fraction that it reaches is known by then.
+const OWNER_START_DELAY: Duration = Duration::from_secs(2);
+/// Longest time between two applications of reports in normal operation; they are applied several times a second.
+const MAX_REPORT_GAP: Duration = Duration::from_millis(500);
+/// Time after such a gap in which new reports arrive.
+const RESUME_DELAY: Duration = Duration::from_millis(500);
