Quotas: ask the owner of a contended account (wiring)

Cause: the core for quota owners was not used by the program.

Change: charge_quota waits for the decision of the account's quota owner while the account is contended and more than one VM is known. Content gets a last variant for asks, verdicts and refunds. A request that is refused unrun after it was charged is refunded where it was charged, and so is an ask whose caller left or whose verdict came late. New log line quota-owner, field owner in over-quota, metric quincevalve_quota_decisions_total{by}, and a walk for a 429 that an owner decided. A VM of the previous version can't read the new datagrams, logs datagram-unreadable, and counts as silent.

Result: two nodes on loopback sockets: the owner charges and refunds, the VM that receives the grant doesn't; without an answer the VM decides after the time-out; an ask whose caller left is refunded; an account that isn't contended causes no datagram. All tests of the crate pass.

--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -49,6 +49,11 @@
     version: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DecisionLabels {
+    by: &'static str,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -65,6 +70,7 @@
     proof_age_ms: Gauge,
     quarantined: Gauge,
     suppressed_lines: Counter,
+    quota_decisions: Family<DecisionLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -110,6 +116,12 @@
         registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
         registry.register("quarantined", "Requests kept from servers", quarantined.clone());
         registry.register("log_lines_left_out", "Log lines not written", suppressed_lines.clone());
+        let quota_decisions = Family::default();
+        registry.register(
+            "quota_decisions",
+            "Decisions on requests by their accounts' quotas",
+            quota_decisions.clone(),
+        );
         Self {
             registry,
             requests,
@@ -125,6 +137,7 @@
             proof_age_ms,
             quarantined,
             suppressed_lines,
+            quota_decisions,
         }
     }
 }
@@ -165,6 +178,11 @@
         self.suppressed_lines.inc_by(lines);
     }
 
+    /// Counts a decision on a request by its account's quota.
+    pub(crate) fn count_quota_decision(&self, by: &'static str) {
+        self.quota_decisions.get_or_create(&DecisionLabels { by }).inc();
+    }
+
     /// Updates the gauges and encodes all metrics.
     fn encode_text(&self, node: &Node) -> String {
         let now = clock::now();
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -37,7 +37,7 @@
 use crate::{
     clock,
     metrics::Metrics,
-    peers::Peers,
+    peers::{Peers, quota::QuotaOwners},
     ports::HeaderNames,
     quarantine::QuarantineStore,
     request::{connection_pool::ConnectionPool, migration::MigrationClient},
@@ -114,6 +114,8 @@
     pub(crate) signal_outbox: RefCell<SignalOutbox>,
     /// Wakes tasks that wait for a change of servers or VMs.
     pub(crate) changed: Notify,
+    /// Asks to quota owners, and this VM's decisions as an owner.
+    pub(crate) quota_owners: QuotaOwners,
 }
 
 impl Node {
@@ -156,6 +158,7 @@
             state_copy: RefCell::default(),
             signal_outbox: RefCell::default(),
             changed: Notify::new(),
+            quota_owners: QuotaOwners::default(),
             settings,
             headers,
         }
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -4,6 +4,7 @@
 //! each one carries running totals.
 
 mod datagram;
+pub(crate) mod quota;
 mod receive;
 mod send;
 
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -5,7 +5,7 @@
 use bincode::{DefaultOptions, Options};
 use quincevalve_forwarding::{
     chunk_fetch::ChunkRequest, chunks::Chunk, peer_table::VmDescriptor, poison::PoisonMessage,
-    sums::PartialSum, usage::Counts,
+    quota::messages::QuotaMessage, sums::PartialSum, usage::Counts,
 };
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
@@ -93,6 +93,8 @@
     Poison(PoisonMessage),
     /// Signals of servers.
     Signals { scope: Scope, servers: Vec<SignalReport> },
+    /// A message between a VM and the quota owner of an account.
+    Quota(QuotaMessage),
 }
 
 /// A datagram between entry VMs.
--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -14,6 +14,7 @@
     datagram::{
         Content, Datagram, Echo, MAX_DATAGRAM, ReportedContact, Scope, StoreReport, encoding,
     },
+    quota,
     send::{DIGEST_INTERVAL, request_state, send},
 };
 use crate::{
@@ -47,22 +48,26 @@
     }
 }
 
+/// Records what the head of a datagram says about its sender.
+fn record_sender(node: &Node, datagram: &Datagram, now: TimePoint) {
+    let name = &datagram.from.name;
+    let mut peers = node.peers.borrow_mut();
+    peers.table.record_received(&datagram.from, now);
+    let last = LastDatagram {
+        incarnation: datagram.incarnation,
+        sent: datagram.sent,
+        received_at: now,
+        revision: datagram.revision,
+    };
+    peers.last_datagrams.insert(name.clone(), last);
+    node.wall_clock.borrow_mut().record(name.clone(), datagram.wall_ms, now);
+}
+
 fn handle_datagram(node: &Node, socket: &UdpSocket, datagram: Datagram) {
     let now = clock::now();
     let sender = datagram.sender();
     let name = datagram.from.name.clone();
-    {
-        let mut peers = node.peers.borrow_mut();
-        peers.table.record_received(&datagram.from, now);
-        let last = LastDatagram {
-            incarnation: datagram.incarnation,
-            sent: datagram.sent,
-            received_at: now,
-            revision: datagram.revision,
-        };
-        peers.last_datagrams.insert(name.clone(), last);
-    }
-    node.wall_clock.borrow_mut().record(name.clone(), datagram.wall_ms, now);
+    record_sender(node, &datagram, now);
     match datagram.content {
         Content::Digest { scope, sum, store_report, store_contact } => {
             // The contact is applied before the store report, because whether a removal of a server in the report may
@@ -140,6 +145,9 @@
             };
             apply_signal_reports(node, servers, from);
         }
+        Content::Quota(message) => {
+            quota::receive(node, socket, &datagram.from, &sender, message);
+        }
         Content::Usage { counts } => {
             let sent_ms = datagram.estimated_ms.unwrap_or(datagram.wall_ms);
             node.usage.borrow_mut().merge_peer_totals(
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -9,7 +9,6 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use quincevalve_forwarding::quota::QuotaRequest;
-use rand::RngExt;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -20,6 +19,7 @@
 use crate::{
     clock,
     node::{InFlight, Node, Phase},
+    peers::quota::{self, Charge, QuotaRejection},
     request::{
         body::AnswerBody,
         dispatch::dispatch,
@@ -179,7 +179,7 @@
             retry_after: Some(OTHER_VM_RETRY_AFTER),
         });
     }
-    let cost = charge_quota(node, &identified).inspect_err(|refused| {
+    let charge = charge_quota(node, &identified).await.inspect_err(|refused| {
         node.metrics.count_request(&identified.route.name, refused.refusal.name());
     })?;
     let identified = Rc::new(identified);
@@ -193,9 +193,9 @@
     }
     if let Err(refused) = &answer
         && refused.refusal.outcome() == quincevalve_names::Outcome::NotRun
-        && let Some(account) = &identified.account
+        && let (Some(account), Some(charge)) = (&identified.account, charge)
     {
-        node.quota.borrow_mut().refund(account, cost, clock::now());
+        quota::refund(node, account, charge);
     }
     answer
 }
@@ -233,23 +233,21 @@
     }
 }
 
-/// Charges the request's cost to its account's quota and returns the cost.
-fn charge_quota(node: &Node, req: &IdentifiedRequest) -> Result<f64, Refused> {
-    let Some(account) = &req.account else { return Ok(0.0) };
+/// Charges the request's cost to its account's quota; returns `None` if the account has no quota.
+async fn charge_quota(node: &Node, req: &IdentifiedRequest) -> Result<Option<Charge>, Refused> {
+    let Some(account) = &req.account else { return Ok(None) };
     let quota = req.config.accounts.get(account).and_then(|it| it.quota);
-    let Some(quota) = quota else { return Ok(0.0) };
+    let Some(quota) = quota else { return Ok(None) };
     let cost = quincevalve_forwarding::quota::cost(&quota, req.token_counts());
-    let draw = node.rng.borrow_mut().random::<f64>();
-    let quota_request = QuotaRequest { cost, urgency: req.urgency };
-    let spent =
-        node.quota.borrow_mut().try_spend(account, &quota, quota_request, draw, clock::now());
-    spent.map(|()| cost).map_err(|over| {
+    let request = QuotaRequest { cost, urgency: req.urgency };
+    let charge = quota::charge(node, account, &quota, request).await;
+    charge.map(Some).map_err(|QuotaRejection { over, owner }| {
         if node.may_log_refusal() {
             let reachable_fraction = node.peers.borrow().reachable_fraction();
             log::info!(
                 id = req.id, account = account.as_str(), cost, level = over.level,
                 others = over.peer_spending, per_second = quota.per_second, burst = quota.burst,
-                part = reachable_fraction, version = req.config.version;
+                part = reachable_fraction, version = req.config.version, owner = owner.as_str();
                 "over-quota"
             );
         }
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -135,6 +135,7 @@
     let (closing_tx, closing) = watch::channel(false);
     let Listeners { front, ready, metrics, peers: socket } = listeners;
     let socket = Rc::new(socket);
+    node.quota_owners.set_socket(socket.clone());
     log::info!(
         vm = node.settings.name.as_str(), data_centre = node.settings.data_centre.as_str(),
         incarnation = node.incarnation; "started"
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -64,6 +64,11 @@
 
 /// Creates the state of a VM without configuration, servers or peers.
 pub(crate) fn node(name: &str) -> Node {
+    node_with_quotas(name, QuotaLimits::default(), 0)
+}
+
+/// Creates the state of such a VM that counts quotas within `quotas` and receives datagrams at `peer_port`.
+pub(crate) fn node_with_quotas(name: &str, quotas: QuotaLimits, peer_port: u16) -> Node {
     let settings = NodeSettings {
         name: name.into(),
         data_centre: "a".into(),
@@ -72,7 +77,7 @@
         link: 125_000_000,
         front: any_address(),
         ready: any_address(),
-        peer_port: 0,
+        peer_port,
         metrics: any_address(),
         is_first_start: false,
         bounds: Bounds {
@@ -83,7 +88,7 @@
         },
         exposure: SharedLimit { ratio: 0.1, slack: 50.0 },
         retries: RetryLimits { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
-        quotas: QuotaLimits::default(),
+        quotas,
         duties: Duties {
             usage: false,
             scaling: false,
