quincevalve-explain: names the quota owner that refused a request

Cause: the trace of a 429 didn't say which VM decided.

Change: the conclusion names the owner of the over-quota line, and the newest quota-owner line of the same account stands among what the VM knew.

--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -9,7 +9,7 @@
     ["server-exited", "quarantined", "trial-begun", "quarantine-lifted"];
 
 /// Events of a VM's process that can explain the outcome of a request.
-const CONTEXT_EVENTS: [&str; 18] = [
+const CONTEXT_EVENTS: [&str; 19] = [
     "started",
     "draining",
     "stopped",
@@ -28,6 +28,7 @@
     "rollout-phase",
     "rollout-halted",
     "lines-left-out",
+    "quota-owner",
 ];
 
 /// Returns a request's lines from all VMs, followed by what its last VM knew when the request ended.
@@ -44,7 +45,8 @@
     }
     let servers: Vec<String> = own.iter().map(|it| it.field("server")).collect();
     let _ = writeln!(text, "what {} knew", last.vm);
-    for line in known_before(lines, &last.vm, &last.timestamp, &servers) {
+    let account = quota_refusal(&own).map(|it| it.field("account"));
+    for line in known_before(lines, &last.vm, &last.timestamp, &servers, account.as_deref()) {
         let _ = writeln!(text, "  {} {} {}", line.timestamp, line.message, line.fields());
     }
     let same_digest = same_digest_events(lines, &own, id);
@@ -84,17 +86,26 @@
     !age.is_empty() && !age.starts_with('-')
 }
 
-/// Returns the newest line of each context event up to `until`; events of servers only for those in `servers`.
+/// Returns the line about a refusal by the account's quota.
+fn quota_refusal<'a>(own: &[&'a LogLine]) -> Option<&'a LogLine> {
+    own.iter().rev().find(|it| it.message == "over-quota").copied()
+}
+
+/// Returns the newest line of each context event up to `until`; events of servers only for those in `servers`, events of
+/// quota owners only for `account`.
 fn known_before<'a>(
     lines: &'a LogLines,
     vm: &str,
     until: &str,
     servers: &[String],
+    account: Option<&str>,
 ) -> Vec<&'a LogLine> {
     let mut newest: Vec<&LogLine> = Vec::new();
     let is_about = |it: &LogLine| {
         let server = it.field("server");
-        server.is_empty() || servers.contains(&server)
+        let is_of_account = it.message != "quota-owner"
+            || account.is_some_and(|account| it.field("account") == account);
+        is_of_account && (server.is_empty() || servers.contains(&server))
     };
     let context = lines.lines.iter().filter(|it| {
         it.vm == vm
@@ -115,11 +126,11 @@
     let find = |message: &str| own.iter().rev().find(|it| it.message == message);
     if let Some(line) = find("refused") {
         let ran = if line.field("outcome") == "NotRun" { "has not run" } else { "may have run" };
-        return format!(
-            "refused, {}: {}; it {ran}",
-            line.field("cause"),
-            hint(&line.field("cause"))
-        );
+        let cause = line.field("cause");
+        let owner = quota_refusal(own).map(|it| it.field("owner"));
+        let by = owner.filter(|it| cause == "over-quota" && !it.is_empty());
+        let by = by.map_or_else(String::new, |it| format!(", as {it} decided for all VMs"));
+        return format!("refused, {cause}: {}{by}; it {ran}", hint(&cause));
     }
     if let Some(line) = find("stream-ended") {
         return match line.field("how").as_str() {
--- a/crates/quincevalve_explain/tests/traces.rs
+++ b/crates/quincevalve_explain/tests/traces.rs
@@ -1,4 +1,5 @@
-//! Compares the traces of failed requests with fixtures. The log lines were written by the real program.
+//! Compares the traces of failed requests with fixtures. The log lines were written by the real program; those of
+//! quota owners in `over-quota-by-owner` were added by hand.
 //!
 //! The first line of a `.log` fixture is the request's id; the others are log lines of one VM. The `.txt` fixture
 //! beside it holds the expected trace. `UPDATE_FIXTURES=1 cargo test -p quincevalve_explain` rewrites the expected
