Tests: a contended level after lost contact and after a freeze

Cause: with either of the two rules taken out (a VM that loses contact keeps its share of the level; a frozen VM refills for at most 500 ms), all tests passed.

Change: one test for each.

Result: each fails when its rule is taken out, and passes with it.

--- a/crates/quincevalve_forwarding/tests/quota_owner.rs
+++ b/crates/quincevalve_forwarding/tests/quota_owner.rs
@@ -186,12 +186,16 @@
     while table.try_spend_as_owner(&desk(), limit, request(100.0, 1), 0.5, LATER).is_ok() {}
 }
 
-/// Returns the level of a drained bucket, at which the least urgent requests are refused.
-fn level(table: &mut QuotaTable, limit: &Quota) -> f64 {
-    let refused = table.try_spend_as_owner(&desk(), limit, request(1e9, 200), 0.5, LATER);
+/// Returns the level of a drained bucket at `now`, at which the least urgent requests are refused.
+fn level_at(table: &mut QuotaTable, limit: &Quota, now: TimePoint) -> f64 {
+    let refused = table.try_spend_as_owner(&desk(), limit, request(1e9, 200), 0.5, now);
     refused.expect_err("the bucket is drained").level
 }
 
+fn level(table: &mut QuotaTable, limit: &Quota) -> f64 {
+    level_at(table, limit, LATER)
+}
+
 // Guards against charging an ask twice that arrives twice, and against refunding it twice.
 #[test]
 fn duplicated_asks_and_refunds_count_once() {
@@ -317,6 +321,40 @@
     assert!(!table.is_contended(&desk(), &limit, LATER + Duration::from_secs(6)));
 }
 
+/// Returns the table of a contended account whose level is low, with `peer_spending` reported at `LATER`.
+fn contended(peer_spending: f64) -> (QuotaTable, Quota) {
+    let limit = quota(1_000.0, 1_000.0);
+    let mut table = quotas();
+    let spending = [(desk(), peer_spending)].into_iter().collect();
+    table.set_peer_spending(&spending, 1.0, &config(1, Vec::new()), LATER);
+    drain(&mut table, &limit);
+    assert!(table.is_contended(&desk(), &limit, LATER));
+    (table, limit)
+}
+
+// Guards against granting the level twice, on both sides of a partition: an isolated VM would also get back what it
+// subtracted for the spending of the others, who go on spending.
+#[test]
+fn a_vm_that_loses_contact_keeps_its_share_of_a_contended_level() {
+    let (mut table, limit) = contended(900.0);
+    let before = level_at(&mut table, &limit, LATER);
+    assert!(before > 0.0, "{before}");
+    table.set_peer_spending(&Spending::new(), 0.25, &config(1, Vec::new()), LATER);
+    let after = level_at(&mut table, &limit, LATER);
+    // A quarter of what was subtracted in advance is returned, and a quarter of the sum is kept.
+    assert!(after <= 0.25 * (before + 0.25 * 0.45 * 900.0) + 1.0, "{before} {after}");
+}
+
+// Guards against a frozen VM that finds the bucket full when it continues, since it received no reports meanwhile.
+#[test]
+fn a_contended_account_refills_only_for_the_time_in_which_reports_arrive() {
+    let (mut table, limit) = contended(0.0);
+    let before = level_at(&mut table, &limit, LATER);
+    let after = level_at(&mut table, &limit, LATER + Duration::from_millis(1_900));
+    // The rate and the spread burst of half a second.
+    assert!(after <= before + 0.5 * 1_062.5 + 1.0, "{before} {after}");
+}
+
 // Guards against asking an owner where quotas count requests or have no window.
 #[test]
 fn only_quotas_in_tokens_with_a_window_are_coordinated() {
