--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -13,7 +13,8 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{
-        Account, CallerLimits, Engine, ForwardingConfig, RetrySafety, Route, Service, Target,
+        Account, CallerLimits, Engine, ForwardingConfig, Quota, QuotaUnit, RetrySafety, Route,
+        Service, Target,
     },
     peer_table::VmDescriptor,
     quota::QuotaLimits,
@@ -519,6 +520,12 @@
 
 fn config() -> ForwardingConfig {
     let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
+    let quota = Quota {
+        per_second: 2_000.0,
+        burst: 4_000.0,
+        unit: QuotaUnit::Tokens { default_tokens: 200 },
+    };
+    let limited = Account { keys: vec!["key-limited".into()], urgency: None, quota: Some(quota) };
     let engine = Engine { slots: 64, kv_tokens: 100_000, supports_migration: true };
     let service = Service { engine: Some(engine), ..Service::default() };
     let limits = CallerLimits {
@@ -538,7 +545,7 @@
         1,
         routes,
         IndexMap::from([("engines".into(), service)]),
-        IndexMap::from([("desk".into(), account)]),
+        IndexMap::from([("desk".into(), account), ("limited".into(), limited)]),
         limits,
     )
 }
