Quota owner: ignore asks with an impossible cost

Cause: an owner charged the cost of an ask as received. A cost that is not a number made the bucket's level NaN, after which every request of the account was admitted; an infinite one locked the account out. A finite negative one added units without limit of the sender's making.

Change: an ask whose cost is negative, not a number or above that of the largest request is answered Undecided and changes nothing.

Result: an_ask_with_an_impossible_cost_changes_nothing failed before (NaN was granted) and passes.

--- a/crates/quincevalve_forwarding/src/quota/owner.rs
+++ b/crates/quincevalve_forwarding/src/quota/owner.rs
@@ -16,6 +16,9 @@
 /// Time after its last ask at which a VM's asks are forgotten: longer than any request waits before it is refused.
 const SENDER_TTL: Duration = Duration::from_secs(30);
 
+/// Greatest cost that an ask may state: that of a request with the greatest counts of prompt and output tokens.
+const MAX_COST: f64 = 2.0 * 4_294_967_295.0;
+
 #[derive(Clone, Copy, Debug)]
 struct RememberedAsk {
     seq: u64,
@@ -85,6 +88,10 @@
         let Some(quota) = quota.filter(|it| table.is_coordinated(it) && table.can_own(now)) else {
             return Verdict::Undecided;
         };
+        // A level that isn't a number would admit everything from then on.
+        if !(0.0..=MAX_COST).contains(&ask.request.cost) {
+            return Verdict::Undecided;
+        }
         if !self.senders.contains_key(ask.sender) {
             self.senders.retain(|_, it| now.since(it.asked_at) <= SENDER_TTL);
             let sender = Sender { asked_at: now, asks: VecDeque::new() };
--- a/crates/quincevalve_forwarding/tests/quota_owner.rs
+++ b/crates/quincevalve_forwarding/tests/quota_owner.rs
@@ -253,6 +253,24 @@
     assert_eq!(decide(&mut table, 6, Some(&limit), 2_620), Verdict::Granted);
 }
 
+// Guards against a datagram that makes the bucket's level or the rates meaningless: the account would be unlimited or
+// locked out for good, and the time to retry of a later refusal could not be computed.
+#[test]
+fn an_ask_with_an_impossible_cost_changes_nothing() {
+    let (limit, account) = (quota(1_000.0, 1_000.0), desk());
+    for cost in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e6, f64::MAX] {
+        let (mut table, mut owner) = (quotas(), QuotaOwner::default());
+        drain(&mut table, &limit);
+        let before = level(&mut table, &limit);
+        for (seq, urgency) in [(1, 0), (2, 2), (3, 2)] {
+            let ask = ask(seq, &account, cost, urgency);
+            let verdict = owner.decide(ask, Some(&limit), &mut table, 0.5, LATER);
+            assert_eq!(verdict, Verdict::Undecided, "{cost}");
+        }
+        assert!((level(&mut table, &limit) - before).abs() < 1e-6, "{cost}");
+    }
+}
+
 /// Returns the lowest level at which an owner admitted a request of this size and urgency.
 fn lowest_admitted(cost: f64, urgency: u8) -> f64 {
     let limit = quota(100_000.0, 100_000.0);
