Quota asker: only verdicts on own asks make a VM silent

Cause: any verdict, also one that this VM never asked for, set or ended the silence of its sender. A stray Undecided kept an owner from being asked, and each sender's name was kept for good, as were the names of owners that are gone.

Change: a verdict counts if its ask is pending or was abandoned at that owner. A silence is forgotten 10 s after its end.

Result: an_unasked_verdict_makes_no_vm_silent and a_silence_is_forgotten_some_time_after_its_end failed before and pass.

--- a/crates/quincevalve_forwarding/src/quota/asker.rs
+++ b/crates/quincevalve_forwarding/src/quota/asker.rs
@@ -18,6 +18,8 @@
 /// Maximum of that time. It doubles with each ask in a row without an answer, so that a VM that is gone for good delays
 /// few requests.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
+/// Time after its end for which a silence is remembered: several times the longest, and VMs that are gone are forgotten.
+const SILENCE_TTL: Duration = Duration::from_secs(10);
 /// Time for which a late grant of an abandoned ask is refunded: longer than a frozen VM is given before its entry
 /// expires.
 const ABANDONED_TTL: Duration = Duration::from_secs(20);
@@ -189,19 +191,24 @@
         verdict: Verdict,
         now: TimePoint,
     ) -> VerdictAction {
+        let is_pending = self.pending.get(&seq).is_some_and(|it| it.owner == from);
+        let is_late = |it: &(TimePoint, u64, PendingAsk)| it.1 == seq && it.2.owner == from;
+        let late = self.abandoned.iter().position(is_late);
+        // A verdict that this VM didn't ask for says nothing about its sender.
+        if !is_pending && late.is_none() {
+            return VerdictAction::Ignore;
+        }
         match verdict {
             Verdict::Undecided => self.mark_silent(from, OwnerChangeCause::Undecided, now),
             Verdict::Granted | Verdict::Refused(_) => {
                 self.silent.remove(from);
             }
         }
-        if self.pending.get(&seq).is_some_and(|it| it.owner == from) {
+        if is_pending {
             self.pending.remove(&seq);
             return VerdictAction::Decide(verdict);
         }
-        let late = self.abandoned.iter().position(|(_, it, ask)| *it == seq && ask.owner == from);
-        let late = late.and_then(|at| self.abandoned.remove(at));
-        match late {
+        match late.and_then(|at| self.abandoned.remove(at)) {
             Some((_, _, ask)) if verdict == Verdict::Granted => {
                 VerdictAction::Refund(ask.refund(seq))
             }
@@ -242,6 +249,7 @@
         if self.is_silent(name, now) {
             return;
         }
+        self.silent.retain(|_, it| now.since(it.until) <= SILENCE_TTL);
         let duration = match self.silent.get(name) {
             Some(before) if before.cause == cause && cause == OwnerChangeCause::Silent => {
                 (before.duration * 2).min(MAX_SILENCE)
--- a/crates/quincevalve_forwarding/tests/quota_owner.rs
+++ b/crates/quincevalve_forwarding/tests/quota_owner.rs
@@ -170,6 +170,29 @@
     assert_eq!(choose(&mut asker, ms(2)), (owner("vm-3"), Some(OwnerChangeCause::Undecided)));
 }
 
+// Guards against a verdict that nobody asked for, which would keep its sender from being asked.
+#[test]
+fn an_unasked_verdict_makes_no_vm_silent() {
+    let mut asker = QuotaAsker::default();
+    let action = asker.receive_verdict("vm-2", 7, Verdict::Undecided, ms(0));
+    assert_eq!(action, VerdictAction::Ignore);
+    assert_eq!(choose(&mut asker, ms(1)).0, owner("vm-2"));
+}
+
+// Guards against remembering every VM that was ever silent: names of VMs that are gone would accumulate.
+#[test]
+fn a_silence_is_forgotten_some_time_after_its_end() {
+    let mut asker = QuotaAsker::default();
+    let mut time_out = |at| {
+        let (seq, _) = asker.ask("vm-2", &desk(), request(200.0, 0));
+        asker.time_out(seq, ms(at));
+        asker.choose(&desk(), OWNERS, "vm-1", true, ms(at + 501)).decider
+    };
+    assert_eq!(time_out(0), owner("vm-2"));
+    assert_eq!(time_out(600), owner("vm-3"));
+    assert_eq!(time_out(20_000), owner("vm-2"));
+}
+
 /// Returns the table of a VM that has run for ten seconds.
 fn quotas() -> QuotaTable {
     QuotaTable::new(LIMITS, ms(0))
