Quota owner: asks add no clock to the wall-clock estimate

Cause: the clock in the head of each datagram is kept by sender, and each datagram sent sorts all kept clocks.

Change: datagrams about quotas do not record their sender's clock.

Result: an_ask_adds_no_clock failed before and passes.

--- a/crates/quincevalve_node/src/peers/quota/tests.rs
+++ b/crates/quincevalve_node/src/peers/quota/tests.rs
@@ -188,6 +188,18 @@
     });
 }
 
+// Guards against an owner that sorts the clocks of all VMs that ask, with each datagram it sends.
+#[test]
+fn an_ask_adds_no_clock() {
+    run(async {
+        let pair = Pair::new().await;
+        pair.start_owner();
+        pair.charge().await.expect("the bucket is half full");
+        pair.deliver().await;
+        assert_eq!(pair.owner.wall_clock.borrow().estimate_ms(clock::now()), None);
+    });
+}
+
 // Guards against datagrams for accounts that are well within their quota.
 #[test]
 fn an_account_that_is_not_contended_is_decided_without_datagrams() {
--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -60,6 +60,10 @@
         revision: datagram.revision,
     };
     peers.last_datagrams.insert(name.clone(), last);
+    // A quota owner receives these from all VMs, and each datagram it sends sorts the clocks that it knows.
+    if matches!(datagram.content, Content::Quota(_)) {
+        return;
+    }
     node.wall_clock.borrow_mut().record(name.clone(), datagram.wall_ms, now);
 }
 
