Quota owner: no decisions before the first report is applied

Cause: reports are applied only with a configuration. A VM that received its first configuration more than 2 s after its start counted as an owner before it had applied any report, for up to 240 ms, with all of the quota and none of the others' spending, also in a partition.

Change: a VM that has applied no report answers Undecided. The tests and the example of the owner, whose table had applied none, now apply one.

Result: a_vm_that_never_applied_a_report_does_not_decide failed before and passes.

--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -390,9 +390,9 @@
     }
 
     /// Returns whether this VM knows enough of the other VMs' spending to decide for them. A VM that has just started,
-    /// or was frozen, has received no reports yet.
+    /// was frozen, or has just received its first configuration, has received no reports yet.
     pub fn can_own(&self, now: TimePoint) -> bool {
-        let is_current = self.applied_at.is_none_or(|it| now.since(it) <= MAX_REPORT_GAP);
+        let is_current = self.applied_at.is_some_and(|it| now.since(it) <= MAX_REPORT_GAP);
         let has_resumed = self.resumed_at.is_none_or(|it| now.since(it) >= RESUME_DELAY);
         let has_started = self.has_peer_contact || now.since(self.started_at) >= OWNER_START_DELAY;
         is_current && has_resumed && has_started
--- a/crates/quincevalve_forwarding/src/quota/owner.rs
+++ b/crates/quincevalve_forwarding/src/quota/owner.rs
@@ -53,13 +53,23 @@
 /// ```
 /// use std::time::Duration;
 /// use quincevalve_forwarding::{
-///     config::{Quota, QuotaUnit},
+///     config::{CallerLimits, ForwardingConfig, Quota, QuotaUnit},
 ///     quota::{QuotaLimits, QuotaRequest, QuotaTable, messages::Verdict, owner::{Ask, QuotaOwner}},
+///     sums::Spending,
 /// };
 /// use quincevalve_names::TimePoint;
 /// let now = TimePoint::from_millis(5_000);
 /// let limits = QuotaLimits { window: Duration::from_secs(8), ..QuotaLimits::default() };
 /// let mut table = QuotaTable::new(limits, TimePoint::ZERO);
+/// # let callers = CallerLimits {
+/// #     head_bytes: 16 << 10,
+/// #     body_bytes: 4 << 20,
+/// #     head_timeout: Duration::from_secs(3),
+/// #     idle_timeout: Duration::from_secs(15),
+/// # };
+/// # let config =
+/// #     ForwardingConfig::new(1, Vec::new(), Default::default(), Default::default(), callers);
+/// table.set_peer_spending(&Spending::new(), 1.0, &config, now);
 /// let unit = QuotaUnit::Tokens { default_tokens: 200 };
 /// let quota = Quota { per_second: 1_000.0, burst: 1_000.0, unit };
 /// let mut owner = QuotaOwner::default();
--- a/crates/quincevalve_forwarding/tests/quota_owner.rs
+++ b/crates/quincevalve_forwarding/tests/quota_owner.rs
@@ -198,6 +198,13 @@
     QuotaTable::new(LIMITS, ms(0))
 }
 
+/// Returns such a table in contact with all VMs, which spend nothing.
+fn owner_quotas() -> QuotaTable {
+    let mut table = quotas();
+    table.set_peer_spending(&Spending::new(), 1.0, &config(1, Vec::new()), LATER);
+    table
+}
+
 const LATER: TimePoint = TimePoint(10_000_000);
 
 fn ask(seq: u64, account: &ClientAccountName, cost: f64, urgency: u8) -> Ask<'_> {
@@ -223,7 +230,7 @@
 #[test]
 fn duplicated_asks_and_refunds_count_once() {
     let (limit, account) = (quota(1_000.0, 1_000.0), desk());
-    let (mut table, mut owner) = (quotas(), QuotaOwner::default());
+    let (mut table, mut owner) = (owner_quotas(), QuotaOwner::default());
     drain(&mut table, &limit);
     let mut decide = |table: &mut QuotaTable, seq| {
         owner.decide(ask(seq, &account, 300.0, 0), Some(&limit), table, 0.5, LATER)
@@ -246,7 +253,7 @@
 #[test]
 fn a_refused_ask_is_not_refunded() {
     let (limit, account) = (quota(1_000.0, 1_000.0), desk());
-    let (mut table, mut owner) = (quotas(), QuotaOwner::default());
+    let (mut table, mut owner) = (owner_quotas(), QuotaOwner::default());
     let verdicts: Vec<_> = (0..10)
         .map(|seq| owner.decide(ask(seq, &account, 400.0, 2), Some(&limit), &mut table, 0.5, LATER))
         .collect();
@@ -282,7 +289,7 @@
 fn an_ask_with_an_impossible_cost_changes_nothing() {
     let (limit, account) = (quota(1_000.0, 1_000.0), desk());
     for cost in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1e6, f64::MAX] {
-        let (mut table, mut owner) = (quotas(), QuotaOwner::default());
+        let (mut table, mut owner) = (owner_quotas(), QuotaOwner::default());
         drain(&mut table, &limit);
         let before = level(&mut table, &limit);
         for (seq, urgency) in [(1, 0), (2, 2), (3, 2)] {
@@ -294,6 +301,19 @@
     }
 }
 
+// Guards against a VM that receives its first configuration late and decides for all before it has applied a report:
+// it would grant the whole quota on both sides of a partition.
+#[test]
+fn a_vm_that_never_applied_a_report_does_not_decide() {
+    let (limit, account) = (quota(1_000.0, 1_000.0), desk());
+    let (mut table, mut owner) = (QuotaTable::new(LIMITS, ms(0)), QuotaOwner::default());
+    let verdict = owner.decide(ask(1, &account, 10.0, 0), Some(&limit), &mut table, 0.5, LATER);
+    assert_eq!(verdict, Verdict::Undecided);
+    table.set_peer_spending(&Spending::new(), 0.25, &config(1, Vec::new()), LATER);
+    let verdict = owner.decide(ask(2, &account, 10.0, 0), Some(&limit), &mut table, 0.5, LATER);
+    assert_eq!(verdict, Verdict::Granted);
+}
+
 /// Returns the lowest level at which an owner admitted a request of this size and urgency.
 fn lowest_admitted(cost: f64, urgency: u8) -> f64 {
     let limit = quota(100_000.0, 100_000.0);
