--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -54,6 +54,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DecisionLabels {
+    by: &'static str,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -73,6 +78,7 @@
     copies: Family<AttemptLabels, Counter>,
     waiting: Family<ServiceLabels, Gauge>,
     wait: Family<ServiceLabels, Histogram>,
+    quota_decisions: Family<DecisionLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -130,6 +136,12 @@
             "Time that requests waited until they were placed or refused",
             wait.clone(),
         );
+        let quota_decisions = Family::default();
+        registry.register(
+            "quota_decisions",
+            "Decisions on requests by their accounts' quotas",
+            quota_decisions.clone(),
+        );
         Self {
             registry,
             requests,
@@ -148,6 +160,7 @@
             copies,
             waiting,
             wait,
+            quota_decisions,
         }
     }
 }
@@ -200,6 +213,11 @@
         self.suppressed_lines.inc_by(lines);
     }
 
+    /// Counts a decision on a request by its account's quota.
+    pub(crate) fn count_quota_decision(&self, by: &'static str) {
+        self.quota_decisions.get_or_create(&DecisionLabels { by }).inc();
+    }
+
     /// Updates the gauges and encodes all metrics.
     fn encode_text(&self, node: &Node) -> String {
         let now = clock::now();
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -38,7 +38,7 @@
 use crate::{
     clock,
     metrics::Metrics,
-    peers::Peers,
+    peers::{Peers, quota::QuotaOwners},
     ports::HeaderNames,
     quarantine::QuarantineStore,
     request::{
@@ -121,6 +121,8 @@
     pub(crate) changed: Notify,
     /// Requests that wait for a server.
     pub(crate) waiting: WaitingRequests,
+    /// Asks to quota owners, and this VM's decisions as an owner.
+    pub(crate) quota_owners: QuotaOwners,
 }
 
 impl Node {
@@ -165,6 +167,7 @@
             engine_risks: RefCell::default(),
             changed: Notify::new(),
             waiting: WaitingRequests::default(),
+            quota_owners: QuotaOwners::default(),
             settings,
             headers,
         }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -13,8 +13,8 @@
 use indexmap::IndexMap;
 use quincevalve_forwarding::{
     config::{
-        Account, CallerLimits, CopyingEngine, Engine, ForwardingConfig, RetrySafety, Route,
-        RunCopySettings, Service, Target,
+        Account, CallerLimits, CopyingEngine, Engine, ForwardingConfig, Quota, QuotaUnit,
+        RetrySafety, Route, RunCopySettings, Service, Target,
     },
     peer_table::VmDescriptor,
     quota::QuotaLimits,
@@ -646,6 +646,12 @@
 
 fn config_with(routes: Vec<Route>, slots: u32) -> ForwardingConfig {
     let account = Account { keys: vec!["key-1".into()], urgency: None, quota: None };
+    let quota = Quota {
+        per_second: 2_000.0,
+        burst: 4_000.0,
+        unit: QuotaUnit::Tokens { default_tokens: 200 },
+    };
+    let limited = Account { keys: vec!["key-limited".into()], urgency: None, quota: Some(quota) };
     let engine = Engine { slots, kv_tokens: 100_000, supports_migration: true };
     let service = Service { engine: Some(engine), ..Service::default() };
     let limits = CallerLimits {
@@ -658,7 +664,7 @@
         1,
         routes,
         IndexMap::from([("engines".into(), service)]),
-        IndexMap::from([("desk".into(), account)]),
+        IndexMap::from([("desk".into(), account), ("limited".into(), limited)]),
         limits,
     )
 }
