Quotas: a caller that leaves before its request was sent gets its quota back

Cause: the charge was refunded only when the request was answered. A request may wait for a server for seconds now; where its caller disconnected meanwhile, its account paid for a request that never ran, and its next requests were refused with 429.

Change: a guard holds the charge until the answer; dropped before the request was sent to a server, it refunds, here or at the quota owner.

--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -85,6 +85,7 @@
         return Err(AttemptError::NotRun);
     };
     let service = req.service.as_str();
+    req.was_sent.set(true);
     let sent = connection.sender.try_send_request(outgoing);
     let response = match timeout_at(req.deadline, sent).await {
         Err(_) => {
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -9,6 +9,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use quincevalve_forwarding::quota::QuotaRequest;
+use quincevalve_names::Outcome;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -181,6 +182,7 @@
         node.metrics.count_request(&identified.route.name, refused.refusal.name());
     })?;
     let identified = Rc::new(identified);
+    let charge = ChargeGuard { node: node.clone(), req: identified.clone(), charge };
     let answer = dispatch(node, identified.clone()).await;
     match &answer {
         Ok(answer) => record_answer(node, &identified, answer.status()),
@@ -189,15 +191,44 @@
             node.metrics.count_request(&identified.route.name, refused.refusal.name());
         }
     }
-    if let Err(refused) = &answer
-        && refused.refusal.outcome() == quincevalve_names::Outcome::NotRun
-        && let (Some(account), Some(charge)) = (&identified.account, charge)
-    {
-        quota::refund(node, account, charge);
-    }
+    let has_not_run = answer.as_ref().is_err_and(|it| it.refusal.outcome() == Outcome::NotRun);
+    charge.settle(has_not_run);
     answer
 }
 
+/// The charge of a request to its account's quota. If its caller disconnects before the request was sent to a server, the
+/// charge is refunded: a request may wait for seconds, and an account would pay for requests that never run.
+struct ChargeGuard {
+    node: Rc<Node>,
+    req: Rc<IdentifiedRequest>,
+    charge: Option<Charge>,
+}
+
+impl ChargeGuard {
+    /// Keeps the charge, or refunds it if the request has not run.
+    fn settle(mut self, has_not_run: bool) {
+        let charge = self.charge.take();
+        if has_not_run {
+            self.refund(charge);
+        }
+    }
+
+    fn refund(&self, charge: Option<Charge>) {
+        if let (Some(account), Some(charge)) = (&self.req.account, charge) {
+            quota::refund(&self.node, account, charge);
+        }
+    }
+}
+
+impl Drop for ChargeGuard {
+    fn drop(&mut self) {
+        let charge = self.charge.take();
+        if !self.req.was_sent.get() {
+            self.refund(charge);
+        }
+    }
+}
+
 /// Returns when a caller should retry that is refused because this VM's configuration is stale. If few peers are
 /// reachable, this VM alone is isolated and other VMs can serve the request; otherwise the store is unreachable for
 /// all.
--- a/crates/quincevalve_node/src/request/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -1,6 +1,11 @@
 //! Identifies a request from its head: its route, account, service and prompt.
 
-use std::{cell::OnceCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
@@ -43,6 +48,8 @@
     /// The end of the caller's wait or of the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
     pub(crate) trace: Trace,
+    /// Whether the request was sent to a server, so that it may have run.
+    pub(crate) was_sent: Cell<bool>,
 }
 
 impl IdentifiedRequest {
@@ -103,6 +110,7 @@
         service,
         account,
         trace: Trace::default(),
+        was_sent: Cell::new(false),
     })
 }
 
--- a/crates/quincevalve_node/tests/waiting_queue.rs
+++ b/crates/quincevalve_node/tests/waiting_queue.rs
@@ -115,6 +115,28 @@
     });
 }
 
+// Guards against an account that pays for requests that never ran: their callers disconnected while they waited.
+#[test]
+fn a_caller_that_disconnects_while_it_waits_gets_its_quota_back() {
+    run(async {
+        let (mut world, release) = start(1).await;
+        take_slot(&mut world, "id-1").await;
+        let limited = |id, tokens| {
+            request("/urgent/", id, tokens).replace("x-key: key-1", "x-key: key-limited")
+        };
+        let mut caller = TcpStream::connect(world.front).await.unwrap();
+        // Five times the account's burst.
+        let text = limited("id-2", "x-tokens: 20000,10\r\n");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        wait_for_waiting(&world, 1).await;
+        drop(caller);
+        wait_for_waiting(&world, 0).await;
+        release.notify_one();
+        let answer = support::exchange(world.front, &limited("id-3", TOKENS)).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+}
+
 // Guards against a wait beyond the caller's deadline, which would end with an answer that says "may have run".
 #[test]
 fn refuses_before_the_deadline_of_the_caller() {
