--- a/crates/quincevalve_forwarding/tests/quota_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/quota_world/main.rs
@@ -245,6 +245,18 @@
     }
 }
 
+// Guards against exceeding the quota when a data centre is isolated while a surge is still decided by digests alone.
+#[test]
+fn data_centre_isolated_as_a_surge_begins() {
+    for seed in 1..=6 {
+        let faults = vec![(6_200, Fault::Isolate(1)), (14_000, Fault::Heal)];
+        let scenario = Scenario { load: 8.0, faults, seed, ..Scenario::default() };
+        let used = scenario.max_of_bound(&simulate(scenario.clone()));
+        println!("seed {seed}: {used:.3} of the bound");
+        assert!(used <= 1.0, "seed {seed}: {used:.3} of the bound");
+    }
+}
+
 // Guards against granting the quota twice when VMs know different candidates.
 #[test]
 fn owners_of_different_tables_count_each_others_grants() {
