--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -348,12 +348,7 @@
     ) -> Result<(), OverQuota> {
         let reachable_fraction = self.reachable_fraction;
         let quota = &BucketParameters::new(quota, &self.limits);
-        let since = self.started_at;
-        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
-        bucket.apply_quota_change(quota);
-        // The burst is divided like the rate: if each side of a partition granted the whole burst, an account that
-        // exceeds its quota many times over would get most of it there.
-        bucket.refill(quota, reachable_fraction, now);
+        let bucket = self.refilled_bucket(account, quota, now);
         let level = bucket.level;
         let (bottom, top) = request.ramp_bounds(quota);
         if level <= (bottom + draw * (top - bottom)) * reachable_fraction {
@@ -366,6 +361,23 @@
         Ok(())
     }
 
+    /// Returns an account's bucket with its level at `now`.
+    ///
+    /// The burst is divided like the rate: if each side of a partition granted the whole burst, an account that exceeds
+    /// its quota many times over would get most of it there.
+    fn refilled_bucket(
+        &mut self,
+        account: &ClientAccountName,
+        quota: &BucketParameters,
+        now: TimePoint,
+    ) -> &mut Bucket {
+        let since = self.started_at;
+        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
+        bucket.apply_quota_change(quota);
+        bucket.refill(quota, self.reachable_fraction, now);
+        bucket
+    }
+
     /// Returns whether the quota can be decided by one VM for all: quotas in tokens that are counted over a window.
     pub fn is_coordinated(&self, quota: &Quota) -> bool {
         matches!(quota.unit, QuotaUnit::Tokens { .. }) && !self.limits.window.is_zero()
@@ -413,10 +425,7 @@
     ) -> Result<(), OverQuota> {
         let reachable_fraction = self.reachable_fraction;
         let quota = &BucketParameters::new(quota, &self.limits);
-        let since = self.started_at;
-        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket::new(quota, since));
-        bucket.apply_quota_change(quota);
-        bucket.refill(quota, reachable_fraction, now);
+        let bucket = self.refilled_bucket(account, quota, now);
         // The other VMs ask instead of spending, so what they report is spending that decays. Its remainder is less
         // than what was subtracted in advance for unreported spending.
         let unspent =
--- /dev/null
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -0,0 +1,502 @@
+//! Continues a stream whose server stops, fails or falls silent: by migration, from a copy, or from the beginning.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use quincevalve_forwarding::{config::RetrySafety, placement::Placement};
+use quincevalve_names::BackendServerName;
+use quincevalve_recovery::{
+    ContinueFrom, HAND_OVER_LIMIT, HandOverAnswer, Obstacle, RecoveryAction, RecoveryConditions,
+    RecoveryEvent,
+};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout, timeout_at},
+};
+
+use super::{Relay, Source, StreamEnd};
+use crate::{
+    node::remaining,
+    ports::{MigrationAnswer, MigrationError},
+    quarantine,
+    request::{
+        copies::{CopyObstacle, RunCopy, StreamAtEngine, record_interruption},
+        exchange::{exchange, update_server},
+        exit_check::record_if_exited,
+        server_selection::{WorkGuard, find_server_now, unlisted_ms},
+        trace::log_request,
+    },
+};
+
+/// Receives the answer to an order to migrate a run.
+type MigrationReceiver = oneshot::Receiver<Result<MigrationAnswer, MigrationError>>;
+
+/// The order to a server to stop a run and copy its memory to another server.
+pub(super) struct HandOverOrder {
+    from: Placement,
+    to: Placement,
+    answer: MigrationReceiver,
+}
+
+impl HandOverOrder {
+    /// Returns whether this orders the server of a placement to stop the run.
+    fn is_to_stop_at(&self, place: &Placement) -> bool {
+        self.from.server == place.server && self.from.start == place.start
+    }
+}
+
+/// Time in which the last events of a run that has just ended still arrive.
+const LAST_EVENTS_LIMIT: Duration = Duration::from_millis(100);
+/// Maximum time until a server answers a request that continues from a run's memory. Callers abandon a stream that is
+/// silent for two seconds.
+const CONTINUATION_LIMIT: Duration = Duration::from_secs(1);
+
+impl Relay {
+    /// Migrates the run to another engine and continues the stream there. Returns `None` if the stream has ended.
+    ///
+    /// Engines are reclaimed with two seconds' notice, and most long answers take longer. Without migration the streams
+    /// of a whole data centre would be truncated, and all processed prompts and generated tokens would be lost. The
+    /// engine stops the run and copies its memory, and the same request continues from the copy as the same run.
+    pub(super) async fn migrate(
+        &mut self,
+        mut source: Source,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let to = find_server_now(&self.node, &self.req, servers);
+        let migration = to.as_ref().and_then(|to| self.order_migration(&source.place, to));
+        // Tokens that the engine generates until it stops the run still arrive on the old stream.
+        let end = self.forward_events(&mut source, false, None).await;
+        let has_ended =
+            matches!(end, StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut);
+        if has_ended {
+            return self.finish_without_migration(end, source, servers).await;
+        }
+        let migrated = match migration {
+            Some(migration) => migration.await.ok(),
+            None => None,
+        };
+        let place = source.place.clone();
+        drop(source);
+        if let (Some(Ok(MigrationAnswer::Migrated(migrated))), Some(to)) = (migrated, to) {
+            servers.push(to.server.clone());
+            let ticket = Some(migrated.ticket);
+            if let Some(next) = self.resume_at(to, ContinueFrom::Migrated, ticket).await {
+                self.record_new_source();
+                return Some(next);
+            }
+        }
+        if self.continues_runs() {
+            return self.continue_run(place, None, None, RecoveryEvent::Broke, servers).await;
+        }
+        if let Some(next) = self.resume(servers).await {
+            return Some(next);
+        }
+        self.record_end("broke-off", servers);
+        self.abort().await;
+        None
+    }
+
+    /// Orders the server at `from` to stop the run and to copy its memory to `to`.
+    fn order_migration(&self, from: &Placement, to: &Placement) -> Option<MigrationReceiver> {
+        let (from, to) = {
+            let table = self.node.servers.borrow();
+            let address = |it: &Placement| {
+                let server = table.get(&it.server).filter(|server| server.entry.start == it.start);
+                server.map(|server| server.entry.address)
+            };
+            (address(from)?, address(to)?)
+        };
+        self.node.migrations.migrate(from, to, &self.req.id)
+    }
+
+    /// Returns whether a broken stream can continue from the run's memory, because the service's engines copy runs.
+    pub(super) fn continues_runs(&self) -> bool {
+        self.req.config.run_copies.engines.contains_key(&self.req.service)
+    }
+
+    /// Continues a stream that broke off or stalled. Returns `None` if the stream has ended.
+    ///
+    /// The decisions are made by [`RunRecovery`].
+    pub(super) async fn recover(
+        &mut self,
+        source: Source,
+        event: RecoveryEvent,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let place = source.place.clone();
+        let mut open = Some(source);
+        if event == RecoveryEvent::Broke {
+            record_if_exited(&self.node, &self.req, &place);
+            self.leave(&place, &mut open);
+        }
+        let earlier = self.unanswered_order.as_ref().filter(|it| it.is_to_stop_at(&place));
+        let to = earlier.map(|it| it.to.clone()).or_else(|| {
+            let copy_place = self.copy.as_ref().and_then(|it| it.placement(&self.node, &place));
+            copy_place.or_else(|| find_server_now(&self.node, &self.req, servers))
+        });
+        self.continue_run(place, open, to, event, servers).await
+    }
+
+    /// Continues the run of a stream from `place`, which may still be open, and to which `to` is the destination of a
+    /// hand-over. Returns `None` if the stream has ended.
+    async fn continue_run(
+        &mut self,
+        place: Placement,
+        mut open: Option<Source>,
+        to: Option<Placement>,
+        mut event: RecoveryEvent,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let mut ticket = None;
+        loop {
+            if self.tx.is_closed() {
+                self.record_end("caller-left", servers);
+                return None;
+            }
+            let conditions = self.recovery_conditions(&place, to.is_some(), servers);
+            event = match self.recovery.handle(event, &conditions) {
+                RecoveryAction::AskSource => {
+                    let answer;
+                    (answer, ticket) = self.ask_source(&place, to.as_ref()).await;
+                    // An engine that doesn't answer has crashed or is cut off, gets no more requests, and says nothing
+                    // about the others. One that answers is in service and will interrupt further streams.
+                    if answer != HandOverAnswer::NoAnswer {
+                        record_interruption(&self.node, &self.req, &place);
+                    }
+                    if answer == HandOverAnswer::NoRun
+                        && let Some(mut source) = open.take()
+                    {
+                        let end = self.forward_last_events(&mut source).await;
+                        let has_ended = matches!(
+                            end,
+                            StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut
+                        );
+                        if has_ended {
+                            return self.finish_without_migration(end, source, servers).await;
+                        }
+                        self.leave(&place, &mut Some(source));
+                    }
+                    RecoveryEvent::HandOver(answer)
+                }
+                RecoveryAction::Continue(from) => {
+                    self.leave(&place, &mut open);
+                    let next =
+                        self.continue_from(from, &place, to.as_ref(), ticket.as_ref(), servers);
+                    if let Some(next) = next.await {
+                        self.recovery.record_continuation();
+                        self.record_new_source();
+                        return Some(next);
+                    }
+                    RecoveryEvent::Failed
+                }
+                RecoveryAction::KeepReading if open.is_some() => {
+                    // A limit passes, and the stream may stall again.
+                    self.discard_copy_if(&place, |it| it != CopyObstacle::Limited);
+                    self.ignores_stall = true;
+                    return open;
+                }
+                RecoveryAction::KeepReading | RecoveryAction::Abort => {
+                    self.discard_copy_if(&place, |_| true);
+                    self.record_end("broke-off", servers);
+                    self.abort().await;
+                    return None;
+                }
+            };
+        }
+    }
+
+    /// Closes the connection to a server whose stream failed. The server then drops the run.
+    fn leave(&self, place: &Placement, source: &mut Option<Source>) {
+        if source.take().is_some() {
+            update_server(&self.node, place, |it, _| it.load.record_failure());
+        }
+    }
+
+    /// Prepares to read the stream from another server, or on another connection.
+    fn record_new_source(&mut self) {
+        // The run that the copy follows has ended.
+        self.copy = None;
+        self.unanswered_order = None;
+        self.ignores_stall = false;
+        self.reading_since = Instant::now();
+    }
+
+    /// Returns why the run can't continue from its copy at present, or `None` if it can.
+    fn copy_obstacle(&self, copy: &RunCopy, source: &Placement) -> Option<CopyObstacle> {
+        let engine = self.req.config.run_copies.engines.get(&self.req.service);
+        if engine.is_none_or(|it| self.reading_since.elapsed() >= it.copy_ttl) {
+            return Some(CopyObstacle::Expired);
+        }
+        if copy.placement(&self.node, source).is_none() {
+            return Some(CopyObstacle::TargetGone);
+        }
+        copy.is_restrained(&self.node).then_some(CopyObstacle::Limited)
+    }
+
+    /// Discards a copy that can't be used for one of these reasons.
+    fn discard_copy_if(&mut self, source: &Placement, is_reason: impl Fn(CopyObstacle) -> bool) {
+        let obstacle = self.copy.as_ref().and_then(|it| self.copy_obstacle(it, source));
+        let Some(obstacle) = obstacle.filter(|it| is_reason(*it)) else { return };
+        if let Some(copy) = self.copy.take() {
+            copy.record_lost(&self.node, &self.req, obstacle.as_str());
+        }
+    }
+
+    fn recovery_conditions(
+        &self,
+        source: &Placement,
+        has_destination: bool,
+        servers: &[BackendServerName],
+    ) -> RecoveryConditions {
+        RecoveryConditions {
+            can_ask_source: has_destination && self.supports_migration(),
+            copy_held: self
+                .copy
+                .as_ref()
+                .is_some_and(|it| self.copy_obstacle(it, source).is_none()),
+            may_restart: self.may_restart(servers),
+            obstacle: self.obstacle(),
+            time_left: remaining(self.req.deadline),
+        }
+    }
+
+    fn obstacle(&self) -> Option<Obstacle> {
+        if quarantine::is_quarantined(&self.node, &self.req) {
+            return Some(Obstacle::Quarantined);
+        }
+        if self.has_begun && self.last_event_id.is_none() {
+            return Some(Obstacle::UnknownPosition);
+        }
+        (!self.node.has_retry_left(&self.req.service)).then_some(Obstacle::NoRetryLeft)
+    }
+
+    /// Orders the source to stop the run and copy its memory to `to`, and returns its answer with the header value from
+    /// which the run continues. Waits for the answer to an earlier order instead if that may still stop the run.
+    ///
+    /// The stream is not read meanwhile: the continuation sends all events after the last one that the caller got.
+    async fn ask_source(
+        &mut self,
+        from: &Placement,
+        to: Option<&Placement>,
+    ) -> (HandOverAnswer, Option<HeaderValue>) {
+        let until = Instant::now() + HAND_OVER_LIMIT;
+        let earlier = self.unanswered_order.take().filter(|it| it.is_to_stop_at(from));
+        if let Some(order) = earlier {
+            let (answer, ticket) = self.wait_for_hand_over(order, until).await;
+            if ticket.is_some() || self.unanswered_order.is_some() {
+                return (answer, ticket);
+            }
+        }
+        let order = to.and_then(|to| {
+            let answer = self.order_migration(from, to)?;
+            Some(HandOverOrder { from: from.clone(), to: to.clone(), answer })
+        });
+        match order {
+            Some(order) => self.wait_for_hand_over(order, until).await,
+            None => (HandOverAnswer::NoAnswer, None),
+        }
+    }
+
+    /// Waits for the answer to an order, and keeps the order if there is none in time.
+    ///
+    /// The source may execute it later. That answer is used if the stream is still read from the source then, and
+    /// dropped otherwise; the engine frees the memory after the handle's time to live.
+    async fn wait_for_hand_over(
+        &mut self,
+        mut order: HandOverOrder,
+        until: Instant,
+    ) -> (HandOverAnswer, Option<HeaderValue>) {
+        match timeout_at(until, &mut order.answer).await {
+            Ok(Ok(Ok(answer))) => match answer {
+                MigrationAnswer::Migrated(it) => (HandOverAnswer::Migrated, Some(it.ticket)),
+                MigrationAnswer::Stopped(it) => (HandOverAnswer::Stopped, Some(it.ticket)),
+                MigrationAnswer::NoRun => (HandOverAnswer::NoRun, None),
+                MigrationAnswer::NoRoom | MigrationAnswer::InProgress => {
+                    (HandOverAnswer::Declined, None)
+                }
+            },
+            Ok(Ok(Err(error))) => {
+                log_request!(
+                    self.node, self.req, server = order.from.server.as_str(), error = error;
+                    "hand-over-failed"
+                );
+                (HandOverAnswer::NoAnswer, None)
+            }
+            Ok(Err(_)) => (HandOverAnswer::NoAnswer, None),
+            Err(_) => {
+                self.unanswered_order = Some(order);
+                (HandOverAnswer::NoAnswer, None)
+            }
+        }
+    }
+
+    /// Forwards what is still in transit of a run that its server no longer has: it may have ended meanwhile.
+    async fn forward_last_events(&mut self, source: &mut Source) -> StreamEnd {
+        self.reading_since = Instant::now();
+        self.forward_events(source, false, Some(LAST_EVENTS_LIMIT)).await
+    }
+
+    /// Sends the request to a server where the stream may continue.
+    async fn continue_from(
+        &mut self,
+        from: ContinueFrom,
+        source: &Placement,
+        to: Option<&Placement>,
+        ticket: Option<&HeaderValue>,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let (place, ticket) = match from {
+            ContinueFrom::Copy => return self.continue_from_copy(source, servers).await,
+            ContinueFrom::Start => {
+                self.discard_copy_if(source, |_| true);
+                return self.resume(servers).await;
+            }
+            ContinueFrom::Migrated => {
+                let place = to?.clone();
+                let copy = self.copy.as_ref().filter(|it| it.is_at(&place));
+                if copy.is_some_and(|it| !it.spend_allowance(&self.node)) {
+                    return None;
+                }
+                self.add_same_run_server(&place, servers);
+                (place, ticket)
+            }
+            ContinueFrom::Stopped => (source.clone(), ticket),
+        };
+        let next = self.resume_at(place, from, ticket.cloned());
+        timeout(CONTINUATION_LIMIT, next).await.ok()?
+    }
+
+    /// Continues at the engine that holds the copy of the run. The copy is used at most once.
+    async fn continue_from_copy(
+        &mut self,
+        source: &Placement,
+        servers: &mut Vec<BackendServerName>,
+    ) -> Option<Source> {
+        let copy = self.copy.take()?;
+        let place = match self.copy_obstacle(&copy, source) {
+            None => copy.placement(&self.node, source)?,
+            Some(obstacle) => {
+                copy.record_lost(&self.node, &self.req, obstacle.as_str());
+                return None;
+            }
+        };
+        if !copy.spend_allowance(&self.node) {
+            copy.record_lost(&self.node, &self.req, CopyObstacle::Limited.as_str());
+            return None;
+        }
+        self.add_same_run_server(&place, servers);
+        let next = self.resume_at(place, ContinueFrom::Copy, Some(copy.ticket()));
+        let next = timeout(CONTINUATION_LIMIT, next).await;
+        match next {
+            Ok(Some(next)) => {
+                self.node.metrics.count_copy(self.req.service.as_str(), "used");
+                return Some(next);
+            }
+            Ok(None) => copy.record_lost(&self.node, &self.req, "refused"),
+            Err(_) => copy.record_lost(&self.node, &self.req, "unanswered"),
+        }
+        None
+    }
+
+    fn add_same_run_server(&mut self, place: &Placement, servers: &mut Vec<BackendServerName>) {
+        servers.push(place.server.clone());
+        self.same_run_servers += 1;
+    }
+
+    /// Finishes a stream that ended before its migration.
+    async fn finish_without_migration(
+        &mut self,
+        end: StreamEnd,
+        source: Source,
+        servers: &[BackendServerName],
+    ) -> Option<Source> {
+        match end {
+            StreamEnd::Completed => {
+                quarantine::record_completion(&self.node, &self.req);
+                self.record_end("whole", servers);
+                self.node.connections.release(&source.place, source.connection, &source.keep_alive);
+            }
+            StreamEnd::TimedOut => {
+                self.record_end("timed-out", servers);
+                self.abort().await;
+            }
+            _ => self.record_end("caller-left", servers),
+        }
+        None
+    }
+
+    /// Returns whether the request may run from the beginning at a further server.
+    fn may_restart(&self, servers: &[BackendServerName]) -> bool {
+        let runs = servers.len() as u32 - self.same_run_servers + self.runs_before;
+        self.req.retry_safety() == RetrySafety::ResumableStream && runs < self.req.route.max_servers
+    }
+
+    /// Resumes the stream at another server after the last event that the caller got. Tries servers until one succeeds.
+    pub(super) async fn resume(&mut self, servers: &mut Vec<BackendServerName>) -> Option<Source> {
+        if self.req.retry_safety() != RetrySafety::ResumableStream {
+            return None;
+        }
+        self.partial.clear();
+        while self.may_restart(servers) {
+            if Instant::now() >= self.req.deadline {
+                return None;
+            }
+            let place = find_server_now(&self.node, &self.req, servers)?;
+            servers.push(place.server.clone());
+            if let Some(source) = self.resume_at(place, ContinueFrom::Start, None).await {
+                return Some(source);
+            }
+        }
+        None
+    }
+
+    /// Sends the request to a server, to resume after the last event that the caller got: from the memory that `ticket`
+    /// locates, or from the beginning.
+    async fn resume_at(
+        &mut self,
+        place: Placement,
+        from: ContinueFrom,
+        ticket: Option<HeaderValue>,
+    ) -> Option<Source> {
+        if !self.node.try_spend_retry(&self.req.service) {
+            return None;
+        }
+        self.partial.clear();
+        let mut guard = WorkGuard::new(&self.node, &place);
+        let sent = Instant::now();
+        let names = &self.node.headers;
+        let last_event_id = self.last_event_id.clone().map(|it| (names.last_event_id.clone(), it));
+        let ticket = ticket.map(|it| (names.migrated_from.clone(), it));
+        let extra: Vec<_> = last_event_id.into_iter().chain(ticket).collect();
+        log_request!(
+            self.node, self.req,
+            server = place.server.as_str(), moved = from != ContinueFrom::Start,
+            unlisted_ms = unlisted_ms(&place), from = from_text(from);
+            "stream-resumed"
+        );
+        let answer = exchange(&self.node, &self.req, &place, &extra).await.ok()?;
+        if !answer.sealed || !answer.response.status().is_success() {
+            return None;
+        }
+        guard.complete_prefill();
+        Some(Source {
+            _stream: StreamAtEngine::start(&self.node, &self.req, &place),
+            incoming: answer.response.into_body(),
+            connection: answer.connection,
+            keep_alive: answer.keep_alive,
+            place,
+            guard,
+            sent,
+        })
+    }
+}
+
+/// Returns how log lines name where a stream continues from.
+const fn from_text(from: ContinueFrom) -> &'static str {
+    match from {
+        ContinueFrom::Migrated => "moved",
+        ContinueFrom::Stopped => "stopped",
+        ContinueFrom::Copy => "copy",
+        ContinueFrom::Start => "start",
+    }
+}
