--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! Runs whole processes of the node on loopback, with scripted callers, scripted servers and a fake store.
 #![allow(dead_code, unreachable_pub, reason = "each test file uses only some of these helpers")]
 
+pub mod link;
+
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     future::Future,
     net::SocketAddr,
     rc::Rc,
@@ -119,6 +122,16 @@
     truncated: Cell<usize>,
     /// Snapshots that were read.
     snapshot_reads: Cell<usize>,
+    /// Addresses at which this VM reaches servers, by the servers' own addresses, where they differ.
+    links: RefCell<HashMap<SocketAddr, SocketAddr>>,
+}
+
+impl VmCalls {
+    /// Returns an entry with the address at which this VM reaches the server.
+    fn linked(&self, entry: ServerEntry) -> ServerEntry {
+        let address = self.links.borrow().get(&entry.address).copied().unwrap_or(entry.address);
+        ServerEntry { address, ..entry }
+    }
 }
 
 impl FakeStore {
@@ -148,6 +161,11 @@
         Self { shared: self.shared.clone(), vm: Rc::default() }
     }
 
+    /// Makes this handle's VM reach servers by these links, each with the server's own address.
+    pub fn set_links<'a>(&self, links: impl Iterator<Item = (SocketAddr, &'a link::Link)>) {
+        *self.vm.links.borrow_mut() = links.map(|(server, it)| (server, it.address)).collect();
+    }
+
     /// Rejects the calls of this handle's VM while `rejecting`.
     pub fn set_rejecting(&self, rejecting: bool) {
         self.vm.is_rejecting.set(rejecting);
@@ -287,7 +305,13 @@
                 .map(|(name, it)| (name.clone(), it.clone()))
                 .collect(),
             config: self.shared.config.borrow().clone(),
-            servers: self.shared.servers.borrow().clone(),
+            servers: self
+                .shared
+                .servers
+                .borrow()
+                .iter()
+                .map(|(name, it)| (name.clone(), self.vm.linked(it.clone())))
+                .collect(),
             system_items: self.shared.items.borrow().clone(),
             at: StoreRevision(100),
             newest: StoreRevision(100),
@@ -307,7 +331,12 @@
         let newer_changes = || {
             let changes = self.shared.changes.borrow();
             let newer = changes.iter().filter(|(at, _)| *at > after);
-            newer.map(|(at, change)| (*at, change.to_change(*at))).collect::<Vec<_>>()
+            let newer = newer.map(|(at, change)| (*at, change.to_change(*at)));
+            let linked = newer.map(|(at, change)| match change {
+                Change::Server(name, entry) => (at, Change::Server(name, self.vm.linked(entry))),
+                _ => (at, change),
+            });
+            linked.collect::<Vec<_>>()
         };
         if newer_changes().is_empty() {
             tokio::select! {
