Forwarding: requests go to a peer when this VM reaches no server

Cause: a VM sent a request to a server itself or refused it; there was no other way to a server.

A VM now records to which servers it can't connect, probes a few after two failures in a row, and counts as cut off from a service when none of its servers accepts a connection. Then, or after a request's attempts could not connect, it forwards the request to a peer on the internal port. The peer processes it as its own, but never forwards it again, refuses it at once if it is cut off too, and bounds what it takes. The account's quota is charged where the caller arrived; retry budget and demand are counted once, by a field of the header.

A VM without peers still tries further servers itself.

Log: servers-unreachable, servers-reachable, forwarded-to-peer, peer-refused, peer-lost, taken-from-peer. Metrics: unreachable_servers, forwardings, taken_requests.

--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -9,7 +9,7 @@
     ["server-exited", "quarantined", "trial-begun", "quarantine-lifted"];
 
 /// Events of a VM's process that can explain the outcome of a request.
-const CONTEXT_EVENTS: [&str; 19] = [
+const CONTEXT_EVENTS: [&str; 21] = [
     "started",
     "draining",
     "stopped",
@@ -22,6 +22,8 @@
     "config-applied",
     "server-listed",
     "server-removed",
+    "servers-unreachable",
+    "servers-reachable",
     "servers-ordered",
     "duty-taken",
     "duty-lost",
--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod freshness;
 pub mod line_budget;
 pub mod load;
+pub mod peer_forwarding;
 pub mod peer_table;
 pub mod placement;
 pub mod poison;
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -323,6 +323,12 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
+    /// Ends a pause: the server is reachable again.
+    pub fn resume(&mut self, now: TimePoint) {
+        self.consecutive_failures = 0;
+        self.paused_until = self.paused_until.min(now);
+    }
+
     /// Returns whether the server is paused.
     pub fn is_paused(&self, now: TimePoint) -> bool {
         now < self.paused_until
--- a/crates/quincevalve_forwarding/src/peer_table.rs
+++ b/crates/quincevalve_forwarding/src/peer_table.rs
@@ -216,6 +216,13 @@
         listed.chain([&self.me])
     }
 
+    /// Returns the other VMs that may take requests: those that are listed and not known to be silent.
+    pub fn responsive_peers(&self, now: TimePoint) -> impl Iterator<Item = &VmDescriptor> {
+        let responsive =
+            self.peers.values().filter(move |it| it.listed && !it.is_unresponsive(now));
+        responsive.map(|it| &it.descriptor)
+    }
+
     /// Returns this VM's rank among all listed VMs, in an order that depends on `key`.
     pub fn rank(&self, key: u64) -> VmRank {
         let me = rendezvous_score(key, self.me_hash);
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -12,6 +12,7 @@
     load::{PREFILL_PER_MS, STEP_MS_PER_REQUEST, Work, WorkSum, is_urgent},
     rollout::scope::VersionScope,
     servers::{Restraint, Server, ServerStart, ServerTable},
+    signal_outbox::ServerKey,
 };
 
 /// The prompt of a request to a model engine.
@@ -100,6 +101,13 @@
     pub unlisted_for: Option<Duration>,
 }
 
+impl Placement {
+    /// Returns the name and start of the server.
+    pub fn server_key(&self) -> ServerKey {
+        (self.server.clone(), self.start)
+    }
+}
+
 /// The reason why no server can take a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PlacementError {
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -1,5 +1,7 @@
 //! Known backend servers and their eligibility for new requests.
 
+pub mod reachability;
+
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
@@ -8,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use self::reachability::UnreachableServers;
 use crate::{
     allowance::Allowance,
     load::ServerLoad,
@@ -254,17 +257,10 @@
     rank: VmRank,
     /// Wall-clock time at the origin of this VM's clock, in Unix milliseconds.
     wall_clock_origin_ms: i64,
-    /// Servers to which connections failed recently, by data centre.
-    recently_unreachable: IndexMap<DataCentreName, Vec<(TimePoint, BackendServerName)>>,
+    /// Servers to which this VM can't connect.
+    unreachable: UnreachableServers,
 }
 
-/// Number of different unreachable servers of a data centre from which on the whole data centre counts as unreachable.
-const MIN_UNREACHABLE_SERVERS: usize = 2;
-/// Window in which these servers have to be found unreachable.
-const UNREACHABLE_WINDOW: Duration = Duration::from_millis(1_500);
-/// How long an unreachable data centre gets no requests before it is tried again.
-const CENTRE_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
-
 fn millis(at: TimePoint) -> i64 {
     (at.as_micros() / 1_000).cast_signed()
 }
@@ -424,36 +420,6 @@
         }
     }
 
-    /// Records that a connection to a server failed, and returns the servers that now count as unreachable: the server
-    /// alone, or all servers of its data centre.
-    ///
-    /// After two different servers, the whole data centre is paused. Otherwise, when a data centre is cut off, one
-    /// caller per server would wait for a connection in vain.
-    pub fn mark_unreachable(
-        &mut self,
-        name: &BackendServerName,
-        start: ServerStart,
-        now: TimePoint,
-    ) -> Vec<(BackendServerName, ServerStart)> {
-        let Some(server) = self.get_mut(name, start) else { return Vec::new() };
-        server.load.record_unreachable(now);
-        let centre = server.entry.data_centre.clone();
-        let recent = self.recently_unreachable.entry(centre.clone()).or_default();
-        recent.retain(|(at, it)| now.since(*at) <= UNREACHABLE_WINDOW && it != name);
-        recent.push((now, name.clone()));
-        if recent.len() < MIN_UNREACHABLE_SERVERS {
-            return vec![(name.clone(), start)];
-        }
-        let mut affected = Vec::new();
-        for (name, server) in &mut self.servers {
-            if server.entry.data_centre == centre {
-                server.load.pause(CENTRE_RETRY_INTERVAL, now);
-                affected.push((name.clone(), server.entry.start));
-            }
-        }
-        affected
-    }
-
     /// Starts an outage of the store, which has answered no VM since `since`. If the previous outage ended so recently
     /// that entries may still be missing, the outage continues it.
     pub fn begin_store_outage(&mut self, since: TimePoint) {
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and latency histograms, served in the `OpenMetrics` text format.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{convert::Infallible, fmt::Debug, hash::Hash, rc::Rc, time::Duration};
 
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::{server::conn::http1, service::service_fn};
@@ -13,7 +13,7 @@
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
-    registry::Registry,
+    registry::{Metric, Registry},
 };
 use tokio::{net::TcpListener, task::spawn_local, time::sleep};
 
@@ -70,80 +70,91 @@
     in_flight: Gauge,
     servers: Gauge,
     limited_servers: Gauge,
+    unreachable_servers: Gauge,
     vms: Gauge,
     config_version: Gauge,
     proof_age_ms: Gauge,
     quarantined: Gauge,
     suppressed_lines: Counter,
     copies: Family<AttemptLabels, Counter>,
+    forwardings: Family<AttemptLabels, Counter>,
+    taken_requests: Gauge,
     waiting: Family<ServiceLabels, Gauge>,
     wait: Family<ServiceLabels, Histogram>,
     quota_decisions: Family<DecisionLabels, Counter>,
 }
 
+/// Creates and registers a metric.
+fn register<M>(registry: &mut Registry, name: &str, help: &str) -> M
+where
+    M: Clone + Default + Metric,
+{
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// Creates and registers histograms of seconds by label.
+fn register_histogram<L>(registry: &mut Registry, name: &str, help: &str) -> Family<L, Histogram>
+where
+    L: Clone + Debug + EncodeLabelSet + Eq + Hash + Send + Sync + 'static,
+{
+    let family = Family::<L, Histogram>::new_with_constructor(|| {
+        Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
+    });
+    registry.register(name, help, family.clone());
+    family
+}
+
 impl Default for Metrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("quincevalve");
-        let requests = Family::default();
-        let [first_answer, between_events] = std::array::from_fn(|_| {
-            Family::<RouteLabels, Histogram>::new_with_constructor(|| {
-                Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
-            })
-        });
-        let attempts = Family::default();
-        let attempts_by_version = Family::default();
-        let [in_flight, servers, limited_servers, vms, config_version, proof_age_ms, quarantined] =
-            std::array::from_fn(|_| Gauge::default());
-        let suppressed_lines = Counter::default();
-        registry.register("requests", "Requests by route and outcome", requests.clone());
-        registry.register(
+        let mut all = Registry::with_prefix("quincevalve");
+        let requests = register(&mut all, "requests", "Requests by route and outcome");
+        let first_answer = register_histogram(
+            &mut all,
             "first_answer_seconds",
             "Time to the first byte of a server's answer",
-            first_answer.clone(),
         );
-        registry.register(
+        let between_events = register_histogram(
+            &mut all,
             "between_events_seconds",
             "Time between two events of a stream, as they go to the caller",
-            between_events.clone(),
         );
-        registry.register("sendings", "Sendings to servers by result", attempts.clone());
-        registry.register(
+        let attempts = register(&mut all, "sendings", "Sendings to servers by result");
+        let attempts_by_version = register(
+            &mut all,
             "sendings_by_version",
             "Sendings to servers by their software's version",
-            attempts_by_version.clone(),
         );
-        registry.register("in_flight", "Requests and streams at present", in_flight.clone());
-        registry.register("servers", "Servers that take new work", servers.clone());
-        registry.register(
-            "limited_servers",
-            "Servers that name a limit of requests",
-            limited_servers.clone(),
-        );
-        registry.register("vms", "Entry VMs that are known", vms.clone());
-        registry.register("config_version", "Configuration in force", config_version.clone());
-        registry.register("proof_age_ms", "Age of the newest proof", proof_age_ms.clone());
-        registry.register("quarantined", "Requests kept from servers", quarantined.clone());
-        registry.register("log_lines_left_out", "Log lines not written", suppressed_lines.clone());
-        let copies = Family::default();
-        registry.register("copies", "Copies of runs by result", copies.clone());
-        let waiting = Family::default();
-        let wait = Family::<ServiceLabels, Histogram>::new_with_constructor(|| {
-            Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
-        });
-        registry.register("waiting", "Requests that wait for a server", waiting.clone());
-        registry.register(
+        let in_flight = register(&mut all, "in_flight", "Requests and streams at present");
+        let servers = register(&mut all, "servers", "Servers that take new work");
+        let limited_servers =
+            register(&mut all, "limited_servers", "Servers that name a limit of requests");
+        let unreachable_servers =
+            register(&mut all, "unreachable_servers", "Servers to which this VM can't connect");
+        let vms = register(&mut all, "vms", "Entry VMs that are known");
+        let config_version = register(&mut all, "config_version", "Configuration in force");
+        let proof_age_ms = register(&mut all, "proof_age_ms", "Age of the newest proof");
+        let quarantined = register(&mut all, "quarantined", "Requests kept from servers");
+        let suppressed_lines = register(&mut all, "log_lines_left_out", "Log lines not written");
+        let copies = register(&mut all, "copies", "Copies of runs by result");
+        let forwardings =
+            register(&mut all, "forwardings", "Requests forwarded to other VMs by result");
+        let taken_requests =
+            register(&mut all, "taken_requests", "Requests of other VMs at present");
+        let waiting = register(&mut all, "waiting", "Requests that wait for a server");
+        let wait = register_histogram(
+            &mut all,
             "wait_seconds",
             "Time that requests waited until they were placed or refused",
-            wait.clone(),
         );
-        let quota_decisions = Family::default();
-        registry.register(
+        let quota_decisions = register(
+            &mut all,
             "quota_decisions",
             "Decisions on requests by their accounts' quotas",
-            quota_decisions.clone(),
         );
         Self {
-            registry,
+            registry: all,
             requests,
             first_answer,
             between_events,
@@ -152,12 +163,15 @@
             in_flight,
             servers,
             limited_servers,
+            unreachable_servers,
             vms,
             config_version,
             proof_age_ms,
             quarantined,
             suppressed_lines,
             copies,
+            forwardings,
+            taken_requests,
             waiting,
             wait,
             quota_decisions,
@@ -202,6 +216,12 @@
         self.copies.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was forwarded to another VM by its result.
+    pub(crate) fn count_forwarding(&self, service: &str, result: &str) {
+        let labels = AttemptLabels { service: service.to_owned(), result: result.to_owned() };
+        self.forwardings.get_or_create(&labels).inc();
+    }
+
     /// Records how long a request waited for a server.
     pub(crate) fn observe_wait(&self, service: &str, waited: Duration) {
         let labels = ServiceLabels { service: service.to_owned() };
@@ -228,6 +248,8 @@
         self.servers.set(gauge(usable));
         self.limited_servers
             .set(gauge(servers.all().filter(|(_, it)| it.limit().is_some()).count()));
+        self.unreachable_servers.set(gauge(servers.unreachable_count()));
+        self.taken_requests.set(gauge(node.peer_intake.count()));
         self.vms.set(gauge(node.vm_count()));
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -16,6 +16,7 @@
     freshness::{Freshness, FreshnessState},
     line_budget::LineBudget,
     load::{self, Work},
+    peer_forwarding::{PeerForwarding, PeerIntake},
     peer_table::VmDescriptor,
     placement::Placement,
     poison::PoisonGuard,
@@ -23,7 +24,7 @@
     retry_budget::RetryBudget,
     rollout::table::RolloutTable,
     servers::ServerTable,
-    signal_outbox::SignalOutbox,
+    signal_outbox::{ServerKey, SignalOutbox},
     store_contact::StoreContact,
     store_pacing::StoreReadRole,
     usage::Usage,
@@ -90,7 +91,13 @@
     pub(crate) demand: RefCell<IndexMap<ServiceName, WorkRate>>,
     /// Demand for services that are scaled by orders, as measured by this VM.
     pub(crate) measured_demand: RefCell<IndexMap<ServiceName, MeasuredDemand>>,
-    pub(crate) connections: ConnectionPool,
+    pub(crate) connections: ConnectionPool<ServerKey>,
+    /// Connections to other VMs, for requests that are forwarded to them.
+    pub(crate) peer_connections: ConnectionPool<SocketAddr>,
+    /// Picks the VMs that get requests whose servers this VM can't reach.
+    pub(crate) peer_forwarding: RefCell<PeerForwarding>,
+    /// Bounds the requests that this VM processes for others.
+    pub(crate) peer_intake: PeerIntake,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) migrations: MigrationClient,
@@ -149,6 +156,9 @@
             demand: RefCell::default(),
             measured_demand: RefCell::default(),
             connections: ConnectionPool::new(settings.ip),
+            peer_connections: ConnectionPool::new(settings.ip),
+            peer_forwarding: RefCell::default(),
+            peer_intake: PeerIntake::new(settings.cpu),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
             migrations,
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -62,6 +62,7 @@
             node.wall_clock.borrow_mut().forget(&expired);
         }
         node.connections.remove_expired();
+        node.peer_connections.remove_expired();
         if node.peers.borrow_mut().take_has_new_sums()
             || period.is_multiple_of(SUMS_REFRESH_PERIODS)
         {
--- a/crates/quincevalve_node/src/request/connection_pool.rs
+++ b/crates/quincevalve_node/src/request/connection_pool.rs
@@ -1,8 +1,9 @@
-//! Connections to backend servers.
+//! Connections to backend servers and to other entry VMs.
 
 use std::{
     cell::RefCell,
     collections::HashMap,
+    hash::Hash,
     io,
     net::{IpAddr, SocketAddr},
     time::Duration,
@@ -13,8 +14,6 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use quincevalve_forwarding::{placement::Placement, servers::ServerStart};
-use quincevalve_names::BackendServerName;
 use quincevalve_ports::reset_when_dropped;
 use snafu::{ResultExt, Snafu};
 use socket2::SockRef;
@@ -87,38 +86,41 @@
     expires_at: Instant,
 }
 
-/// Idle connections, by server and start of the server.
+/// Idle connections, by the process at the other end.
 ///
-/// A server that restarts during a network partition leaves connections that appear open. They are never used for
-/// the new start of the server.
+/// The key of a server includes its start: a server that restarts during a network partition leaves connections that
+/// appear open, and they are never used for its new start.
 #[derive(Debug)]
-pub(crate) struct ConnectionPool {
+pub(crate) struct ConnectionPool<K> {
     local: IpAddr,
-    idle: RefCell<HashMap<(BackendServerName, ServerStart), Vec<IdleConnection>>>,
+    idle: RefCell<HashMap<K, Vec<IdleConnection>>>,
 }
 
-impl ConnectionPool {
+impl<K> ConnectionPool<K>
+where
+    K: Eq + Hash,
+{
     pub(crate) fn new(local: IpAddr) -> Self {
         Self { local, idle: RefCell::default() }
     }
 
-    /// Returns the most recently used idle connection to the picked server, or opens a new one.
+    /// Returns the most recently used idle connection to `key`, or opens a new one.
     pub(crate) async fn acquire(
         &self,
-        place: &Placement,
+        key: &K,
         address: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(place) {
+        match self.take_idle(key) {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
     }
 
     /// Checks whether a server still listens on its port. An established connection is kept for the next request.
-    pub(crate) async fn probe(&self, place: &Placement, address: SocketAddr) -> ProbeResult {
+    pub(crate) async fn probe(&self, key: K, address: SocketAddr) -> ProbeResult {
         match self.connect(address).await {
             Ok(connection) => {
-                self.release(place, connection, &KeepAlive::For(MAX_IDLE_TIME));
+                self.release(key, connection, &KeepAlive::For(MAX_IDLE_TIME));
                 ProbeResult::Listening
             }
             Err(ConnectError::Refused { source, .. })
@@ -134,21 +136,16 @@
     }
 
     /// Returns a connection to the pool, for at most as long as the server's response allows.
-    pub(crate) fn release(
-        &self,
-        place: &Placement,
-        mut connection: Connection,
-        answer: &KeepAlive,
-    ) {
+    pub(crate) fn release(&self, key: K, mut connection: Connection, answer: &KeepAlive) {
         let KeepAlive::For(time) = answer else { return };
         connection.reused = true;
         let idle = IdleConnection { connection, expires_at: Instant::now() + *time };
-        self.idle.borrow_mut().entry(key(place)).or_default().push(idle);
+        self.idle.borrow_mut().entry(key).or_default().push(idle);
     }
 
     /// Drops all idle connections to a server.
-    pub(crate) fn drop_idle(&self, place: &Placement) {
-        self.idle.borrow_mut().remove(&key(place));
+    pub(crate) fn drop_idle(&self, key: &K) {
+        self.idle.borrow_mut().remove(key);
     }
 
     /// Drops all idle connections to unreachable servers.
@@ -157,7 +154,7 @@
     /// counts as sent: its caller gets an answer that it may have run, and it reaches the server once the partition
     /// heals, even though the server may have left meanwhile. A new connection can't be established, so that nothing is
     /// sent and another server is tried.
-    pub(crate) fn drop_all_idle(&self, unreachable: Vec<(BackendServerName, ServerStart)>) {
+    pub(crate) fn drop_all_idle(&self, unreachable: Vec<K>) {
         let mut idle = self.idle.borrow_mut();
         for server in unreachable {
             idle.remove(&server);
@@ -173,9 +170,9 @@
         });
     }
 
-    fn take_idle(&self, place: &Placement) -> Option<Connection> {
+    fn take_idle(&self, key: &K) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&key(place))?;
+        let connections = idle.get_mut(key)?;
         let now = Instant::now();
         while let Some(it) = connections.pop() {
             if it.expires_at > now && it.connection.sender.is_ready() {
@@ -203,10 +200,6 @@
     }
 }
 
-fn key(place: &Placement) -> (BackendServerName, ServerStart) {
-    (place.server.clone(), place.start)
-}
-
 async fn open_stream(local: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(local, 0))?;
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -13,13 +13,14 @@
     node::Node,
     quarantine,
     request::{
-        body::AnswerBody,
+        body::{AnswerBody, MAX_BUFFERED_ANSWER},
         copies::order_copy,
         exchange::{
             AttemptError, ServerAnswer, caller_response, exchange, record_first_answer,
             update_server,
         },
         exit_check::record_if_exited,
+        forward_to_peer::{Progress, forward_to_peer},
         identify::IdentifiedRequest,
         refusal::{Refusal, Refused, promises_not_run},
         relay,
@@ -30,21 +31,35 @@
 
 /// Maximum number of servers that may refuse a request before it is refused to its caller.
 const MAX_REFUSALS: usize = 3;
-/// Maximum size, in bytes, of an answer that is buffered until it is complete.
-const MAX_BUFFERED_ANSWER: usize = 4 << 20;
 
 /// Sends a request to servers until one answers or no further attempt is allowed.
+///
+/// If this VM can't connect to the request's servers, it forwards the request to a peer that can, unless the request
+/// comes from a peer itself.
 pub(crate) async fn dispatch(
     node: &Rc<Node>,
     req: Rc<IdentifiedRequest>,
 ) -> Result<Response<AnswerBody>, Refused> {
     let mut tried: Vec<BackendServerName> = Vec::new();
     let mut refusals = 0;
-    let mut runs = 0;
-    node.retries.borrow_mut().entry(req.service.clone()).or_default().record_request(clock::now());
+    let mut runs = req.forwarded.map_or(0, |it| it.runs);
+    let is_counted = req.forwarded.is_some_and(|it| it.is_counted);
+    if is_cut_off(node, &req) {
+        if req.forwarded.is_some() {
+            return Err(cut_off_refusal(runs));
+        }
+        let progress = Progress { runs, is_counted: false };
+        if let Some(answer) = forward_to_peer(node, &req, progress).await {
+            return answer;
+        }
+    }
+    if !is_counted {
+        let mut budgets = node.retries.borrow_mut();
+        budgets.entry(req.service.clone()).or_default().record_request(clock::now());
+    }
     loop {
         let found = find_server(node, &req, &tried).await;
-        if let Some(prompt) = req.prompt.filter(|_| tried.is_empty()) {
+        if let Some(prompt) = req.prompt.filter(|_| tried.is_empty() && !is_counted) {
             node.record_demand(&req.service, prompt.expected_work(), found.is_ok());
         }
         let FoundServer { place, mut guard, waited } = match found {
@@ -93,7 +108,7 @@
                 return Err(Refused { refusal, retry_after: Some(remaining) });
             }
             AttemptError::Quarantined { .. } => return Err(Refusal::ServerFailed.into()),
-            AttemptError::NotRun => refusals += 1,
+            AttemptError::NotRun | AttemptError::Unreachable => refusals += 1,
             AttemptError::MayHaveRun => {
                 // The request counts toward usage unless the server reported that it did not run it.
                 if runs == 0 {
@@ -102,7 +117,22 @@
                 runs += 1;
             }
         }
+        let is_unreachable = failure == AttemptError::Unreachable;
+        if is_unreachable && req.forwarded.is_some() {
+            return Err(cut_off_refusal(runs));
+        }
+        // Peers are asked before further servers only if this VM can't connect to any.
+        let asks_peers_first = is_unreachable && is_cut_off(node, &req);
+        if asks_peers_first && let Some(answer) = offer_to_peers(node, &req, runs).await {
+            return answer;
+        }
         if !may_retry(node, &req, failure, runs, refusals) {
+            if is_unreachable
+                && !asks_peers_first
+                && let Some(answer) = offer_to_peers(node, &req, runs).await
+            {
+                return answer;
+            }
             return Err(refusal_without_answer(runs));
         }
         log_request!(
@@ -112,6 +142,28 @@
     }
 }
 
+/// Returns whether this VM can connect to none of the request's servers.
+fn is_cut_off(node: &Node, req: &IdentifiedRequest) -> bool {
+    node.servers.borrow().is_cut_off_from(&req.service, clock::now())
+}
+
+/// Forwards a request to a peer after this VM could not connect to a server, if another server may run it.
+async fn offer_to_peers(
+    node: &Rc<Node>,
+    req: &Rc<IdentifiedRequest>,
+    runs: u32,
+) -> Option<Result<Response<AnswerBody>, Refused>> {
+    if runs >= req.route.max_servers {
+        return None;
+    }
+    forward_to_peer(node, req, Progress { runs, is_counted: true }).await
+}
+
+/// Returns the refusal for a peer's request whose servers this VM can't connect to either.
+fn cut_off_refusal(runs: u32) -> Refused {
+    if runs > 0 { Refusal::ServerFailed.into() } else { Refusal::CutOff.into() }
+}
+
 /// Returns the refusal for a request without an answer, of which `runs` attempts may have run.
 fn refusal_without_answer(runs: u32) -> Refused {
     if runs > 0 {
@@ -131,7 +183,8 @@
     runs: u32,
     refusals: usize,
 ) -> bool {
-    let is_safe = failure == AttemptError::NotRun || req.retry_safety() == RetrySafety::Idempotent;
+    let is_unsent = matches!(failure, AttemptError::NotRun | AttemptError::Unreachable);
+    let is_safe = is_unsent || req.retry_safety() == RetrySafety::Idempotent;
     let is_resumable = req.retry_safety() == RetrySafety::ResumableStream;
     (is_safe || is_resumable)
         && runs < req.route.max_servers
@@ -212,6 +265,6 @@
     if runs == 0 {
         node.record_usage_start(req.account.as_ref());
     }
-    node.connections.release(place, answer.connection, &answer.keep_alive);
+    node.connections.release(place.server_key(), answer.connection, &answer.keep_alive);
     Ok(caller_response(status, &head.headers, AnswerBody::whole(body)))
 }
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -45,6 +45,8 @@
 pub(crate) enum AttemptError {
     /// No byte of the request can have reached the server, or the server reported that it did not run the request.
     NotRun,
+    /// No connection to the server could be established.
+    Unreachable,
     /// The request may have run.
     MayHaveRun,
     /// The deadline passed after the request was sent.
@@ -65,7 +67,8 @@
         .map_err(|remaining| AttemptError::Quarantined { remaining })?;
     let address = node.servers.borrow().get(&place.server).map(|it| it.entry.address);
     let address = address.ok_or(AttemptError::NotRun)?;
-    let connection = node.connections.acquire(place, address);
+    let key = place.server_key();
+    let connection = node.connections.acquire(&key, address);
     let mut connection = match timeout_at(req.deadline, connection).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(error)) => {
@@ -73,10 +76,14 @@
             let mut servers = node.servers.borrow_mut();
             let unreachable = servers.mark_unreachable(&place.server, place.start, clock::now());
             node.connections.drop_all_idle(unreachable);
-            return Err(AttemptError::NotRun);
+            return Err(AttemptError::Unreachable);
         }
         Err(_) => return Err(AttemptError::NotRun),
     };
+    if !connection.reused {
+        let mut servers = node.servers.borrow_mut();
+        servers.record_connected(&place.server, place.start, clock::now());
+    }
     // The server may have started to leave or to rest while the connection was established.
     if !is_usable(node, place) {
         return Err(AttemptError::NotRun);
@@ -107,7 +114,7 @@
             }
             node.metrics.count_attempt(service, "lost");
             // The other idle connections to this server have probably failed too.
-            node.connections.drop_idle(place);
+            node.connections.drop_idle(&place.server_key());
             update_server(node, place, |it, now| it.load.record_unreachable(now));
             record_if_exited(node, req, place);
             return Err(AttemptError::MayHaveRun);
@@ -153,7 +160,7 @@
                 place.start,
                 LeaveReason::Replaced,
             );
-            node.connections.drop_idle(place);
+            node.connections.drop_idle(&place.server_key());
         } else {
             update_server(node, place, |it, now| it.load.pause(FULL_SERVER_PAUSE, now));
         }
--- a/crates/quincevalve_node/src/request/exit_check.rs
+++ b/crates/quincevalve_node/src/request/exit_check.rs
@@ -46,7 +46,7 @@
         }
         server.entry.address
     };
-    match node.connections.probe(place, address).await {
+    match node.connections.probe(place.server_key(), address).await {
         ProbeResult::Listening | ProbeResult::Unknown => false,
         ProbeResult::ConnectionRefused => true,
     }
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -31,9 +31,9 @@
 };
 
 /// Pause after a failed `accept`. It fails for lack of file descriptors, and connections close in that time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Idle timeout of callers' connections until a configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the configured idle timeout, so that a caller that sends a request just before the timeout doesn't find the
 /// connection closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
@@ -240,7 +240,8 @@
     if is_isolated { OTHER_VM_RETRY_AFTER } else { STALE_CONFIG_RETRY_AFTER }
 }
 
-async fn read_body(
+/// Reads a request's body of at most `limit` bytes.
+pub(crate) async fn read_body(
     req: Request<Incoming>,
     limit: usize,
     deadline: Instant,
--- a/crates/quincevalve_node/src/request/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
 use quincevalve_forwarding::{
     config::{ForwardingConfig, RetrySafety, Route},
+    peer_forwarding::TakenRequest,
     placement::Prompt,
     request_digest::RequestDigest,
 };
@@ -20,7 +21,7 @@
 use crate::{
     node::Node,
     ports::HeaderNames,
-    request::{refusal::Refusal, trace::Trace},
+    request::{forwarded::Forwarded, refusal::Refusal, trace::Trace},
 };
 
 /// Maximum size, in bytes, of a body that is hashed for every request. Hashing that much takes about 50 microseconds of
@@ -50,6 +51,10 @@
     pub(crate) trace: Trace,
     /// Whether the request was sent to a server, so that it may have run.
     pub(crate) was_sent: Cell<bool>,
+    /// What the peer states that forwarded the request; `None` if it came from its caller.
+    pub(crate) forwarded: Option<Forwarded>,
+    /// Counts the request as processed for a peer.
+    _taken: Option<TakenRequest>,
 }
 
 impl IdentifiedRequest {
@@ -80,13 +85,50 @@
     req: &Request<B>,
     arrived: Instant,
 ) -> Result<IdentifiedRequest, Refusal> {
-    let names = &node.headers;
+    let (config, route) = find_route(node, req)?;
+    let account = find_account(node, &config, &route, req.headers())?;
+    identify_of_account(node, req, arrived, config, route, account)
+}
+
+/// Identifies a request that a peer forwards, for the account that the peer has found.
+pub(crate) fn identify_forwarded<B>(
+    node: &Node,
+    req: &Request<B>,
+    arrived: Instant,
+    forwarded: Forwarded,
+    taken: TakenRequest,
+) -> Result<IdentifiedRequest, Refusal> {
+    let (config, route) = find_route(node, req)?;
+    let account = header_text(req.headers(), &node.headers.account).map(ClientAccountName::from);
+    // The account may have been removed by a newer configuration than the peer's.
+    if account.as_ref().is_some_and(|it| !config.accounts.contains_key(it)) {
+        return Err(Refusal::StaleConfig);
+    }
+    let identified = identify_of_account(node, req, arrived, config, route, account)?;
+    Ok(IdentifiedRequest { forwarded: Some(forwarded), _taken: Some(taken), ..identified })
+}
+
+fn find_route<B>(
+    node: &Node,
+    req: &Request<B>,
+) -> Result<(Rc<ForwardingConfig>, Arc<Route>), Refusal> {
     let config =
         node.config().filter(|_| node.was_confirmed_fresh()).ok_or(Refusal::StaleConfig)?;
     let host = header_text(req.headers(), &header::HOST).ok_or(Refusal::Malformed)?;
     let route = config.route(strip_port(host), req.uri().path());
     let route = route.ok_or_else(|| unknown_refusal(node, Refusal::NoRoute))?.clone();
-    let account = find_account(node, &config, &route, req.headers())?;
+    Ok((config, route))
+}
+
+fn identify_of_account<B>(
+    node: &Node,
+    req: &Request<B>,
+    arrived: Instant,
+    config: Rc<ForwardingConfig>,
+    route: Arc<Route>,
+    account: Option<ClientAccountName>,
+) -> Result<IdentifiedRequest, Refusal> {
+    let names = &node.headers;
     let id = header_text(req.headers(), &names.attempt_id).ok_or(Refusal::Malformed)?.to_owned();
     let target = route.target(hash_text(&id)).ok_or(Refusal::NoServer)?;
     let service = target.service.clone();
@@ -111,6 +153,8 @@
         account,
         trace: Trace::default(),
         was_sent: Cell::new(false),
+        forwarded: None,
+        _taken: None,
     })
 }
 
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -39,6 +39,10 @@
     Resting,
     /// Servers refused it, and it may not be retried.
     ServersRefused,
+    /// This VM can connect to no server of the service.
+    CutOff,
+    /// This VM processes its maximum of other VMs' requests.
+    PeerFull,
     /// It is quarantined because servers exit while processing it.
     Quarantined,
     /// Its deadline passed before it was sent.
@@ -50,6 +54,34 @@
 }
 
 impl Refusal {
+    /// All refusals.
+    pub(crate) const ALL: [Self; 19] = [
+        Self::Malformed,
+        Self::NoRoute,
+        Self::UnknownKey,
+        Self::TooLarge,
+        Self::OverQuota,
+        Self::StaleConfig,
+        Self::Stopping,
+        Self::NoServer,
+        Self::Busy,
+        Self::Displaced,
+        Self::Limited,
+        Self::Resting,
+        Self::ServersRefused,
+        Self::CutOff,
+        Self::PeerFull,
+        Self::Quarantined,
+        Self::LateNotRun,
+        Self::Late,
+        Self::ServerFailed,
+    ];
+
+    /// Returns the refusal with a name.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|it| it.name() == name)
+    }
+
     /// Returns the HTTP status. A status that [`promises_not_run`] is used only for [`Outcome::NotRun`].
     pub(crate) fn status(self) -> StatusCode {
         match self {
@@ -66,6 +98,8 @@
             | Self::Limited
             | Self::Resting
             | Self::ServersRefused
+            | Self::CutOff
+            | Self::PeerFull
             | Self::Quarantined
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -96,6 +130,8 @@
             Self::Limited => "limited",
             Self::Resting => "resting",
             Self::ServersRefused => "servers-refused",
+            Self::CutOff => "cut-off",
+            Self::PeerFull => "peer-full",
             Self::Quarantined => "quarantined",
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -22,7 +22,7 @@
     node::{InFlight, Node},
     quarantine,
     request::{
-        body::{AnswerAborted, AnswerBody},
+        body::{AnswerAborted, AnswerBody, MAX_BUFFERED_CHUNKS},
         connection_pool::{Connection, KeepAlive},
         copies::{RunCopy, StreamAtEngine},
         exchange::{ServerAnswer, caller_response, record_first_answer, update_server},
@@ -33,9 +33,6 @@
     },
 };
 
-/// Maximum number of chunks buffered for a slow caller before reading from the server pauses.
-const MAX_BUFFERED_CHUNKS: usize = 64;
-
 /// The server response that a stream is currently read from.
 struct Source {
     incoming: Incoming,
@@ -174,7 +171,7 @@
                         source.guard.record_pace(mean_gap.as_secs_f64() * 1_000.0);
                     }
                     self.node.connections.release(
-                        &source.place,
+                        source.place.server_key(),
                         source.connection,
                         &source.keep_alive,
                     );
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -414,7 +414,11 @@
             StreamEnd::Completed => {
                 quarantine::record_completion(&self.node, &self.req);
                 self.record_end("whole", servers);
-                self.node.connections.release(&source.place, source.connection, &source.keep_alive);
+                self.node.connections.release(
+                    source.place.server_key(),
+                    source.connection,
+                    &source.keep_alive,
+                );
             }
             StreamEnd::TimedOut => {
                 self.record_end("timed-out", servers);
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -17,7 +17,10 @@
     peers,
     ports::{CloudApi, EngineApi, HeaderNames, PlatformStore},
     quarantine::{QuarantineStore, run_quarantine_task},
-    request::{frontend, migration::MigrationClient, server_selection::place_waiting_requests},
+    request::{
+        frontend, migration::MigrationClient, reachability::watch_reachability,
+        serve_peers::serve_peers, server_selection::place_waiting_requests,
+    },
     settings::NodeSettings,
     store::sync::{follow_store, maintain_entry},
 };
@@ -30,6 +33,8 @@
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
 /// Time between the exit of the process and the SIGKILL that would follow.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Maximum number of ports that are tried for one that is free for datagrams and connections.
+const MAX_PORT_ATTEMPTS: usize = 8;
 /// Interval at which a draining process checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -61,18 +66,21 @@
     ready: TcpListener,
     metrics: TcpListener,
     peers: UdpSocket,
+    /// Receives requests that other VMs forward, at the same port as `peers`.
+    peer_requests: TcpListener,
 }
 
 impl Listeners {
     /// Binds the addresses of the settings; port 0 stands for any free port.
     pub async fn bind(settings: &NodeSettings) -> Result<Self, StartError> {
         let address = SocketAddr::new(settings.ip, settings.peer_port);
-        let peers = UdpSocket::bind(address).await;
+        let (peers, peer_requests) = bind_peers(address).await?;
         Ok(Self {
             front: listen("front", settings.front).await?,
             ready: listen("ready", settings.ready).await?,
             metrics: listen("metrics", settings.metrics).await?,
-            peers: peers.context(ListenSnafu { what: "peers", address })?,
+            peers,
+            peer_requests,
         })
     }
 
@@ -86,7 +94,7 @@
         self.ready.local_addr()
     }
 
-    /// Returns the address that receives datagrams from other entry VMs.
+    /// Returns the address that receives datagrams and forwarded requests from other entry VMs.
     pub fn peer_address(&self) -> io::Result<SocketAddr> {
         self.peers.local_addr()
     }
@@ -133,7 +141,7 @@
     let (quarantine, quarantine_commands) = QuarantineStore::new();
     let node = Rc::new(Node::new(settings, headers, MigrationClient::start(engines), quarantine));
     let (closing_tx, closing) = watch::channel(false);
-    let Listeners { front, ready, metrics, peers: socket } = listeners;
+    let Listeners { front, ready, metrics, peers: socket, peer_requests } = listeners;
     let socket = Rc::new(socket);
     node.quota_owners.set_socket(socket.clone());
     log::info!(
@@ -142,8 +150,10 @@
     );
     spawn_local(frontend::serve_ready(node.clone(), ready));
     spawn_local(crate::metrics::serve_metrics(node.clone(), metrics));
-    spawn_local(frontend::serve_callers(node.clone(), front, closing));
+    spawn_local(frontend::serve_callers(node.clone(), front, closing.clone()));
+    spawn_local(serve_peers(node.clone(), peer_requests, closing));
     spawn_local(place_waiting_requests(node.clone()));
+    spawn_local(watch_reachability(node.clone()));
     spawn_local(follow_store(node.clone(), store.clone(), socket.clone()));
     spawn_local(maintain_entry(node.clone(), store.clone()));
     spawn_local(run_quarantine_task(node.clone(), store.clone(), quarantine_commands));
@@ -181,6 +191,22 @@
     }
 }
 
+/// Binds the sockets for datagrams and for requests of other VMs at the same port; port 0 stands for any port that is
+/// free for both.
+async fn bind_peers(address: SocketAddr) -> Result<(UdpSocket, TcpListener), StartError> {
+    let what = "peers";
+    let mut attempts = if address.port() == 0 { MAX_PORT_ATTEMPTS } else { 1 };
+    loop {
+        attempts -= 1;
+        let socket = UdpSocket::bind(address).await.context(ListenSnafu { what, address })?;
+        let bound = socket.local_addr().context(ListenSnafu { what, address })?;
+        match listen(what, bound).await {
+            Err(_) if attempts > 0 => {}
+            listener => return Ok((socket, listener?)),
+        }
+    }
+}
+
 async fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.context(ListenSnafu { what, address })
 }
--- a/crates/quincevalve_node/tests/cut_off_from_servers.rs
+++ b/crates/quincevalve_node/tests/cut_off_from_servers.rs
@@ -11,11 +11,11 @@
 };
 use tokio::time::sleep;
 
-/// Time from the beginning of the partition from which on callers of the VM must be served.
-const MAX_DETECTION_TIME: Duration = Duration::from_secs(3);
-/// Time from the beginning of the partition for which callers send requests that may fail. Afterwards there are none
-/// until idle connections to servers have expired.
+/// Time from the beginning of the partition for which callers send requests that may fail.
 const EARLY_REQUESTS_TIME: Duration = Duration::from_millis(1_500);
+/// Time without requests after that, in which idle connections to servers expire. From then on, three seconds after
+/// the beginning, callers of the VM must be served.
+const QUIET_TIME: Duration = Duration::from_millis(1_500);
 /// Interval between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum time from the end of the partition until the VM sends requests to servers itself.
@@ -97,7 +97,7 @@
     world.set_links(state);
     let early = world.send_for(EARLY_REQUESTS_TIME, "early");
     let _ = tokio::time::timeout(EARLY_REQUESTS_TIME, early).await;
-    sleep(MAX_DETECTION_TIME - EARLY_REQUESTS_TIME).await;
+    sleep(QUIET_TIME).await;
     let answers = world.send_for(Duration::from_secs(2), "late").await;
     assert_all_served(&answers);
     let mut arrivals: HashMap<String, usize> = HashMap::new();
