--- a/crates/quincevalve_forwarding/src/peer_forwarding.rs
+++ b/crates/quincevalve_forwarding/src/peer_forwarding.rs
@@ -8,10 +8,13 @@
 
 use crate::peer_table::VmDescriptor;
 
-/// How long a peer that can't help is left out.
+/// How long a peer or a data centre that can't help is left out.
 const EXCLUSION_TIME: Duration = Duration::from_secs(2);
 /// How long a peer that has taken its maximum of other VMs' requests is left out.
 const FULL_EXCLUSION_TIME: Duration = Duration::from_millis(200);
+/// Number of peers of a data centre in a row that reach no server of a service either, from which on the data centre is
+/// left out.
+const MAX_FAILED_PEERS_OF_CENTRE: u32 = 3;
 /// Number of peers in a row that reach no server of a service either, from which on its servers count as down.
 const MAX_FAILED_PEERS: u32 = 8;
 /// How long nothing is forwarded to a service whose servers count as down.
@@ -37,6 +40,10 @@
 struct ServicePeers {
     /// Peers that are left out, by name, and until when.
     excluded: IndexMap<String, TimePoint>,
+    /// Peers in a row that reach no server either, by data centre.
+    failed_in_centre: IndexMap<DataCentreName, u32>,
+    /// Data centres that are left out, and until when.
+    excluded_centres: IndexMap<DataCentreName, TimePoint>,
     /// Peers in a row that reach no server either.
     failed_in_a_row: u32,
     /// Until when the service's servers count as down.
@@ -70,7 +77,7 @@
 /// let mut forwarding = PeerForwarding::default();
 /// let first = forwarding.pick(&service, &"north".into(), peers.iter(), &mut rng, now);
 /// assert_eq!(first.map(|it| it.name.as_str()), Some("vm-1"));
-/// forwarding.record_failure(&service, "vm-1", PeerFailure::CutOff, now);
+/// forwarding.record_failure(&service, &peers[0], PeerFailure::CutOff, now);
 /// let second = forwarding.pick(&service, &"north".into(), peers.iter(), &mut rng, now);
 /// assert_eq!(second.map(|it| it.name.as_str()), Some("vm-2"));
 /// ```
@@ -85,7 +92,7 @@
     /// Picks a peer for a request of a service, or none if no peer can help.
     ///
     /// Peers of this VM's own data centre come first while at least half of them can help. Otherwise the few that can
-    /// would get the work of all others, and any peer is picked. Of two random peers, the one with less of this VM's
+    /// would get the work of all others, and any peer is picked; those of data centres that are left out come last. Of two random peers, the one with less of this VM's
     /// work in relation to its CPU quota is picked.
     pub fn pick<'a, R>(
         &mut self,
@@ -103,19 +110,31 @@
             return None;
         }
         state.excluded.retain(|_, until| now < *until);
+        state.excluded_centres.retain(|_, until| now < *until);
         let mut own_count = 0;
-        let (mut own, mut all) = (Vec::new(), Vec::new());
+        let (mut own, mut others, mut last) = (Vec::new(), Vec::new(), Vec::new());
         for peer in peers {
             let is_own = peer.data_centre == *own_centre;
             own_count += usize::from(is_own);
-            if !state.excluded.contains_key(&peer.name) {
-                all.push(peer);
-                if is_own {
-                    own.push(peer);
-                }
+            if state.excluded.contains_key(&peer.name) {
+                continue;
+            }
+            if state.excluded_centres.contains_key(&peer.data_centre) {
+                last.push(peer);
+                continue;
+            }
+            others.push(peer);
+            if is_own {
+                own.push(peer);
             }
         }
-        let candidates = if !own.is_empty() && own.len() * 2 >= own_count { own } else { all };
+        let candidates = if !own.is_empty() && own.len() * 2 >= own_count {
+            own
+        } else if others.is_empty() {
+            last
+        } else {
+            others
+        };
         if candidates.is_empty() {
             return None;
         }
@@ -146,9 +165,10 @@
     }
 
     /// Records that a peer took a request of a service.
-    pub fn record_taken(&mut self, service: &ServiceName) {
+    pub fn record_taken(&mut self, service: &ServiceName, peer: &VmDescriptor) {
         if let Some(state) = self.services.get_mut(service) {
             state.failed_in_a_row = 0;
+            state.failed_in_centre.swap_remove(&peer.data_centre);
         }
     }
 
@@ -156,7 +176,7 @@
     pub fn record_failure(
         &mut self,
         service: &ServiceName,
-        peer: &str,
+        peer: &VmDescriptor,
         failure: PeerFailure,
         now: TimePoint,
     ) {
@@ -165,8 +185,14 @@
             PeerFailure::CutOff | PeerFailure::Unavailable => EXCLUSION_TIME,
             PeerFailure::Full => FULL_EXCLUSION_TIME,
         };
-        state.excluded.insert(peer.to_owned(), now + time);
+        state.excluded.insert(peer.name.clone(), now + time);
         if failure == PeerFailure::CutOff {
+            let failed = state.failed_in_centre.entry(peer.data_centre.clone()).or_default();
+            *failed += 1;
+            if *failed >= MAX_FAILED_PEERS_OF_CENTRE {
+                *failed = 0;
+                state.excluded_centres.insert(peer.data_centre.clone(), now + time);
+            }
             state.failed_in_a_row += 1;
             if state.failed_in_a_row >= MAX_FAILED_PEERS {
                 state.failed_in_a_row = 0;
--- a/crates/quincevalve_node/src/request/forward_to_peer.rs
+++ b/crates/quincevalve_node/src/request/forward_to_peer.rs
@@ -102,20 +102,20 @@
             PeerAnswer::NotTaken(failure) => {
                 log_request!(node, req, peer = &peer.name, why = format!("{failure:?}"); "peer-refused");
                 let mut forwarding = node.peer_forwarding.borrow_mut();
-                forwarding.record_failure(&req.service, &peer.name, failure, clock::now());
+                forwarding.record_failure(&req.service, &peer, failure, clock::now());
             }
             PeerAnswer::Lost => {
                 let mut forwarding = node.peer_forwarding.borrow_mut();
                 let failure = PeerFailure::Unavailable;
-                forwarding.record_failure(&req.service, &peer.name, failure, clock::now());
+                forwarding.record_failure(&req.service, &peer, failure, clock::now());
                 return Some(Err(Refusal::ServerFailed.into()));
             }
             PeerAnswer::Refused(refused) => {
-                node.peer_forwarding.borrow_mut().record_taken(&req.service);
+                node.peer_forwarding.borrow_mut().record_taken(&req.service, &peer);
                 return Some(Err(after_runs(refused, progress.runs)));
             }
             PeerAnswer::Answer(answer, connection) => {
-                node.peer_forwarding.borrow_mut().record_taken(&req.service);
+                node.peer_forwarding.borrow_mut().record_taken(&req.service, &peer);
                 return Some(forward_answer(node, req, &peer, answer, connection, sent).await);
             }
         }
