Store: revisions hold the store's era

Requests reached a server 2.2 s after the store had taken its word that it leaves. Cause: the store had returned from an older copy and gave revisions out again. A VM that is told of changes by others had reached revision 1,000, took 990 to 1,000 for old, ignored them, and counted itself up to date. A VM that reads the store itself misses changes if the store passes 1,000 before it asks.

A revision now holds the era of the store's answer (Store-Era) above its number, so that revisions never go back: in views, relayed changes and datagrams alike. Servers that left aren't restored by the copy, and other VMs learn that it has no holder.

--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -405,6 +405,15 @@
         missing
     }
 
+    /// Returns whether a start of a server has left: its entry was removed, and not because of an outage of the store.
+    pub fn has_left(&self, name: &BackendServerName, start: ServerStart) -> bool {
+        self.servers.get(name).is_some_and(|it| {
+            it.entry.start == start
+                && matches!(it.listing, Listing::Removed(_))
+                && it.expected_stop.is_some()
+        })
+    }
+
     /// Marks a server as leaving, as an answer or a failed request showed.
     ///
     /// Leaving is never revoked: entries lag behind answers, and an old `ready` entry would bring back a server that is
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -15,12 +15,43 @@
 use snafu::Snafu;
 
 /// A revision of the platform's store; grows with each change of any key.
+///
+/// A store that returns from an older copy begins a new era and gives out its numbers again. A revision holds both, so
+/// that all revisions of an era are newer than those of earlier eras.
+///
+/// # Examples
+///
+/// ```
+/// use quincevalve_node::ports::StoreRevision;
+/// let lost = StoreRevision::in_era(1, 1_000);
+/// let given_out_again = StoreRevision::in_era(2, 990);
+/// assert!(given_out_again > lost);
+/// assert_eq!((given_out_again.era(), given_out_again.number()), (2, 990));
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRevision(pub u64);
 
 impl StoreRevision {
     /// The revision of a key that doesn't exist.
     pub const ABSENT: Self = Self(0);
+
+    /// Number of bits of a revision's number; the era is above them.
+    const NUMBER_BITS: u32 = 44;
+
+    /// Creates the revision with a number of the store's era.
+    pub const fn in_era(era: u64, number: u64) -> Self {
+        Self(era << Self::NUMBER_BITS | number)
+    }
+
+    /// Returns the era of the store.
+    pub const fn era(self) -> u64 {
+        self.0 >> Self::NUMBER_BITS
+    }
+
+    /// Returns the number within the store's era.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
 }
 
 /// The store's identifier of a lease.
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -167,7 +167,14 @@
 }
 
 /// Applies a snapshot of the whole store that this VM read.
-pub(crate) fn apply_snapshot(node: &Node, snapshot: Snapshot) {
+pub(crate) fn apply_snapshot(node: &Node, mut snapshot: Snapshot) {
+    let known = StoreRevision(node.store_view.borrow().log.upto());
+    if known != StoreRevision::ABSENT && known.era() != snapshot.at.era() {
+        log::warn!(era = snapshot.at.era(), known = known.era(); "store-copy-returned");
+        // The copy lists servers that have left since; a server that is there writes its entry again.
+        let servers = node.servers.borrow();
+        snapshot.servers.retain(|(name, entry)| !servers.has_left(name, entry.start));
+    }
     for (name, what) in &snapshot.unreadable {
         log::error!(name = name.as_str(), what; "store-item-unreadable");
     }
@@ -259,7 +266,10 @@
     let changed = changed
         .map(|it| RelayedChange::SystemItem { key: it.key.clone(), value: it.value.clone() });
     let read: IndexSet<&str> = snapshot.system_items.iter().map(|it| it.key.as_str()).collect();
-    let holder = peers.holder().map(|_| HOLDER_KEY.to_owned());
+    // Other VMs may know a holder of which the store has lost the key before this VM learned of it.
+    let is_new_era =
+        node.store_view.borrow().log.upto() < StoreRevision::in_era(snapshot.at.era(), 0).0;
+    let holder = (is_new_era || peers.has_holder()).then(|| HOLDER_KEY.to_owned());
     let poison = node.poison.borrow();
     let quarantined =
         poison.stored_entries().map(|(digest, _)| format!("{QUARANTINE_KEY_PREFIX}{digest}"));
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -318,3 +318,73 @@
         assert_eq!((batch.upto, batch.changes.len()), (130, 0), "{:?}", batch.changes);
     });
 }
+
+fn changes_at(era: u64, number: u64, change: Change) -> Changes {
+    let at = StoreRevision::in_era(era, number);
+    Changes { changes: vec![(at, change)], at, may_be_truncated: false }
+}
+
+fn snapshot_in(era: u64, number: u64, servers: Vec<(BackendServerName, ServerEntry)>) -> Snapshot {
+    let at = StoreRevision::in_era(era, number);
+    Snapshot { servers, at, newest: at, ..Snapshot::default() }
+}
+
+// The store returns from an older copy, and a server leaves while its revisions are still below those of before. A VM
+// that only other VMs tell of changes must not take the removal for an old one.
+#[test]
+fn a_removal_after_the_store_returned_from_a_copy_reaches_a_vm_that_was_ahead() {
+    run(|| {
+        let (reader, member) = (node("vm-1"), node("vm-2"));
+        for vm in [&reader, &member] {
+            apply_snapshot(vm, snapshot_in(1, 1_000, vec![("i-1".into(), ready_entry())]));
+        }
+        apply_changes(
+            &member,
+            changes_at(1, 1_003, Change::Config(Box::new(crate::test_node::config(1)))),
+        );
+        reader.store_view.borrow_mut().invalidate();
+        apply_snapshot(&reader, snapshot_in(2, 990, vec![("i-1".into(), ready_entry())]));
+        apply_changes(&reader, changes_at(2, 991, Change::ServerRemoved("i-1".into())));
+        let reached = member.store_view.borrow().reached().expect("a complete view");
+        let batch = reader.store_view.borrow().changes_since(reached, MAX_BATCH_BYTES);
+        assert!(apply_batch(&member, batch.expect("a batch without a gap")));
+        assert_eq!(usable_count(&member), 0);
+        assert_eq!(member.store_view.borrow().reached(), Some(StoreRevision::in_era(2, 991)));
+    });
+}
+
+// The older copy lists a server that has left. It gets no requests until it writes its entry again.
+#[test]
+fn a_server_that_left_is_not_restored_by_an_older_copy_of_the_store() {
+    run(|| {
+        let node = node("vm-1");
+        let servers = vec![("i-1".into(), ready_entry())];
+        apply_snapshot(&node, snapshot_in(1, 1_000, servers.clone()));
+        apply_changes(&node, changes_at(1, 1_001, Change::ServerRemoved("i-1".into())));
+        node.store_view.borrow_mut().invalidate();
+        apply_snapshot(&node, snapshot_in(2, 990, servers));
+        assert_eq!(usable_count(&node), 0);
+        apply_changes(&node, changes_at(2, 995, Change::Server("i-1".into(), ready_entry())));
+        assert_eq!(usable_count(&node), 1, "it is there");
+    });
+}
+
+// A member may know a holder of the duties whose key the store lost before the reader learned of it.
+#[test]
+fn other_vms_learn_that_the_copy_has_no_holder_of_the_duties() {
+    run(|| {
+        let (reader, member) = (node("vm-1"), node("vm-2"));
+        for vm in [&reader, &member] {
+            apply_snapshot(vm, snapshot_in(1, 1_000, Vec::new()));
+        }
+        member.peers.borrow_mut().set_holder(Some("vm-9".to_owned()));
+        reader.store_view.borrow_mut().invalidate();
+        apply_snapshot(&reader, snapshot_in(2, 990, Vec::new()));
+        let batch = reader
+            .store_view
+            .borrow()
+            .changes_since(StoreRevision::in_era(1, 1_000), MAX_BATCH_BYTES);
+        assert!(apply_batch(&member, batch.expect("a batch without a gap")));
+        assert!(!member.peers.borrow().has_holder());
+    });
+}
--- a/crates/quincevalve_ports/src/http_client.rs
+++ b/crates/quincevalve_ports/src/http_client.rs
@@ -166,6 +166,22 @@
         body: Option<&B>,
         limit: Duration,
     ) -> Result<A, CallError>
+    where
+        B: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        self.call_for_headers(method, address, path, body, limit).await.map(|(answer, _)| answer)
+    }
+
+    /// Like [`Self::call`], but also returns the headers of the response.
+    pub async fn call_for_headers<B, A>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Option<&B>,
+        limit: Duration,
+    ) -> Result<(A, HeaderMap), CallError>
     where
         B: Serialize + Sync,
         A: DeserializeOwned,
@@ -174,9 +190,12 @@
             Some(body) => serde_json::to_vec(body).context(DecodeSnafu { address })?,
             None => Vec::new(),
         };
-        let answer = self.call_bytes(method, address, path, bytes.into(), limit).await?;
+        let headers = HeaderMap::new();
+        let (answer, headers) =
+            self.exchange(method, address, path, headers, bytes.into(), limit).await?;
         let answer: &[u8] = if answer.is_empty() { b"null" } else { &answer };
-        serde_json::from_slice(answer).context(DecodeSnafu { address })
+        let answer = serde_json::from_slice(answer).context(DecodeSnafu { address })?;
+        Ok((answer, headers))
     }
 
     /// Sends a request with a body and returns the whole response body, within `limit`.
@@ -201,6 +220,19 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, CallError> {
+        let exchange = self.exchange(method, address, path, headers, body, limit);
+        exchange.await.map(|(answer, _)| answer)
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(Bytes, HeaderMap), CallError> {
         let mut req = build_request(method, address, path, body)?;
         req.headers_mut().extend(headers);
         let exchange = async {
@@ -237,11 +269,19 @@
         .context(FormSnafu)
 }
 
-async fn collect(address: SocketAddr, response: Response<Incoming>) -> Result<Bytes, CallError> {
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+async fn collect(
+    address: SocketAddr,
+    response: Response<Incoming>,
+) -> Result<(Bytes, HeaderMap), CallError> {
+    let (head, body) = response.into_parts();
+    let status = head.status;
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|_| CallError::Answer { address })?.to_bytes();
-    if status.is_success() { Ok(body) } else { Err(CallError::Status { address, status, body }) }
+    if status.is_success() {
+        Ok((body, head.headers))
+    } else {
+        Err(CallError::Status { address, status, body })
+    }
 }
 
 fn build_client(
