Duties: performed once although the store lost what holders wrote

Usage of a window was sent twice with other counts, by two VMs and by one. Cause: a holder writes a report before it sends it, and whoever holds the duties next trusts the store alone. The store had returned from an older copy without that write, without the holder's lease and without its term, so that the next term also got a fencing number that had been used.

Fencing numbers of an era of the store are above those of earlier eras. A holder that takes over where the store may have lost terms waits for a lease before it acts. All VMs keep the newest window of which a report may have been sent; it travels with the reports of when the store answered. Where no VM is left that knows it, windows that have ended count as reported: a missed report is priced, a second one breaks the rule.

--- a/crates/quincevalve_forwarding/src/duty.rs
+++ b/crates/quincevalve_forwarding/src/duty.rs
@@ -17,15 +17,26 @@
     pub previous: String,
 }
 
+/// Number of fencing numbers of one era of the store.
+const NUMBERS_PER_ERA: u64 = 1 << 20;
+
 impl Term {
-    /// Returns the term that begins when `holder` takes over.
-    pub fn next(&self, holder: &str) -> Self {
+    /// Returns the term that begins when `holder` takes over in an era of the store.
+    ///
+    /// A store that returns from an older copy has lost the newest terms. The numbers of an era are above those of all
+    /// earlier ones, so that none is used twice.
+    pub fn next(&self, holder: &str, era: u64) -> Self {
         Self {
-            number: FencingNumber(self.number.0 + 1),
+            number: FencingNumber(self.number.0.max(era * NUMBERS_PER_ERA) + 1),
             holder: holder.to_owned(),
             previous: self.holder.clone(),
         }
     }
+
+    /// Returns the era of the store in which the term began; 0 if there was no term.
+    pub fn era(&self) -> u64 {
+        self.number.0 / NUMBERS_PER_ERA
+    }
 }
 
 /// A term that this VM holds.
@@ -50,11 +61,13 @@
 }
 
 impl DutyLease {
-    /// Records that this VM took over a term whose lease was requested at `requested`.
+    /// Records that this VM took over a term whose lease was requested at `requested`. `may_have_lost_terms` says
+    /// whether the store may have lost terms that followed `before`.
     ///
     /// If the duty passes from A to B and back to A within one lease, the platform can't distinguish A's new calls from
     /// delayed old ones. A holder that also held the term before the previous holder's therefore waits for a whole
-    /// lease before it acts.
+    /// lease before it acts. So does a holder after a loss of terms: the holder of a lost term acts until its lease would
+    /// have ended.
     pub fn record_acquired(
         &mut self,
         me: &str,
@@ -62,9 +75,11 @@
         term: &Term,
         ttl: Duration,
         requested: TimePoint,
+        may_have_lost_terms: bool,
     ) {
         let returned = before.previous == me && before.holder != me;
-        let acts_from = if returned { requested + ttl } else { requested };
+        let must_wait = returned || may_have_lost_terms;
+        let acts_from = if must_wait { requested + ttl } else { requested };
         self.held =
             Some(HeldTerm { number: term.number, renewal_sent_at: requested, ttl, acts_from });
     }
--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -33,6 +33,8 @@
     peers: IndexMap<(String, u64), Counts>,
     /// Wall-clock time in milliseconds at which each peer sent its newest digest.
     newest_sent_ms: IndexMap<String, i64>,
+    /// The newest window of which any VM may have sent the report; 0 while none is known.
+    reported_upto: Window,
 }
 
 impl Usage {
@@ -42,6 +44,19 @@
         self.drop_windows_before(window.saturating_sub(RETAINED_WINDOWS));
     }
 
+    /// Records that the report of a window may have been sent, by this VM or by another.
+    ///
+    /// The store may lose the report that its holder wrote before it sent it. If only the store were asked, the next
+    /// holder would report the window again, with other counts.
+    pub fn record_reported(&mut self, window: Window) {
+        self.reported_upto = self.reported_upto.max(window);
+    }
+
+    /// Returns the newest window of which any VM may have sent the report; 0 while none is known.
+    pub fn reported_upto(&self) -> Window {
+        self.reported_upto
+    }
+
     /// Returns this VM's own counts, for its peers.
     pub fn own(&self) -> &Counts {
         &self.own
--- a/crates/quincevalve_forwarding/tests/digests.rs
+++ b/crates/quincevalve_forwarding/tests/digests.rs
@@ -391,3 +391,15 @@
     assert_eq!(freshness.state(limit, ms(5_200)), FreshnessState::Expiring);
     assert_eq!(freshness.state(limit, ms(5_300)), FreshnessState::Expired);
 }
+
+// The store loses the report of a window that a holder wrote, and the next holder would report the window again with
+// other counts.
+#[test]
+fn the_newest_reported_window_is_kept_whatever_order_reports_of_it_arrive_in() {
+    let mut usage = quincevalve_forwarding::usage::Usage::default();
+    assert_eq!(usage.reported_upto(), 0);
+    for window in [5, 7, 6] {
+        usage.record_reported(window);
+    }
+    assert_eq!(usage.reported_upto(), 7);
+}
--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -14,14 +14,14 @@
 
 fn acquired(before: &Term, requested_ms: u64) -> DutyLease {
     let mut duty = DutyLease::default();
-    duty.record_acquired("vm-a", before, &before.next("vm-a"), TTL, ms(requested_ms));
+    duty.record_acquired("vm-a", before, &before.next("vm-a", 0), TTL, ms(requested_ms), false);
     duty
 }
 
 #[test]
 fn each_change_of_holder_has_a_higher_number() {
-    let first = Term::default().next("vm-a");
-    let second = first.next("vm-b");
+    let first = Term::default().next("vm-a", 0);
+    let second = first.next("vm-b", 0);
     assert!(second.number > first.number);
     assert_eq!(second.previous, "vm-a");
 }
@@ -83,3 +83,28 @@
     assert!(!duty.is_held(ms(1)));
     assert!(millis(1) < TTL);
 }
+
+// The store returns from an older copy that lacks the newest terms, and the next holder would act under the number of a
+// holder that the copy doesn't know.
+#[test]
+fn a_term_that_the_store_lost_keeps_its_number() {
+    let known = Term::default().next("vm-a", 1);
+    let lost = known.next("vm-b", 1).next("vm-c", 1);
+    let next = known.next("vm-d", 2);
+    assert!(next.number > lost.number);
+    assert_eq!((known.era(), next.era()), (1, 2));
+    assert!(next.next("vm-e", 2).number > next.number);
+}
+
+// The holder of a lost term doesn't know yet that its lease is lost. If the next holder acted at once, the platform would
+// get calls of both in turn.
+#[test]
+fn a_holder_waits_for_a_lease_if_the_store_may_have_lost_terms() {
+    let before = Term::default().next("vm-a", 1);
+    let mut duty = DutyLease::default();
+    duty.record_acquired("vm-b", &before, &before.next("vm-b", 2), TTL, ms(1_000), true);
+    assert_eq!(duty.fencing_number(ms(2_000)), None);
+    duty.record_renewal(ms(3_500));
+    assert_eq!(duty.fencing_number(ms(3_999)), None);
+    assert!(duty.fencing_number(ms(4_000)).is_some());
+}
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -101,7 +101,14 @@
     let revision = item.as_ref().map_or(StoreRevision::ABSENT, |it| it.revision);
     let before: Term =
         item.and_then(|it| serde_json::from_slice(&it.value).ok()).unwrap_or_default();
-    let term = before.next(me);
+    let (view_era, is_later_era) = {
+        let view = node.store_view.borrow();
+        (view.era(), view.has_era_changed())
+    };
+    let era = revision.era().max(view_era);
+    let has_predecessor = before != Term::default() || is_later_era;
+    let may_have_lost_terms = era > before.era() && has_predecessor;
+    let term = before.next(me, era);
     let requested_at = clock::now();
     let lease = store.grant(ttl).await?;
     let value = serde_json::to_vec(&term)
@@ -117,10 +124,22 @@
         ],
         ..Commit::default()
     };
-    store.commit(&commit).await?;
-    node.duty.borrow_mut().record_acquired(me, &before, &term, ttl, requested_at);
+    if store.commit(&commit).await?.era() > era {
+        // The store returned from an older copy meanwhile, so the term may have the number of a lost one.
+        store.revoke(lease).await?;
+        return Err(StoreError::Conflict);
+    }
+    if may_have_lost_terms {
+        reports::assume_reported_if_unknown(node);
+    }
+    let mut duty = node.duty.borrow_mut();
+    duty.record_acquired(me, &before, &term, ttl, requested_at, may_have_lost_terms);
+    drop(duty);
     node.peers.borrow_mut().set_holder(Some(me.to_owned()));
-    log::info!(number = term.number.0, before = before.holder; "duty-taken");
+    log::info!(
+        number = term.number.0, before = before.holder, lost_terms = may_have_lost_terms;
+        "duty-taken"
+    );
     Ok(lease)
 }
 
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -79,7 +79,7 @@
                     }
                     is_inherited.set(true);
                     if let (Some(report), Some(holder)) = (&found.1, current_holder(node)) {
-                        send_report(cloud, &holder, report).await;
+                        send_report(node, cloud, &holder, report).await;
                     }
                     known = Some(found);
                 }
@@ -100,7 +100,7 @@
         match write_report(store, *revision, &report).await {
             Ok(revision) => {
                 if let Some(holder) = current_holder(node) {
-                    send_report(cloud, &holder, &report).await;
+                    send_report(node, cloud, &holder, &report).await;
                 }
                 known = Some((revision, Some(report)));
             }
@@ -223,6 +223,24 @@
     store.commit(&Commit { expected, puts, ..Commit::default() }).await
 }
 
+/// Returns the newest window of which the report may be due. Times are in milliseconds.
+fn newest_ended_window(now_ms: i64, length: i64) -> u64 {
+    ((now_ms - REPORT_DELAY_MS) / length - 1) as u64
+}
+
+/// Assumes that all windows that have ended were reported, unless this VM knows which were.
+///
+/// After the store has lost what holders wrote, a VM that was started since can't know it. A window without a report is
+/// a duty missed; one with two reports is a duty performed by two holders.
+pub(super) fn assume_reported_if_unknown(node: &Node) {
+    let Some(now_ms) = node.wall_clock.borrow().estimate_ms(clock::now()) else { return };
+    let length = node.settings.duties.usage_window.as_millis().max(1) as i64;
+    let mut usage = node.usage.borrow_mut();
+    if usage.reported_upto() == 0 {
+        usage.record_reported(newest_ended_window(now_ms, length));
+    }
+}
+
 /// Returns the next window to report, if it is due.
 ///
 /// The report waits for the counts of every known peer for as long as the deadline allows. Otherwise, if a data centre
@@ -231,9 +249,10 @@
     let now = clock::now();
     let now_ms = node.wall_clock.borrow().estimate_ms(now)?;
     let length = node.settings.duties.usage_window.as_millis().max(1) as i64;
-    let newest = ((now_ms - REPORT_DELAY_MS) / length - 1) as u64;
+    let newest = newest_ended_window(now_ms, length);
     // If nothing was reported yet, the first window is the newest one that has ended.
     let next = last.map_or(newest, |it| it.window + 1).max(newest.saturating_sub(2));
+    let next = next.max(node.usage.borrow().reported_upto() + 1);
     if next > newest {
         return None;
     }
@@ -250,10 +269,11 @@
     (complete || since_end_ms >= MAX_REPORT_DELAY_MS).then_some(next)
 }
 
-async fn send_report<C>(cloud: &C, holder: &DutyHolder, report: &Report)
+async fn send_report<C>(node: &Node, cloud: &C, holder: &DutyHolder, report: &Report)
 where
     C: CloudApi,
 {
+    node.usage.borrow_mut().record_reported(report.window);
     match cloud.report_usage(holder, report.window, &report.counts).await {
         Ok(()) => {
             let requests: u64 = report.counts.values().sum();
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -58,6 +58,8 @@
     pub(super) age: Duration,
     /// How long the store had answered without a gap before that request.
     pub(super) uninterrupted: Duration,
+    /// The newest usage window of which any VM may have sent the report.
+    pub(super) reported_window: u64,
 }
 
 /// The content of a datagram.
--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -186,6 +186,7 @@
 
 /// Records when the store answered another VM. The recorded time is never too new, however long the datagram took.
 fn apply_store_contact(node: &Node, reported: ReportedContact, echo: Option<Echo>) {
+    node.usage.borrow_mut().record_reported(reported.reported_window);
     let newest = earliest_send_time(node, echo).and_then(|it| earlier(it, reported.age));
     let Some(newest) = newest else { return };
     let since = earlier(newest, reported.uninterrupted).unwrap_or(TimePoint::ZERO);
--- a/crates/quincevalve_node/src/peers/receive/tests.rs
+++ b/crates/quincevalve_node/src/peers/receive/tests.rs
@@ -110,7 +110,11 @@
 
 /// A store contact that is recent and had no gap for a minute.
 fn uninterrupted_contact() -> ReportedContact {
-    ReportedContact { age: Duration::from_millis(20), uninterrupted: Duration::from_secs(60) }
+    ReportedContact {
+        age: Duration::from_millis(20),
+        uninterrupted: Duration::from_secs(60),
+        reported_window: 7,
+    }
 }
 
 /// Removals of both servers. Servers whose entries may have expired are used only if no other is left.
@@ -245,3 +249,13 @@
         assert!(node.was_confirmed_fresh());
     });
 }
+
+// The store loses the report that the holder of the duties wrote, and the next holder would report the window again.
+#[test]
+fn a_vm_learns_which_window_was_reported() {
+    run(|| {
+        let node = node("vm-1");
+        apply_store_contact(&node, uninterrupted_contact(), None);
+        assert_eq!(node.usage.borrow().reported_upto(), 7);
+    });
+}
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -255,7 +255,9 @@
 fn contact_to_report(node: &Node, now: TimePoint) -> Option<ReportedContact> {
     let contact = node.store_contact.get().newest_span()?;
     let age = now.since(contact.newest);
-    Some(ReportedContact { age, uninterrupted: contact.newest.since(contact.since) })
+    let uninterrupted = contact.newest.since(contact.since);
+    let reported_window = node.usage.borrow().reported_upto();
+    Some(ReportedContact { age, uninterrupted, reported_window })
 }
 
 /// Returns the changes of the store that the VM at `to` lacks; `None` without a freshness confirmation of this VM or a
