--- a/crates/quincevalve_node/src/peers/receive/tests.rs
+++ b/crates/quincevalve_node/src/peers/receive/tests.rs
@@ -253,8 +253,8 @@
 // The store loses the report that the holder of the duties wrote, and the next holder would report the window again.
 #[test]
 fn a_vm_learns_which_window_was_reported() {
-    run(|| {
-        let node = node("vm-1");
+    run(async {
+        let node = node(0);
         apply_store_contact(&node, uninterrupted_contact(), None);
         assert_eq!(node.usage.borrow().reported_upto(), 7);
     });
