Brittle servers: at most their slots in flight, over all VMs

Servers that say Server-Brittle fall over when they have to turn too many requests away in a second.

The signal is kept with the start of the server and reported to other VMs like a limit. While a server is brittle, each VM has at most its share of the slots in flight there; the shares of all VMs add up to the slots, without a message. Where all servers of a service are taken, requests wait as for a busy server.

--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -257,6 +257,11 @@
         self.own.requests > 0 || self.own.memory > 0 || self.own.recent_prefill > 0
     }
 
+    /// Returns the number of this VM's requests at the server.
+    pub fn own_requests(&self) -> u32 {
+        self.own.requests
+    }
+
     /// Returns this VM's own work at the server, as reported to its peers.
     pub fn own_work(&self, now: TimePoint) -> WorkSum {
         WorkSum {
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -195,7 +195,8 @@
             usable.partition(|(_, it)| self.restraint(it, now).is_none());
         if usable.is_empty() && !restrained.is_empty() {
             let restraints = restrained.iter().filter_map(|(_, it)| self.restraint(it, now));
-            return Err(self.restraint_error(restraints));
+            let error = self.restraint_error(restraints);
+            return Err(error.unwrap_or(PlacementError::Busy { predicted: request.latency_budget }));
         }
         let sampled = candidates(request, &usable, rng);
         if let Ok(placement) = best_candidate(request, &usable, &sampled, rng, now) {
@@ -208,20 +209,25 @@
 }
 
 impl ServerTable {
-    /// Returns the error for a service whose servers are all under a restraint.
-    fn restraint_error(&self, restraints: impl Iterator<Item = Restraint>) -> PlacementError {
+    /// Returns the error for a service whose servers are all under a restraint; `None` if requests of this VM occupy some
+    /// of them.
+    fn restraint_error(
+        &self,
+        restraints: impl Iterator<Item = Restraint>,
+    ) -> Option<PlacementError> {
         let (mut limits, mut rest) = (Vec::new(), Duration::MAX);
         for restraint in restraints {
             match restraint {
                 Restraint::Limited { limit } => limits.push(limit),
                 Restraint::Resting { remaining } => rest = rest.min(remaining),
+                Restraint::Occupied => return None,
             }
         }
-        if limits.is_empty() {
+        Some(if limits.is_empty() {
             PlacementError::Resting { wait: rest }
         } else {
             PlacementError::Limited { wait: self.expected_allowance_wait(&limits) }
-        }
+        })
     }
 }
 
--- a/crates/quincevalve_forwarding/src/server_signals.rs
+++ b/crates/quincevalve_forwarding/src/server_signals.rs
@@ -42,6 +42,9 @@
     pub leaving: bool,
     /// Rest period during which the VM whose request was rejected must not send to the server, if it asks for one.
     pub rest: Option<Duration>,
+    /// Maximum number of requests that a brittle server can reject in a second without failing; `None` if it isn't
+    /// brittle.
+    pub brittle: Option<u32>,
 }
 
 /// A server's signals as another VM reports them.
@@ -53,6 +56,8 @@
     pub age: Duration,
     /// Whether the server is leaving.
     pub leaving: bool,
+    /// Maximum number of requests that a brittle server can reject in a second, stated with the limit.
+    pub brittle: Option<u32>,
 }
 
 /// Which of a server's signals differ from what was known before.
@@ -62,11 +67,13 @@
     pub limit: bool,
     /// The server is now leaving.
     pub leaving: bool,
+    /// The server has become brittle, or no longer is.
+    pub brittle: bool,
 }
 
 impl SignalUpdate {
     /// Returns whether nothing changed.
     pub const fn is_empty(self) -> bool {
-        !self.limit && !self.leaving
+        !self.limit && !self.leaving && !self.brittle
     }
 }
--- a/crates/quincevalve_forwarding/src/servers.rs
+++ b/crates/quincevalve_forwarding/src/servers.rs
@@ -74,6 +74,8 @@
         /// Rate limit over all VMs.
         limit: RequestRate,
     },
+    /// The server is brittle, and this VM's requests take up its share of the server's slots.
+    Occupied,
 }
 
 /// Interpretation of the removal of a server's entry.
@@ -105,8 +107,10 @@
     listing: Listing,
     leaving: Option<LeaveReason>,
     limit: Option<RequestRate>,
-    /// When the server last stated its limit or the absence of one.
-    limit_stated_at: Option<TimePoint>,
+    /// Maximum number of rejections in a second, if the server is brittle.
+    brittle: Option<u32>,
+    /// When the server last stated whether it has a limit and is brittle.
+    signals_stated_at: Option<TimePoint>,
     allowance: Allowance,
     /// End of the rest period that the server asked of this VM.
     rest_until: TimePoint,
@@ -137,32 +141,38 @@
         self.limit
     }
 
+    /// Returns the maximum number of rejections in a second, if the server is brittle.
+    pub fn brittle(&self) -> Option<u32> {
+        self.brittle
+    }
+
     /// Applies the signals of an answer and returns which of them changed.
     pub fn apply_signals(&mut self, signals: &ServerSignals, now: TimePoint) -> SignalUpdate {
         let leaving = self.update_leaving(signals.leaving);
-        SignalUpdate { leaving, limit: self.update_limit(signals.limit, now) }
+        self.signals_stated_at = Some(now);
+        let limit = std::mem::replace(&mut self.limit, signals.limit) != signals.limit;
+        let brittle = std::mem::replace(&mut self.brittle, signals.brittle) != signals.brittle;
+        SignalUpdate { limit, leaving, brittle }
     }
 
     /// Returns the server's signals to report to other VMs, or `None` if no answer has carried any.
     pub fn signals_to_report(&self, now: TimePoint) -> Option<ReportedSignals> {
-        let age = now.since(self.limit_stated_at?);
+        let age = now.since(self.signals_stated_at?);
         let leaving = self.leaving == Some(LeaveReason::Announced);
-        Some(ReportedSignals { limit: self.limit, age, leaving })
+        Some(ReportedSignals { limit: self.limit, age, leaving, brittle: self.brittle })
     }
 
-    /// Applies signals that another VM reports and returns which of them changed. Of two limits, the one stated later
-    /// wins.
+    /// Applies signals that another VM reports and returns which of them changed. Of two statements, the later one wins.
     pub fn apply_report(&mut self, report: &ReportedSignals, now: TimePoint) -> SignalUpdate {
         let leaving = self.update_leaving(report.leaving);
         let report_is_older = |at: TimePoint| now.since(at) <= report.age;
-        let limit = !self.limit_stated_at.is_some_and(report_is_older)
-            && self.update_limit(report.limit, now.saturating_sub(report.age));
-        SignalUpdate { limit, leaving }
-    }
-
-    fn update_limit(&mut self, limit: Option<RequestRate>, stated_at: TimePoint) -> bool {
-        self.limit_stated_at = Some(stated_at);
-        std::mem::replace(&mut self.limit, limit) != limit
+        if self.signals_stated_at.is_some_and(report_is_older) {
+            return SignalUpdate { leaving, ..SignalUpdate::default() };
+        }
+        let ReportedSignals { limit, brittle, .. } = *report;
+        let signals = ServerSignals { limit, brittle, ..ServerSignals::default() };
+        let update = self.apply_signals(&signals, now.saturating_sub(report.age));
+        SignalUpdate { leaving, ..update }
     }
 
     /// Starts or extends the rest period after the server rejected a request and asked for rest. Of two rest periods,
@@ -297,7 +307,8 @@
             listing: Listing::Listed,
             leaving: None,
             limit: None,
-            limit_stated_at: None,
+            brittle: None,
+            signals_stated_at: None,
             rest_until: TimePoint::ZERO,
             allowance: Allowance::default(),
             expected_stop: None,
@@ -471,6 +482,15 @@
         if server.is_resting(now) {
             return Some(Restraint::Resting { remaining: server.rest_until.since(now) });
         }
+        // A brittle server fails if it has to reject many requests. The shares of all VMs add up to its slots, so that
+        // it rejects none, however little they know of each other's newest requests.
+        if server.brittle.is_some() {
+            let slots = u64::from(server.entry.slots.max(1));
+            let share = self.rank.share_of(slots, server.hash);
+            if u64::from(server.load.own_requests()) >= share {
+                return Some(Restraint::Occupied);
+            }
+        }
         let limit = server.limit?;
         let (rank, wall_clock_ms) = (self.rank, self.wall_clock_ms(now));
         let is_allowed = server.allowance.has_remaining(limit, server.hash, rank, wall_clock_ms);
--- a/crates/quincevalve_forwarding/tests/leaving.rs
+++ b/crates/quincevalve_forwarding/tests/leaving.rs
@@ -26,7 +26,8 @@
     assert!(!usable(&table, ms(200)));
 }
 
-const LEAVING_SIGNALS: ServerSignals = ServerSignals { limit: None, leaving: true, rest: None };
+const LEAVING_SIGNALS: ServerSignals =
+    ServerSignals { limit: None, leaving: true, rest: None, brittle: None };
 
 /// Returns a table in which server 0 announced in an answer that it leaves.
 fn table_with_announcement() -> ServerTable {
@@ -61,7 +62,7 @@
         it.get_mut(&server(0), START).expect("known").apply_signals(&ServerSignals::default(), ms(200));
     };
     a_report_without_the_announcement_does_not_revoke_it: |it| {
-        let report = ReportedSignals { limit: None, age: millis(0), leaving: false };
+        let report = ReportedSignals { limit: None, age: millis(0), leaving: false, brittle: None };
         it.get_mut(&server(0), START).expect("known").apply_report(&report, ms(200));
     };
     an_entry_that_expires_and_returns_does_not_revoke_it: |it| {
--- a/crates/quincevalve_forwarding/tests/restraints.rs
+++ b/crates/quincevalve_forwarding/tests/restraints.rs
@@ -195,3 +195,66 @@
     table.apply_entry(&server(0), entry, ms(10));
     assert_eq!(place(&table, 20), Ok(0));
 }
+
+fn signal_brittle(table: &mut ServerTable, at: usize, brittle: Option<u32>) {
+    let signals = ServerSignals { brittle, ..ServerSignals::default() };
+    table.get_mut(&server(at), START).expect("listed").apply_signals(&signals, ms(0));
+}
+
+/// Returns how many requests one VM of many has at a brittle server if it always wants to send more.
+fn in_flight_at_brittle_server(rank: VmRank) -> u64 {
+    let mut table = table(1);
+    table.set_rank(rank, 1_000_000, ms(0));
+    signal_brittle(&mut table, 0, Some(5));
+    let mut in_flight = 0;
+    while in_flight < 10_000
+        && let Ok(place) = table.place(
+            &TestRequest::default().as_request(),
+            &mut Pcg64Mcg::seed_from_u64(1),
+            ms(0),
+        )
+    {
+        let server = table.get_mut(&place.server, place.start).expect("listed");
+        server.load.add_request(place.work, ms(0));
+        in_flight += 1;
+    }
+    in_flight
+}
+
+// Guards against a brittle server that fails because VMs that don't know each other's newest requests send it more than
+// it has slots.
+#[test]
+fn all_vms_together_send_a_brittle_server_at_most_its_slots() {
+    let slots = u64::from(entry("a").slots);
+    for vm_count in [1, 8, 64, 295, 986] {
+        let ranks = (0..vm_count).map(|rank| VmRank { rank, vm_count });
+        let in_flight: u64 = ranks.map(in_flight_at_brittle_server).sum();
+        // One VM alone is bounded by the latency of its requests before.
+        let is_bounded_by_slots = vm_count > 1;
+        assert!(in_flight <= slots, "{vm_count} VMs: {in_flight}");
+        assert!(!is_bounded_by_slots || in_flight == slots, "{vm_count} VMs: {in_flight}");
+    }
+}
+
+// Guards against requests that are refused at once, as if there were no server, while slots of brittle servers free up.
+#[test]
+fn brittle_servers_whose_slots_are_taken_are_busy() {
+    let mut table = table(1);
+    table.set_rank(VmRank { rank: 1, vm_count: 1_000 }, 1_000_000, ms(0));
+    signal_brittle(&mut table, 0, Some(5));
+    let occupied = (0..1_000).find_map(|rank| {
+        table.set_rank(VmRank { rank, vm_count: 1_000 }, 1_000_000, ms(0));
+        place(&table, 0).err()
+    });
+    assert!(matches!(occupied, Some(PlacementError::Busy { .. })), "{occupied:?}");
+}
+
+// Guards against a server that stays restrained after it is no longer brittle.
+#[test]
+fn a_server_that_is_no_longer_brittle_takes_any_number_of_requests() {
+    let mut table = table(1);
+    table.set_rank(VmRank { rank: 999, vm_count: 1_000 }, 1_000_000, ms(0));
+    signal_brittle(&mut table, 0, Some(5));
+    signal_brittle(&mut table, 0, None);
+    assert_eq!(place(&table, 0), Ok(0));
+}
--- a/crates/quincevalve_forwarding/tests/signals_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -502,6 +502,7 @@
             limit: self.plan.limit_at(server, when).and_then(RequestRate::new),
             leaving: self.plan.signals_leaving(server, when),
             rest: rest.map(Duration::from_millis),
+            brittle: None,
         };
         self.events.push((when, Event::Answer { vm, start, server, signals }));
     }
--- a/crates/quincevalve_node/src/signal_reports.rs
+++ b/crates/quincevalve_node/src/signal_reports.rs
@@ -28,6 +28,10 @@
         let per_second = server.limit().map_or(-1.0, RequestRate::per_second);
         log::info!(server = name, start, per_second, from:? = from; "server-limit");
     }
+    if update.brittle && node.may_log() {
+        let rejections = server.brittle().map_or(-1, i64::from);
+        log::info!(server = name, start, rejections, from:? = from; "server-brittle");
+    }
     if update.leaving {
         log::info!(server = name, start, from:? = from; "server-leaving");
         node.changed.notify_waiters();
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -531,6 +531,7 @@
         limit: number("x-limit").and_then(RequestRate::new),
         leaving: headers.contains_key("x-leaving"),
         rest: number("x-rest").map(Duration::from_secs_f64),
+        brittle: number("x-brittle").map(|it| it as u32),
     };
     DecodedSignals { signals, unreadable: Vec::new() }
 }
