Connections to servers outlast a silence of a second and a half

TCP_USER_TIMEOUT was 1.5 s on connections to servers. It also decides when keepalive probes give up, so that a sound server that is silent for somewhat longer lost its requests. It is 2 s there now; calls to the store keep 1.5 s. Test: the options of a connection, as Linux applies them.

--- a/crates/quincevalve_node/src/request/connection_pool.rs
+++ b/crates/quincevalve_node/src/request/connection_pool.rs
@@ -33,8 +33,10 @@
 /// A network partition may begin, or a connection may become silent, while the connection is idle. A request sent on
 /// such a connection counts as possibly run and is lost to its caller, and it reaches the server once the partition
 /// heals. The first keepalive probe is sent after this time; a connection that receives no reply from then on is likely
-/// dead and is closed by the third second.
+/// dead and is closed with the next probe, after [`UNACKNOWLEDGED_TIMEOUT`].
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Time without acknowledgement after which a connection fails. A sound server may be silent for more than a second.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Margin subtracted from the idle timeout that a server announces, because the server closes the connection only about
 /// at that time.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
@@ -205,7 +207,7 @@
     socket.bind(SocketAddr::new(local, 0))?;
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
-    reset_when_dropped(&stream)?;
+    reset_when_dropped(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(Duration::from_secs(1))
         .with_interval(Duration::from_secs(1))
@@ -242,3 +244,32 @@
         Self::For(time.map_or(MAX_IDLE_TIME, |it| it.min(MAX_IDLE_TIME)))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    /// Silence of a sound server, after which it goes on.
+    const SHORT_SILENCE: Duration = Duration::from_millis(1_800);
+
+    // Guards against requests that are lost because the TCP user timeout, which also ends keepalive probes, is shorter
+    // than the silence of a sound server.
+    #[tokio::test]
+    async fn connections_outlast_a_short_silence_of_a_server() {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stream = open_stream(address.ip(), address).await.expect("a connection");
+        let options = SockRef::from(&stream);
+        let timeout = options.tcp_user_timeout().expect("the option").expect("a timeout");
+        let first_probe = options.tcp_keepalive_time().expect("the option");
+        let interval = options.tcp_keepalive_interval().expect("the option");
+        let mut given_up_after = first_probe;
+        while given_up_after < timeout {
+            given_up_after += interval;
+        }
+        assert!(timeout > SHORT_SILENCE, "unacknowledged data: {timeout:?}");
+        assert!(given_up_after > SHORT_SILENCE, "probes: {given_up_after:?}");
+    }
+}
--- a/crates/quincevalve_ports/src/connector.rs
+++ b/crates/quincevalve_ports/src/connector.rs
@@ -15,9 +15,9 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tower_service::Service;
 
-/// Time without acknowledgement of sent data after which the other end counts as unreachable. The other end normally
-/// answers within milliseconds, and several retransmissions fit into this time.
-const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without acknowledgement of sent data after which the other end of a call counts as unreachable. The other end
+/// normally answers within milliseconds, and several retransmissions fit into this time.
+const UNACKNOWLEDGED_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Opens connections that discard undelivered data when they are dropped.
 ///
@@ -52,16 +52,16 @@
     }
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
-    reset_when_dropped(&stream)?;
+    reset_when_dropped(&stream, UNACKNOWLEDGED_CALL_TIMEOUT)?;
     Ok(stream)
 }
 
 /// Configures a connection to be reset, discarding undelivered data, when it is dropped, and to fail when the other end
-/// is unreachable.
-pub fn reset_when_dropped(stream: &TcpStream) -> io::Result<()> {
+/// has acknowledged nothing for `unacknowledged`. That time also ends keepalive probes, whatever their number.
+pub fn reset_when_dropped(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     let options = SockRef::from(stream);
     options.set_linger(Some(Duration::ZERO))?;
-    options.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
+    options.set_tcp_user_timeout(Some(unacknowledged))
 }
 
 impl Service<Uri> for Connector {
