--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -16,6 +16,7 @@
 pub(crate) mod forward_to_peer;
 pub(crate) mod forwarded;
 pub(crate) mod frontend;
+pub(crate) mod http_server;
 pub(crate) mod identify;
 pub(crate) mod migration;
 pub(crate) mod reachability;
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -7,14 +7,12 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use quincevalve_forwarding::quota::QuotaRequest;
 use quincevalve_names::Outcome;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
-    task::spawn_local,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, timeout_at},
 };
 
 use crate::{
@@ -24,16 +22,16 @@
     request::{
         body::AnswerBody,
         dispatch::dispatch,
+        http_server::{
+            CloseSignal, DEFAULT_IDLE_TIMEOUT, accept_connections, connection_settings,
+            serve_connection,
+        },
         identify::{IdentifiedRequest, header_text, identify},
         refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
         trace::log_request,
     },
 };
 
-/// Pause after a failed `accept`. It fails for lack of file descriptors, and connections close in that time.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Idle timeout of callers' connections until a configuration is known.
-pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Added to the configured idle timeout, so that a caller that sends a request just before the timeout doesn't find the
 /// connection closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
@@ -55,48 +53,20 @@
 /// reset doesn't discard the refusal.
 const UNIDENTIFIED_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Signals whether callers' idle connections should be closed.
-pub(crate) type CloseSignal = watch::Receiver<bool>;
-
-/// Accepts callers' connections until the process exits.
+/// Serves callers' connections until the process exits.
 pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener, closing: CloseSignal) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_caller(node.clone(), stream, closing.clone()));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "accept-failed");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, |it| serve_caller(node.clone(), it, closing.clone())).await;
 }
 
-async fn serve_caller(node: Rc<Node>, stream: TcpStream, mut closing: CloseSignal) {
-    // The connection works without TCP_NODELAY too, only with higher latency.
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "nodelay-failed");
-    }
+async fn serve_caller(node: Rc<Node>, stream: TcpStream, closing: CloseSignal) {
     let limits = node.config().map(|it| it.limits);
     let idle_timeout =
         limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_timeout) + IDLE_TIMEOUT_MARGIN;
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |it| it.head_bytes).max(MIN_BUFFER_BYTES);
-    let service = service_fn(|req| handle(node.clone(), req));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|it| *it) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
+    let mut settings = connection_settings(idle_timeout);
+    settings.max_buf_size(head_bytes);
+    let handle = |req| handle(node.clone(), req);
+    if let Err(error) = serve_connection(stream, &settings, closing, handle).await {
         log::debug!(error:% = error; "caller-connection-ended");
     }
 }
@@ -287,13 +257,9 @@
 
 /// Serves the platform's readiness checks, which decide whether callers are routed to this VM.
 pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let serve = |stream| {
         let node = node.clone();
-        spawn_local(async move {
+        async move {
             let service = service_fn(|_req| {
                 let ready = node.is_ready();
                 async move { Ok::<_, Infallible>(readiness_response(ready)) }
@@ -302,8 +268,9 @@
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "ready-connection-ended");
             }
-        });
-    }
+        }
+    };
+    accept_connections(listener, serve).await;
 }
 
 fn readiness_response(ready: bool) -> Response<AnswerBody> {
--- a/crates/quincevalve_node/src/request/serve_peers.rs
+++ b/crates/quincevalve_node/src/request/serve_peers.rs
@@ -3,12 +3,10 @@
 use std::{convert::Infallible, rc::Rc};
 
 use http::{HeaderValue, Request, Response, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
 use tokio::{
     net::{TcpListener, TcpStream},
-    task::spawn_local,
-    time::{Instant, sleep},
+    time::Instant,
 };
 
 use crate::{
@@ -17,47 +15,26 @@
         body::AnswerBody,
         dispatch::dispatch,
         forwarded::{Forwarded, mark_refused},
-        frontend::{ACCEPT_PAUSE, CloseSignal, DEFAULT_IDLE_TIMEOUT, read_body},
+        frontend::read_body,
+        http_server::{
+            CloseSignal, DEFAULT_IDLE_TIMEOUT, accept_connections, connection_settings,
+            serve_connection,
+        },
         identify::identify_forwarded,
         refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
         trace::log_request,
     },
 };
 
-/// Accepts connections of peers until the process exits.
+/// Serves connections of peers until the process exits.
 pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener, closing: CloseSignal) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_peer(node.clone(), stream, closing.clone()));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "accept-failed");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_connections(listener, |it| serve_peer(node.clone(), it, closing.clone())).await;
 }
 
-async fn serve_peer(node: Rc<Node>, stream: TcpStream, mut closing: CloseSignal) {
-    // The connection works without TCP_NODELAY too, only with higher latency.
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "nodelay-failed");
-    }
-    let service = service_fn(|req| handle(node.clone(), req));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|it| *it) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
+async fn serve_peer(node: Rc<Node>, stream: TcpStream, closing: CloseSignal) {
+    let settings = connection_settings(DEFAULT_IDLE_TIMEOUT);
+    let handle = |req| handle(node.clone(), req);
+    if let Err(error) = serve_connection(stream, &settings, closing, handle).await {
         log::debug!(error:% = error; "peer-connection-ended");
     }
 }
