Peer forwarding: at most two peers that don't answer

A VM that was cut off from its peers as well as from servers offered a request to six of them in turn before it refused it; where connections hang, each costs the caller 400 ms.

--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -159,7 +159,10 @@
         "displaced" => "more urgent requests took the capacity that it waited for; see placed",
         "no-server" => "no server of the service was usable; see server-removed",
         "over-quota" => "the account had spent its quota over all VMs",
-        "servers-refused" => "each server that was asked said that it did not run it",
+        "servers-refused" => {
+            "no server that was asked ran it; see server-refused, connect-failed and peer-refused"
+        }
+        "cut-off" => "the VM could connect to no server of the service; see servers-unreachable",
         "stopping" => "the VM had SIGTERM; see draining above",
         "server-failed" => "a server took it and gave no whole answer; see exchange-failed",
         "quarantined" => "servers exited under the same request; see server-exited above",
--- a/crates/quincevalve_node/src/request/forward_to_peer.rs
+++ b/crates/quincevalve_node/src/request/forward_to_peer.rs
@@ -33,6 +33,9 @@
 /// Maximum number of peers that a request is offered to after connections for it failed. The servers may be overloaded,
 /// and each peer would try to connect too.
 const MAX_PEERS_AFTER_FAILURES: usize = 2;
+/// Maximum number of peers that a request is offered to although they don't answer. Each costs the caller a connection's
+/// timeout, and this VM is probably cut off from its peers too.
+const MAX_SILENT_PEERS: usize = 2;
 
 /// What happened to a request before it is forwarded.
 #[derive(Clone, Copy, Debug)]
@@ -83,8 +86,9 @@
 ) -> Option<Result<Response<AnswerBody>, Refused>> {
     let is_cut_off = node.servers.borrow().is_cut_off_from(&req.service, clock::now());
     let max_peers = if is_cut_off { MAX_PEERS_WHEN_CUT_OFF } else { MAX_PEERS_AFTER_FAILURES };
+    let mut silent_peers = 0;
     for _ in 0..max_peers {
-        if remaining(req.deadline).is_zero() {
+        if silent_peers == MAX_SILENT_PEERS || remaining(req.deadline).is_zero() {
             return None;
         }
         let peer = pick_peer(node, req)?;
@@ -100,6 +104,7 @@
         node.metrics.count_forwarding(req.service.as_str(), result);
         match answer {
             PeerAnswer::NotTaken(failure) => {
+                silent_peers += usize::from(failure == PeerFailure::Unavailable);
                 log_request!(node, req, peer = &peer.name, why = format!("{failure:?}"); "peer-refused");
                 let mut forwarding = node.peer_forwarding.borrow_mut();
                 forwarding.record_failure(&req.service, &peer, failure, clock::now());
