Brittle servers: VMs come back to one that rejects seldom enough for all of them

A brittle server may lack memory while it has free slots; each VM came back 150 ms after a rejection. The pause now grows with the VMs that share its slots, so that all of them draw at most half of the rejections that it withstands. Servers that aren't brittle keep 150 ms. Test: at most 20 rejections a second at 1 to 986 VMs with 20 withstood.

--- a/crates/quincevalve_forwarding/src/servers/signals.rs
+++ b/crates/quincevalve_forwarding/src/servers/signals.rs
@@ -94,7 +94,27 @@
     (at.as_micros() / 1_000).cast_signed()
 }
 
+/// How long a server that reports that it is full gets no requests. About one of its requests completes in that time.
+const FULL_SERVER_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum pause of a brittle server that reports that it is full.
+const MAX_BRITTLE_PAUSE: Duration = Duration::from_secs(30);
+/// Fraction of the rejections that a brittle server withstands which all VMs together may cause.
+const USED_REJECTIONS: f64 = 0.5;
+
 impl ServerTable {
+    /// Returns how long a server that rejected a request for lack of capacity gets no requests from this VM.
+    ///
+    /// A brittle server may lack memory while it has free slots. As many VMs as share its slots may come back to it, and
+    /// together they cause at most half of the rejections that it withstands.
+    pub fn pause_after_rejection(&self, name: &BackendServerName, start: ServerStart) -> Duration {
+        let server = self.get(name).filter(|it| it.entry.start == start);
+        let brittle = server.and_then(|it| Some((it.brittle?, it.entry.slots)));
+        let Some((rejections, slots)) = brittle else { return FULL_SERVER_PAUSE };
+        let senders = self.rank.vm_count.min(slots as usize) as f64;
+        let seconds = senders / (USED_REJECTIONS * f64::from(rejections.max(1)));
+        Duration::from_secs_f64(seconds).clamp(FULL_SERVER_PAUSE, MAX_BRITTLE_PAUSE)
+    }
+
     /// Sets this VM's rank and the wall-clock time. Until then, the VM keeps to rate limits as if it were the only one.
     pub fn set_rank(&mut self, rank: VmRank, wall_clock_ms: i64, now: TimePoint) {
         self.rank = rank;
--- a/crates/quincevalve_forwarding/tests/restraints.rs
+++ b/crates/quincevalve_forwarding/tests/restraints.rs
@@ -258,3 +258,21 @@
     signal_brittle(&mut table, 0, None);
     assert_eq!(place(&table, 0), Ok(0));
 }
+
+/// Rejections in a second that the brittle server withstands.
+const MAX_REJECTIONS: u32 = 20;
+
+// Guards against a brittle server that lacks memory, and fails because each VM comes back to it as soon as to any other.
+#[test]
+fn all_vms_together_draw_few_rejections_from_a_brittle_server() {
+    for vm_count in [1, 8, 64, 295, 986] {
+        let mut table = table(1);
+        table.set_rank(VmRank { rank: 0, vm_count }, 1_000_000, ms(0));
+        assert_eq!(table.pause_after_rejection(&server(0), START), millis(150));
+        signal_brittle(&mut table, 0, Some(MAX_REJECTIONS));
+        let pause = table.pause_after_rejection(&server(0), START);
+        let senders = vm_count.min(entry("a").slots as usize) as f64;
+        let per_second = senders / pause.as_secs_f64();
+        assert!(per_second <= f64::from(MAX_REJECTIONS), "{vm_count} VMs: {per_second}");
+    }
+}
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -27,9 +27,6 @@
     },
 };
 
-/// How long a server that reports that it is full gets no requests. About one of its requests completes in that time.
-const FULL_SERVER_PAUSE: Duration = Duration::from_millis(150);
-
 /// A server's response to the request. Its body has not been received yet.
 #[derive(Debug)]
 pub(crate) struct ServerAnswer {
@@ -162,7 +159,8 @@
             );
             node.connections.drop_idle(&place.server_key());
         } else {
-            update_server(node, place, |it, now| it.load.pause(FULL_SERVER_PAUSE, now));
+            let pause = node.servers.borrow().pause_after_rejection(&place.server, place.start);
+            update_server(node, place, |it, now| it.load.pause(pause, now));
         }
         node.metrics.count_attempt(req.service.as_str(), "refused");
         return Err(AttemptError::NotRun);
