--- a/crates/quincevalve_forwarding/src/peer_forwarding.rs
+++ b/crates/quincevalve_forwarding/src/peer_forwarding.rs
@@ -92,8 +92,8 @@
     /// Picks a peer for a request of a service, or none if no peer can help.
     ///
     /// Peers of this VM's own data centre come first while at least half of them can help. Otherwise the few that can
-    /// would get the work of all others, and any peer is picked; those of data centres that are left out come last. Of two random peers, the one with less of this VM's
-    /// work in relation to its CPU quota is picked.
+    /// would get the work of all others, and any peer is picked; those of data centres that are left out come last. Of
+    /// two random peers, the one with less of this VM's work in relation to its CPU quota is picked.
     pub fn pick<'a, R>(
         &mut self,
         service: &ServiceName,
@@ -200,11 +200,6 @@
             }
         }
     }
-
-    /// Returns the number of this VM's requests at peers.
-    pub fn forwarded_count(&self) -> usize {
-        self.forwarded.values().map(|it| *it as usize).sum()
-    }
 }
 
 /// Bounds the requests that a VM processes for peers.
