--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -282,3 +282,6 @@
         Err(error) => log::warn!(window = report.window, error:% = error; "usage-not-reported"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/quincevalve_node/src/duties/reports/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+use crate::test_node::{node, run};
+
+/// Returns a VM that estimates wall-clock time, and the newest window that is due there.
+fn node_with_due_window() -> (Node, u64) {
+    let node = node("vm-1");
+    node.wall_clock.borrow_mut().record(String::new(), clock::wall_ms(), clock::now());
+    let now_ms = node.wall_clock.borrow().estimate_ms(clock::now()).expect("an estimate");
+    let length = node.settings.duties.usage_window.as_millis() as i64;
+    (node, newest_ended_window(now_ms, length))
+}
+
+// The store lost the report of a window that was sent, and lists an older one as the newest. The window must not be
+// reported again, with other counts.
+#[test]
+fn a_window_that_was_reported_is_not_due_although_the_store_lost_the_report() {
+    run(|| {
+        let (node, newest) = node_with_due_window();
+        let stored = Report { window: newest - 2, ..Report::default() };
+        let due = due_window(&node, Some(&stored));
+        assert_eq!(due, Some(newest - 1), "without knowledge of later reports");
+        node.usage.borrow_mut().record_reported(newest);
+        assert_eq!(due_window(&node, Some(&stored)), None);
+        assert_eq!(due_window(&node, None), None);
+    });
+}
+
+// All VMs were started since, and none knows which windows were reported before the store lost the reports.
+#[test]
+fn ended_windows_count_as_reported_where_no_vm_knows() {
+    run(|| {
+        let (node, _) = node_with_due_window();
+        assume_reported_if_unknown(&node);
+        assert_eq!(due_window(&node, None), None);
+    });
+}
