--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -1,6 +1,6 @@
 //! The trace of one request: its outcome and what its VM knew at the time.
 
-use std::fmt::Write;
+use std::{collections::BTreeMap, fmt::Write};
 
 use crate::line::{LogLine, LogLines};
 
@@ -51,6 +51,10 @@
     for line in known_before(lines, &last.vm, &last.timestamp, &servers, account.as_deref()) {
         let _ = writeln!(text, "  {} {} {}", line.timestamp, line.message, line.fields());
     }
+    for (part, servers) in exits_by_part(lines, &own) {
+        let _ = writeln!(text, "servers that exited under requests with part {part}");
+        let _ = writeln!(text, "  {}", servers.join(" "));
+    }
     let same_digest = same_digest_events(lines, &own, id);
     if !same_digest.is_empty() {
         let _ = writeln!(text, "of other attempts for the same");
@@ -82,6 +86,30 @@
     lines.lines.iter().filter(is_about).collect()
 }
 
+/// Returns the servers that exited under requests with each part of this request's prompt, in the order of the exits.
+fn exits_by_part(lines: &LogLines, own: &[&LogLine]) -> Vec<(String, Vec<String>)> {
+    let named = own.iter().map(|it| parts_of(it)).find(|it| !it.is_empty()).unwrap_or_default();
+    let mut servers: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+    let exits: Vec<_> = lines.lines.iter().filter(|it| it.message == "server-exited").collect();
+    for line in exits {
+        let (parts, server) = (parts_of(line), line.field("server"));
+        for part in named.iter().filter(|it| parts.contains(it)) {
+            let exited = servers.entry(part).or_default();
+            if !exited.contains(&server) {
+                exited.push(server.clone());
+            }
+        }
+    }
+    named.iter().filter_map(|it| Some((it.clone(), servers.remove(it.as_str())?))).collect()
+}
+
+/// Returns the parts of a prompt that a line names.
+fn parts_of(line: &LogLine) -> Vec<String> {
+    let parts = line.field("parts");
+    let is_part = |it: &&str| !it.is_empty() && !it.starts_with('+');
+    parts.split(',').filter(is_part).map(str::to_owned).collect()
+}
+
 /// Returns whether a line states that the request was sent to a server that was no longer listed.
 fn used_unlisted_server(line: &LogLine) -> bool {
     let age = line.field("unlisted_ms");
--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peer_table;
 pub mod placement;
 pub mod poison;
+pub mod prompt_parts;
 pub mod quota;
 pub mod rate;
 pub mod request_digest;
--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -20,6 +20,7 @@
 
 mod cases;
 mod completed;
+mod evidence;
 mod outbox;
 mod quarantine;
 
@@ -37,6 +38,7 @@
 };
 pub use self::{
     cases::{ExitPattern, ExitedServers},
+    evidence::RunStage,
     quarantine::{QuarantineEntry, SendDecision},
 };
 use crate::request_digest::RequestDigest;
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -1,10 +1,10 @@
 //! Processes an admitted request: picks a server, sends the request to it, and retries if that is allowed.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use quincevalve_forwarding::{config::RetrySafety, placement::Placement};
+use quincevalve_forwarding::{config::RetrySafety, placement::Placement, poison::RunStage};
 use quincevalve_names::BackendServerName;
 use tokio::time::{Instant, timeout_at};
 
@@ -26,7 +26,7 @@
         relay,
         server_selection::{FoundServer, RETRY_AFTER_RANGE, WorkGuard, find_server, unlisted_ms},
         stream_versions::restrict_to_version,
-        trace::log_request,
+        trace::{listed, log_request},
     },
 };
 
@@ -76,17 +76,7 @@
         let extra: Vec<_> = copy.iter().map(|it| it.order_header(node)).collect();
         guard.set_copy(copy);
         let sent = Instant::now();
-        log_request!(
-            node, req,
-            server = place.server.as_str(), urgency = req.urgency, version = &place.version,
-            affinity = place.affinity.map_or(-1, usize::cast_signed) as i64,
-            predicted_ms = place.predicted.as_millis() as u64, running = place.known_load.requests,
-            prefill = place.known_load.prefill, recent = place.known_load.recent_prefill,
-            told_age_ms = place.peer_report_age.as_millis() as u64, unlisted_ms = unlisted_ms(&place),
-            waited_ms = waited.as_millis() as u64,
-            digest = req.digest_if_cheap().map_or_else(String::new, |it| it.to_string());
-            "placed"
-        );
+        log_placed(node, &req, &place, waited);
         let failure = match exchange(node, &req, &place, &extra).await {
             Ok(answer) => {
                 match handle_answer(node, &req, &place, answer, guard, sent, runs).await {
@@ -144,6 +134,22 @@
     }
 }
 
+/// Logs the choice of a server, with the estimates behind it.
+fn log_placed(node: &Node, req: &IdentifiedRequest, place: &Placement, waited: Duration) {
+    log_request!(
+        node, req,
+        server = place.server.as_str(), urgency = req.urgency, version = &place.version,
+        affinity = place.affinity.map_or(-1, usize::cast_signed) as i64,
+        predicted_ms = place.predicted.as_millis() as u64, running = place.known_load.requests,
+        prefill = place.known_load.prefill, recent = place.known_load.recent_prefill,
+        told_age_ms = place.peer_report_age.as_millis() as u64, unlisted_ms = unlisted_ms(place),
+        waited_ms = waited.as_millis() as u64,
+        digest = req.digest_if_cheap().map_or_else(String::new, |it| it.to_string()),
+        parts = listed(req.parts());
+        "placed"
+    );
+}
+
 /// Returns whether this VM can connect to none of the request's servers.
 fn is_cut_off(node: &Node, req: &IdentifiedRequest) -> bool {
     node.servers.borrow().is_cut_off_from(&req.service, clock::now())
@@ -250,7 +256,7 @@
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "answer-broke-off");
             update_server(node, place, |it, _| it.load.record_failure());
-            record_if_exited(node, req, place);
+            record_if_exited(node, req, place, RunStage::Begun);
             return Err(AttemptError::MayHaveRun);
         }
         Ok(Ok(body)) => body.to_bytes(),
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use quincevalve_forwarding::{
     placement::Placement,
+    poison::RunStage,
     servers::{LeaveReason, Server},
 };
 use quincevalve_names::TimePoint;
@@ -113,7 +114,7 @@
             // The other idle connections to this server have probably failed too.
             node.connections.drop_idle(&place.server_key());
             update_server(node, place, |it, now| it.load.record_unreachable(now));
-            record_if_exited(node, req, place);
+            record_if_exited(node, req, place, RunStage::Waiting);
             return Err(AttemptError::MayHaveRun);
         }
     };
--- a/crates/quincevalve_node/src/request/exit_check.rs
+++ b/crates/quincevalve_node/src/request/exit_check.rs
@@ -2,26 +2,33 @@
 
 use std::rc::Rc;
 
-use quincevalve_forwarding::{placement::Placement, servers::start_hash};
+use quincevalve_forwarding::{placement::Placement, poison::RunStage, servers::start_hash};
 use tokio::task::spawn_local;
 
 use crate::{
     clock,
     node::Node,
-    request::{connection_pool::ProbeResult, identify::IdentifiedRequest},
+    request::{connection_pool::ProbeResult, identify::IdentifiedRequest, trace::listed},
 };
 
 /// Checks in the background whether a server has exited after its connection closed before the answer was complete, and
 /// records the exit under the request's digest.
-pub(crate) fn record_if_exited(node: &Rc<Node>, req: &IdentifiedRequest, place: &Placement) {
+pub(crate) fn record_if_exited(
+    node: &Rc<Node>,
+    req: &IdentifiedRequest,
+    place: &Placement,
+    stage: RunStage,
+) {
     let (node, place) = (node.clone(), place.clone());
     let (id, digest) = (req.id.clone(), req.digest());
+    let parts = listed(req.parts());
     spawn_local(async move {
         if !has_exited(&node, &place).await {
             return;
         }
         log::warn!(
-            id, server = place.server.as_str(), start = place.start.0, digest:% = digest;
+            id, server = place.server.as_str(), start = place.start.0, digest:% = digest,
+            parts, stage:% = stage;
             "server-exited"
         );
         let server = start_hash(&place.server, place.start);
--- a/crates/quincevalve_node/src/request/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -13,6 +13,7 @@
     config::{ForwardingConfig, RetrySafety, Route},
     peer_forwarding::TakenRequest,
     placement::Prompt,
+    prompt_parts::{PartDigest, shared_parts},
     request_digest::RequestDigest,
 };
 use quincevalve_names::{ClientAccountName, ServerVersion, ServiceName, hash_text};
@@ -35,6 +36,7 @@
     pub(crate) id: String,
     pub(crate) body: Bytes,
     digest: OnceCell<RequestDigest>,
+    parts: OnceCell<Vec<PartDigest>>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// The headers that are forwarded to a server.
@@ -45,6 +47,8 @@
     pub(crate) account: Option<ClientAccountName>,
     pub(crate) urgency: u8,
     pub(crate) prompt: Option<Prompt>,
+    /// The parts of the prompt as the caller lists them.
+    prompt_parts: Option<String>,
     pub(crate) arrived: Instant,
     /// The end of the caller's wait or of the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -79,6 +83,14 @@
         (self.body.len() <= MAX_CHEAP_BODY).then(|| self.digest())
     }
 
+    /// Returns the parts of its prompt that other requests may share.
+    pub(crate) fn parts(&self) -> &[PartDigest] {
+        self.parts.get_or_init(|| {
+            let listed = self.prompt_parts.as_deref().unwrap_or_default();
+            shared_parts(&self.service, listed)
+        })
+    }
+
     /// Returns the number of prompt tokens and the maximum number of generated tokens.
     pub(crate) fn token_counts(&self) -> Option<(u32, u32)> {
         self.prompt.map(|it| (it.input, it.max_output))
@@ -148,10 +160,12 @@
     Ok(IdentifiedRequest {
         body: Bytes::new(),
         digest: OnceCell::new(),
+        parts: OnceCell::new(),
         method: req.method().clone(),
         uri: req.uri().clone(),
         headers: forwarded_headers(names, req.headers()),
         prompt: prompt(names, req.headers()),
+        prompt_parts: header_text(req.headers(), &names.prompt_parts).map(str::to_owned),
         resumption,
         stream_version: OnceCell::new(),
         urgency: urgency.unwrap_or(route.urgency),
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use quincevalve_forwarding::placement::Placement;
+use quincevalve_forwarding::{placement::Placement, poison::RunStage};
 use quincevalve_names::BackendServerName;
 use quincevalve_recovery::{RecoveryEvent, RunRecovery, stall_limit};
 use tokio::{
@@ -42,9 +42,18 @@
     place: Placement,
     guard: WorkGuard,
     sent: Instant,
+    /// When this server's first event arrived.
+    began_at: Option<Instant>,
     _stream: Option<StreamAtEngine>,
 }
 
+impl Source {
+    /// Returns how far the server's answer is. The server has begun it, since the head has arrived.
+    fn stage(&self) -> RunStage {
+        RunStage::of_answer(self.began_at.map(|it| it.elapsed()))
+    }
+}
+
 /// Why reading from a source stopped.
 enum StreamEnd {
     /// The server completed the stream.
@@ -87,6 +96,7 @@
         place: place.clone(),
         guard,
         sent,
+        began_at: None,
     };
     let relay = Relay {
         node: node.clone(),
@@ -202,7 +212,7 @@
                 }
                 StreamEnd::Interrupted => {
                     update_server(&self.node, &source.place, |it, _| it.load.record_failure());
-                    record_if_exited(&self.node, &self.req, &source.place);
+                    record_if_exited(&self.node, &self.req, &source.place, source.stage());
                     drop(source);
                     let Some(next) = self.resume(&mut servers).await else {
                         self.record_end("broke-off", &servers);
@@ -273,6 +283,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             let Some(events) = self.take_complete_events(&data) else { continue };
+            source.began_at.get_or_insert_with(Instant::now);
             if !std::mem::replace(&mut self.has_begun, true) {
                 source.guard.complete_prefill();
                 source.guard.record_first_part();
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -124,10 +124,10 @@
         event: RecoveryEvent,
         servers: &mut Vec<BackendServerName>,
     ) -> Option<Source> {
-        let place = source.place.clone();
+        let (place, stage) = (source.place.clone(), source.stage());
         let mut open = Some(source);
         if event == RecoveryEvent::Broke {
-            record_if_exited(&self.node, &self.req, &place);
+            record_if_exited(&self.node, &self.req, &place, stage);
             self.leave(&place, &mut open);
         }
         let earlier = self.unanswered_order.as_ref().filter(|it| it.is_to_stop_at(&place));
@@ -493,6 +493,7 @@
             place,
             guard,
             sent,
+            began_at: None,
         })
     }
 }
--- a/crates/quincevalve_node/src/request/trace.rs
+++ b/crates/quincevalve_node/src/request/trace.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 
+use quincevalve_forwarding::prompt_parts::PartDigest;
+
 use crate::{clock, node::Node};
 
 /// Maximum number of lines buffered for one request.
@@ -48,6 +50,17 @@
     }
 }
 
+/// Maximum number of parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Returns how log lines name the parts of a prompt: comma-separated, and the number of those that are left out.
+pub(crate) fn listed(parts: &[PartDigest]) -> String {
+    let named: Vec<String> = parts.iter().take(MAX_LOGGED_PARTS).map(ToString::to_string).collect();
+    let left_out = parts.len() - named.len();
+    let more = if left_out > 0 { format!(",+{left_out}") } else { String::new() };
+    named.join(",") + &more
+}
+
 /// Writes a log line of a request, or buffers it if the line budget is used up.
 macro_rules! log_request {
     ($node:expr, $req:expr, $($key:ident = $value:expr),* ; $name:literal) => {
