--- a/crates/quincevalve_node/tests/poison_request.rs
+++ b/crates/quincevalve_node/tests/poison_request.rs
@@ -6,23 +6,20 @@
 
 use quincevalve_forwarding::servers::ServerEntry;
 use support::{
-    Arrival, FakeStore, LAST_CHUNK, Reply, Setup, Vm, World, config_with_copies, entry, events,
-    exchange, metric, request, run, sealed, stream_head,
+    Arrival, LAST_CHUNK, Reply, Setup, Vm, World, config_with_copies, entry, events, exchange,
+    metric,
+    quarantine::{
+        POLL_INTERVAL, QUARANTINE, RETRY_PAUSE, is_withheld, make_trial_due, start_two_more_vms,
+    },
+    request, run, sealed, stream_head,
 };
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
-/// Interval between two checks of a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Time after which callers retry an interrupted answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(350);
 /// Maximum number of times the request may be sent: three times until it must be quarantined, and three times after
 /// that.
 const MAX_SENDS: usize = 3 + 3;
 /// Number of attempts, each of which would make a server exit.
 const ATTEMPTS: usize = 12;
-/// Prefix of the store's keys of quarantined requests.
-const QUARANTINE: &str = "quarantine/";
-
 /// Makes the server exit during the poison request, and answers all other requests.
 fn script(_: usize, arrival: &Arrival) -> Reply {
     if is_poison(arrival) {
@@ -54,20 +51,6 @@
     }
 }
 
-/// Starts two more VMs and waits until all three know each other.
-async fn start_two_more_vms(world: &World) -> [Vm; 2] {
-    let other_vms = [
-        Vm::start("vm-2", world.store.for_another_vm()).await,
-        Vm::start("vm-3", world.store.for_another_vm()).await,
-    ];
-    for metrics in [world.metrics, other_vms[0].metrics, other_vms[1].metrics] {
-        while metric(metrics, "quincevalve_vms").await != Some(3) {
-            sleep(POLL_INTERVAL).await;
-        }
-    }
-    other_vms
-}
-
 /// Repeats the request until it is quarantined.
 async fn repeat_until_quarantined(world: &World, path: &str) {
     for at in 0..ATTEMPTS {
@@ -80,18 +63,6 @@
     panic!("the request was not quarantined");
 }
 
-/// Makes the next trial of the quarantined request due at once.
-fn make_trial_due(store: &FakeStore) {
-    let item = &store.items_with_prefix(QUARANTINE)[0];
-    store.put_item(&item.key, br#"{"trials":0,"until_ms":0}"#.to_vec());
-}
-
-fn is_withheld(answer: &str) -> bool {
-    answer.starts_with("HTTP/1.1 503")
-        && answer.contains("quarantined")
-        && answer.contains("retry-after: ")
-}
-
 // Guards against a request that makes every server that runs it exit. Its caller retries it with the same path, account
 // and body at another VM each time, which would send it as a new request to the next live server: twelve servers exited
 // thirteen times in 39 seconds, and all their other streams were interrupted. The logs show `placed` lines of different
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test file uses only some of these helpers")]
 
 pub mod link;
+pub mod quarantine;
 
 use std::{
     cell::{Cell, RefCell},
