--- a/crates/quincevalve_explain/src/trace.rs
+++ b/crates/quincevalve_explain/src/trace.rs
@@ -4,9 +4,20 @@
 
 use crate::line::{LogLine, LogLines};
 
-/// Events about a request that clients repeat, identified by its digest; any VM may log them.
-const DIGEST_EVENTS: [&str; 4] =
-    ["server-exited", "quarantined", "trial-begun", "quarantine-lifted"];
+/// Events about a request that clients repeat or about a part of its prompt, identified by a digest; any VM may log them.
+const DIGEST_EVENTS: [&str; 9] = [
+    "server-exited",
+    "exit-reported",
+    "suspect-inquired",
+    "suspect-cleared",
+    "quarantined",
+    "quarantine-heard",
+    "trial-begun",
+    "quarantine-lifted",
+    "quarantine-lifted-at-version",
+];
+/// Prefix of the written form of a part where requests have theirs too.
+const PART_PREFIX: &str = "part-";
 
 /// Events of a VM's process that can explain the outcome of a request.
 const CONTEXT_EVENTS: [&str; 21] = [
@@ -72,15 +83,21 @@
     Some(text)
 }
 
-/// Returns the events of other requests with the same digest, if this request was withheld from servers or a server
-/// exited while processing it.
+/// Returns the events of other requests with the same digest, and those about what this request was withheld for, if it
+/// was withheld from servers or a server exited while processing it.
 fn same_digest_events<'a>(lines: &'a LogLines, own: &[&LogLine], id: &str) -> Vec<&'a LogLine> {
     let trigger =
         own.iter().find(|it| ["withheld", "server-exited"].contains(&it.message.as_str()));
     let Some(digest) = trigger.map(|it| it.field("digest")) else { return Vec::new() };
+    let withheld_for = own.iter().map(|it| it.field("suspect")).find(|it| !it.is_empty());
+    let withheld_for = withheld_for.unwrap_or_else(|| digest.clone());
+    let part = withheld_for.strip_prefix(PART_PREFIX);
     let is_about = |it: &&LogLine| {
+        let names = [it.field("digest"), it.field("suspect")];
+        let is_same = names.contains(&digest) || names.contains(&withheld_for);
+        let holds_part = part.is_some_and(|part| parts_of(it).iter().any(|it| it == part));
         DIGEST_EVENTS.contains(&it.message.as_str())
-            && it.field("digest") == digest
+            && (is_same || holds_part)
             && !it.belongs_to_request(id)
     };
     lines.lines.iter().filter(is_about).collect()
@@ -193,7 +210,9 @@
         "cut-off" => "the VM could connect to no server of the service; see servers-unreachable",
         "stopping" => "the VM had SIGTERM; see draining above",
         "server-failed" => "a server took it and gave no whole answer; see exchange-failed",
-        "quarantined" => "servers exited under the same request; see server-exited above",
+        "quarantined" => {
+            "servers exited under the same request, or a part of it; see server-exited above"
+        }
         "late" => "a server took it and was silent until the deadline",
         "unknown-key" => "no account holds the key in this version",
         "no-route" => "no route of this version matches host and path",
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -69,12 +69,15 @@
     pub scope: Option<&'a VersionScope>,
     /// The only version that may process the request, if its stream began there.
     pub version: Option<&'a ServerVersion>,
+    /// Versions that may not process the request.
+    pub barred: &'a [ServerVersion],
 }
 
 impl PlacementRequest<'_> {
     fn admits(&self, name: &BackendServerName, server: &Server) -> bool {
         self.scope.is_none_or(|it| it.admits(name, &server.entry))
             && self.version.is_none_or(|it| server.entry.version == *it)
+            && !self.barred.contains(&server.entry.version)
     }
 }
 
--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -1,4 +1,4 @@
-//! Quarantines requests that crash the servers that run them.
+//! Quarantines requests, and parts of prompts, that crash the servers that run them.
 //!
 //! A caller repeats a request that crashes its server, each time as a new attempt and at another VM. Server after
 //! server exits, and every caller whose request ran beside it loses its answer, although each attempt and each VM stays
@@ -15,106 +15,128 @@
 //!    in the entry, so that all VMs together make no more of them than one VM would; a trial that completes lifts the
 //!    quarantine.
 //!
+//! A part of prompts may crash servers too, whatever else a request holds. No two requests with it are alike, so that
+//! none of them has more than one exit. Each part is therefore a [`Suspect`] of its own, with arbiters, inquiries, an
+//! entry and trials like those of a request. What differs is the evidence ([`ExitEvidence`]): many parts are in each
+//! request and in many others, so that exits count by how far the answer was, and only under different requests; and a
+//! part may crash one software version and not another ([`PartFindings`]).
+//!
 //! This suffices because each exit is counted once however many VMs observe it, two of the three arbiters may be down
 //! or partitioned, and a conditional write keeps the number of trials.
 
+mod arbiters;
+mod case;
 mod cases;
 mod completed;
 mod evidence;
+mod messages;
 mod outbox;
 mod quarantine;
+mod suspect;
 
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use quincevalve_names::{TimePoint, hash_text, rendezvous_score};
-use serde::{Deserialize, Serialize};
+use quincevalve_names::TimePoint;
 
 use self::{
-    cases::{Cases, Connectivity, MAX_INQUIRY_TIMEOUT, Step},
-    completed::CompletedRuns,
+    arbiters::VmRanking,
+    case::{Exit, MAX_INQUIRY_TIMEOUT},
+    cases::{Cases, Connectivity, Step},
+    completed::Completions,
     outbox::{Outbox, QueuedMessage, Recipient},
     quarantine::Quarantine,
 };
 pub use self::{
-    cases::{ExitPattern, ExitedServers},
-    evidence::RunStage,
-    quarantine::{QuarantineEntry, SendDecision},
+    arbiters::arbiters,
+    case::{ExitPattern, ExitedServers},
+    evidence::{ExitEvidence, PartFindings, RunStage},
+    messages::PoisonMessage,
+    quarantine::{PartEntry, QuarantineEntry, SendDecision},
+    suspect::Suspect,
 };
-use crate::request_digest::RequestDigest;
-
-/// Number of VMs that count the exits under one request: one may be partitioned while another is restarted.
-const ARBITERS: usize = 3;
+use crate::{prompt_parts::PartDigest, request_digest::RequestDigest, stream_versions::VersionTag};
 
 /// Retry delay for callers of a request that this VM blocks because it can't ask other VMs about it.
 const LOCAL_BLOCK_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Maximum number of completed requests kept: those of one VM in two minutes at ten times its usual rate, in half a
+/// megabyte.
+const MAX_COMPLETED_REQUESTS: usize = 8_192;
+/// Maximum number of completed parts kept: those of the same requests, most of which share their parts, in a megabyte.
+const MAX_COMPLETED_PARTS: usize = 16_384;
+/// Interval at which completions of the same part are recorded.
+const PART_COMPLETION_INTERVAL: Duration = Duration::from_secs(5);
+/// Maximum number of versions at which completions of parts are known.
+const MAX_VERSIONS: usize = 64;
+/// Maximum number of other parts that the report of an exit names.
+const MAX_REPORTED_BESIDE: usize = 4;
+/// Maximum number of observations kept for the log.
+const MAX_OBSERVATIONS: usize = 256;
 
-/// A message between VMs about a request under which servers exit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PoisonMessage {
-    /// A server exited while it ran this request.
-    Exited {
-        /// The request.
-        digest: RequestDigest,
-        /// Identifies that start of the server, as returned by [`start_hash`](crate::servers::start_hash).
-        server: u64,
+/// A quarantine that this VM decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// What is quarantined.
+    pub suspect: Suspect,
+    /// How the exits are distributed.
+    pub exits: ExitPattern,
+    /// The versions at which a part crashed and completed; empty for requests.
+    pub findings: PartFindings,
+}
+
+/// What happened to a suspect, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// This VM reported an exit to the arbiters.
+    Reported {
+        /// The suspect.
+        suspect: Suspect,
+        /// The request that ran.
+        request: RequestDigest,
+        /// The VMs to which it was reported.
+        arbiters: Vec<String>,
     },
-    /// Asks whether the request completed recently.
-    Inquiry {
-        /// The request.
-        digest: RequestDigest,
-        /// Servers that exited under it.
-        servers: ExitedServers,
+    /// This VM, an arbiter, asks all VMs whether it completed.
+    Inquired {
+        /// The suspect.
+        suspect: Suspect,
+        /// Number of servers that exited under it.
+        exits: usize,
     },
-    /// The request completed recently.
-    Completed(RequestDigest),
-    /// The request is quarantined.
-    Quarantined {
-        /// The request.
-        digest: RequestDigest,
-        /// Servers that exited under it.
-        servers: ExitedServers,
+    /// It completed at a VM, so that it is no suspect.
+    Cleared {
+        /// The suspect.
+        suspect: Suspect,
+        /// The VM that said so.
+        by: String,
+    },
+    /// A VM reported its quarantine.
+    Heard {
+        /// The suspect.
+        suspect: Suspect,
+        /// The VM that decided.
+        from: String,
     },
-}
-
-/// Returns the VMs that count the exits under a request, in the order in which they decide.
-///
-/// VMs that know the same names get the same result.
-///
-/// # Examples
-///
-/// ```
-/// use quincevalve_forwarding::{poison::arbiters, request_digest::RequestDigest};
-/// let names = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
-/// let chosen = arbiters(RequestDigest(7), &names);
-/// assert_eq!(chosen.len(), 3);
-/// // They stay the same when another VM is removed.
-/// let removed = names.iter().copied().find(|it| !chosen.contains(it)).unwrap();
-/// let remaining: Vec<_> = names.iter().copied().filter(|it| *it != removed).collect();
-/// assert_eq!(arbiters(RequestDigest(7), &remaining), chosen);
-/// ```
-pub fn arbiters<'a>(digest: RequestDigest, names: &[&'a str]) -> Vec<&'a str> {
-    let score = |it: &&str| std::cmp::Reverse(rendezvous_score(digest.0, hash_text(it)));
-    let mut ranked = names.to_vec();
-    ranked.sort_by_cached_key(score);
-    ranked.truncate(ARBITERS);
-    ranked
 }
 
 /// The quarantine state of one VM.
 #[derive(Debug)]
 pub struct PoisonGuard {
     me: String,
-    completed: CompletedRuns,
+    completed: Completions<RequestDigest>,
+    completed_parts: Completions<(PartDigest, VersionTag)>,
+    /// The versions at which parts completed.
+    versions: IndexSet<VersionTag>,
     cases: Cases,
     quarantine: Quarantine,
     outbox: Outbox,
-    /// Requests that an arbiter inquires about, and until when a completion is reported to the arbiters.
-    inquiries: IndexMap<RequestDigest, TimePoint>,
+    /// Suspects that an arbiter inquires about, and until when a completion is reported to the arbiters.
+    inquiries: IndexMap<Suspect, TimePoint>,
     /// Suspected requests that this VM doesn't send to servers until it can ask the other VMs.
-    blocked_locally: IndexSet<RequestDigest>,
-    /// Requests whose quarantine isn't written to the store yet.
-    unwritten: Vec<(RequestDigest, ExitPattern)>,
+    blocked_locally: IndexSet<Suspect>,
+    /// Quarantines that aren't written to the store yet.
+    unwritten: Vec<Verdict>,
+    observations: Vec<Observation>,
 }
 
 impl PoisonGuard {
@@ -122,33 +144,78 @@
     pub fn new(me: &str) -> Self {
         Self {
             me: me.to_owned(),
-            completed: CompletedRuns::default(),
+            completed: Completions::new(MAX_COMPLETED_REQUESTS, Duration::ZERO),
+            completed_parts: Completions::new(MAX_COMPLETED_PARTS, PART_COMPLETION_INTERVAL),
+            versions: IndexSet::new(),
             cases: Cases::default(),
             quarantine: Quarantine::default(),
             outbox: Outbox::default(),
             inquiries: IndexMap::new(),
             blocked_locally: IndexSet::new(),
             unwritten: Vec::new(),
+            observations: Vec::new(),
         }
     }
 
     /// Records that a server exited while it ran a request of this VM.
     pub fn record_server_exit(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
-        if self.completed.contains(digest, now) || self.quarantine.is_known(digest, now) {
+        if self.completed.contains(digest, now) || self.quarantine.is_known(digest.into(), now) {
             return;
         }
-        self.outbox.report_exit(digest, server, now);
-        self.cases.record_own_exit(digest, server, now);
+        self.outbox.report_exit(&PoisonMessage::Exited { digest, server }, now);
+        self.cases.count(digest.into(), request_exit(digest, server, true, now));
+    }
+
+    /// Records that a server exited while it ran a request of this VM whose prompt holds these parts. `exit` doesn't say
+    /// yet what else may have made the server exit.
+    pub fn record_part_exits(&mut self, parts: &[PartDigest], exit: &ExitEvidence, now: TimePoint) {
+        let is_possible = |it: &&PartDigest| {
+            !self.completed_parts.contains((**it, exit.version), now)
+                && !self.quarantine.bars(**it, exit.version, now)
+        };
+        let possible: Vec<PartDigest> = parts.iter().filter(is_possible).copied().collect();
+        for part in &possible {
+            let others = possible.iter().filter(|it| *it != part);
+            let beside = others.copied().take(MAX_REPORTED_BESIDE).collect();
+            let exit = ExitEvidence { beside, ..exit.clone() };
+            let message = PoisonMessage::PartExited { part: *part, exit: exit.clone() };
+            self.outbox.report_exit(&message, now);
+            self.cases.count((*part).into(), part_exit(exit, true, now));
+        }
     }
 
     /// Records that a request of this VM completed. Returns `true` if it is quarantined, which the completion lifts.
     pub fn record_completion(&mut self, digest: RequestDigest, now: TimePoint) -> bool {
         self.completed.record(digest, now);
-        self.cases.mark_cleared(digest, now);
-        if self.inquiries.shift_remove(&digest).is_some_and(|until| until > now) {
-            self.outbox.send(Recipient::Arbiters, PoisonMessage::Completed(digest), now);
+        self.cases.mark_cleared(digest.into(), now);
+        self.report_if_inquired(PoisonMessage::Completed(digest), now);
+        self.quarantine.is_known(digest.into(), now)
+    }
+
+    /// Records that a request of this VM whose prompt holds these parts completed at a server of a version. Returns the
+    /// parts whose quarantine at that version this lifts.
+    pub fn record_part_completions(
+        &mut self,
+        parts: &[PartDigest],
+        version: VersionTag,
+        now: TimePoint,
+    ) -> Vec<PartDigest> {
+        if self.versions.len() < MAX_VERSIONS && !parts.is_empty() {
+            self.versions.insert(version);
+        }
+        for part in parts {
+            self.completed_parts.record((*part, version), now);
+            self.cases.mark_version_cleared((*part).into(), version, now);
+            self.report_if_inquired(PoisonMessage::PartCompleted { part: *part, version }, now);
+        }
+        let barred = parts.iter().filter(|it| self.quarantine.bars(**it, version, now));
+        barred.copied().collect()
+    }
+
+    fn report_if_inquired(&mut self, message: PoisonMessage, now: TimePoint) {
+        if self.inquiries.shift_remove(&message.suspect()).is_some_and(|until| until > now) {
+            self.outbox.send(Recipient::Arbiters, message, now);
         }
-        self.quarantine.is_known(digest, now)
     }
 
     /// Returns whether a request may be sent to a server. `wall_clock_ms` is in Unix milliseconds; `None` if unknown.
@@ -158,15 +225,38 @@
         now: TimePoint,
         wall_clock_ms: Option<i64>,
     ) -> SendDecision {
-        if self.blocked_locally.contains(&digest) && self.cases.is_suspected(digest) {
+        let suspect = digest.into();
+        if self.blocked_locally.contains(&suspect) && self.cases.is_suspected(suspect) {
             return SendDecision::Quarantined(LOCAL_BLOCK_RETRY_DELAY);
         }
-        self.quarantine.send_decision(digest, now, wall_clock_ms)
+        self.quarantine.send_decision(suspect, now, wall_clock_ms)
+    }
+
+    /// Returns whether requests with a part may be sent to servers of a version. They may where one of this VM's completed
+    /// recently, whatever other VMs decided.
+    pub fn part_decision(
+        &self,
+        part: PartDigest,
+        version: VersionTag,
+        now: TimePoint,
+        wall_clock_ms: Option<i64>,
+    ) -> SendDecision {
+        if !self.quarantine.bars(part, version, now)
+            || self.completed_parts.contains((part, version), now)
+        {
+            return SendDecision::Allowed;
+        }
+        self.quarantine.send_decision(part.into(), now, wall_clock_ms)
     }
 
     /// Returns whether any request is quarantined or blocked here, so that digests have to be compared.
     pub fn has_quarantined(&self) -> bool {
-        !self.quarantine.is_empty() || !self.blocked_locally.is_empty()
+        self.quarantine.has_requests() || !self.blocked_locally.is_empty()
+    }
+
+    /// Returns whether any part is quarantined, so that the parts of prompts have to be compared.
+    pub fn has_quarantined_parts(&self) -> bool {
+        self.quarantine.has_parts()
     }
 
     /// Returns the quarantined requests that have an entry in the store.
@@ -174,67 +264,147 @@
         self.quarantine.stored_entries()
     }
 
-    /// Applies an entry of the store.
+    /// Returns the quarantined parts that have an entry in the store.
+    pub fn stored_part_entries(&self) -> impl Iterator<Item = (PartDigest, PartEntry)> {
+        self.quarantine.stored_part_entries()
+    }
+
+    /// Applies the store's entry of a request.
     pub fn apply_entry(&mut self, digest: RequestDigest, entry: QuarantineEntry) {
-        self.cases.remove(digest);
+        self.cases.remove(digest.into());
         self.quarantine.apply_entry(digest, entry);
     }
 
-    /// Applies the removal of an entry of the store: the request may be sent again, and its exits are discarded.
-    pub fn remove_entry(&mut self, digest: RequestDigest, now: TimePoint) {
-        self.cases.remove(digest);
-        self.quarantine.remove_entry(digest, now);
+    /// Applies the store's entry of a part.
+    pub fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry) {
+        self.cases.remove(part.into());
+        self.quarantine.apply_part_entry(part, entry);
+    }
+
+    /// Applies the removal of an entry of the store: what it was about may be sent again, and its exits are discarded.
+    pub fn remove_entry(&mut self, suspect: impl Into<Suspect>, now: TimePoint) {
+        let suspect = suspect.into();
+        self.cases.remove(suspect);
+        self.cases.withdraw_attribution(suspect);
+        self.quarantine.remove_entry(suspect, now);
     }
 
     /// Replaces the known entries by all entries of the store.
     pub fn replace_all(
         &mut self,
-        entries: impl IntoIterator<Item = (RequestDigest, QuarantineEntry)>,
+        requests: impl IntoIterator<Item = (RequestDigest, QuarantineEntry)>,
+        parts: impl IntoIterator<Item = (PartDigest, PartEntry)>,
         now: TimePoint,
     ) {
-        let entries: Vec<_> = entries.into_iter().collect();
-        let removed: Vec<_> = self.stored_entries().map(|(digest, _)| digest).collect();
-        for digest in
-            removed.into_iter().filter(|it| !entries.iter().any(|(listed, _)| listed == it))
-        {
-            self.remove_entry(digest, now);
+        let requests: IndexMap<_, _> = requests.into_iter().collect();
+        let parts: IndexMap<_, _> = parts.into_iter().collect();
+        let known_requests = self.stored_entries().map(|(it, _)| it);
+        let removed = known_requests.filter(|it| !requests.contains_key(it)).map(Suspect::Request);
+        let known_parts = self.stored_part_entries().map(|(it, _)| it);
+        let removed_parts = known_parts.filter(|it| !parts.contains_key(it)).map(Suspect::Part);
+        for suspect in removed.chain(removed_parts).collect::<Vec<_>>() {
+            self.remove_entry(suspect, now);
         }
-        for (digest, entry) in entries {
+        for (digest, entry) in requests {
             self.apply_entry(digest, entry);
         }
+        for (part, entry) in parts {
+            self.apply_part_entry(part, entry);
+        }
     }
 
     /// Records that a trial is requested from the store, so that repeats of the request don't ask for it again
     /// meanwhile.
-    pub fn record_trial_request(&mut self, digest: RequestDigest, now: TimePoint) {
-        self.quarantine.record_trial_request(digest, now);
+    pub fn record_trial_request(&mut self, suspect: impl Into<Suspect>, now: TimePoint) {
+        self.quarantine.record_trial_request(suspect.into(), now);
     }
 
     /// Handles a message of the VM named `from`.
     pub fn receive(&mut self, from: &str, message: PoisonMessage, now: TimePoint) {
         match message {
             PoisonMessage::Exited { digest, server } => {
-                if !self.quarantine.is_known(digest, now) {
-                    self.cases.record_reported_exit(digest, server, now);
+                if !self.quarantine.is_known(digest.into(), now) {
+                    self.cases.count(digest.into(), request_exit(digest, server, false, now));
+                }
+            }
+            PoisonMessage::PartExited { part, exit } => {
+                if !self.quarantine.bars(part, exit.version, now) {
+                    self.cases.count(part.into(), part_exit(exit, false, now));
                 }
             }
             PoisonMessage::Inquiry { digest, servers } => {
-                self.cases.apply_competing_inquiry(digest, &servers);
+                self.cases.apply_competing_inquiry(digest.into(), &servers, now);
                 if self.completed.contains(digest, now) {
                     let answer = PoisonMessage::Completed(digest);
                     self.outbox.send(Recipient::Vm(from.to_owned()), answer, now);
                 } else {
-                    self.inquiries.retain(|_, until| *until > now);
-                    self.inquiries.insert(digest, now + MAX_INQUIRY_TIMEOUT);
+                    self.await_completion(digest.into(), now);
                 }
             }
-            PoisonMessage::Completed(digest) => self.cases.mark_cleared(digest, now),
+            PoisonMessage::PartInquiry { part, servers } => {
+                self.cases.apply_competing_inquiry(part.into(), &servers, now);
+                for version in self.completed_versions(part, now) {
+                    let answer = PoisonMessage::PartCompleted { part, version };
+                    self.outbox.send(Recipient::Vm(from.to_owned()), answer, now);
+                }
+                self.await_completion(part.into(), now);
+            }
+            PoisonMessage::Completed(digest) => {
+                self.cases.mark_cleared(digest.into(), now);
+            }
+            PoisonMessage::PartCompleted { part, version } => {
+                let suspect = part.into();
+                if self.cases.is_suspected(suspect) {
+                    self.observe(Observation::Cleared { suspect, by: from.to_owned() });
+                }
+                self.cases.mark_version_cleared(suspect, version, now);
+            }
             PoisonMessage::Quarantined { digest, servers } => {
-                self.cases.remove(digest);
-                self.cases.discard_attributed_exits(&servers);
-                self.quarantine.apply_report(digest, now);
+                self.hear_quarantine(from, digest.into(), &servers, PartFindings::default(), now);
             }
+            PoisonMessage::PartQuarantined { part, servers, findings } => {
+                self.hear_quarantine(from, part.into(), &servers, findings, now);
+            }
+        }
+    }
+
+    /// Reports the next completion of a suspect to its arbiters, for as long as they wait for it.
+    fn await_completion(&mut self, suspect: Suspect, now: TimePoint) {
+        self.inquiries.retain(|_, until| *until > now);
+        self.inquiries.insert(suspect, now + MAX_INQUIRY_TIMEOUT);
+    }
+
+    fn hear_quarantine(
+        &mut self,
+        from: &str,
+        suspect: Suspect,
+        servers: &ExitedServers,
+        findings: PartFindings,
+        now: TimePoint,
+    ) {
+        if !self.quarantine.is_known(suspect, now) {
+            self.observe(Observation::Heard { suspect, from: from.to_owned() });
         }
+        self.cases.remove(suspect);
+        self.cases.attribute_exits(suspect, servers);
+        self.quarantine.apply_report(suspect, findings, now);
+    }
+
+    /// Returns the versions at which this VM completed requests with a part.
+    fn completed_versions(&self, part: PartDigest, now: TimePoint) -> Vec<VersionTag> {
+        let versions = self.versions.iter().copied();
+        versions.filter(|it| self.completed_parts.contains((part, *it), now)).collect()
+    }
+
+    fn observe(&mut self, observation: Observation) {
+        if self.observations.len() < MAX_OBSERVATIONS {
+            self.observations.push(observation);
+        }
+    }
+
+    /// Takes what happened since the last call.
+    pub fn take_observations(&mut self) -> Vec<Observation> {
+        std::mem::take(&mut self.observations)
     }
 
     /// Returns whether [`Self::tick`] has anything to do.
@@ -252,15 +422,25 @@
         connected_fraction: f64,
         now: TimePoint,
     ) -> Vec<(String, PoisonMessage)> {
-        for step in
-            self.cases.tick(names, &self.me, Connectivity::from_fraction(connected_fraction), now)
-        {
+        let vms = VmRanking::new(names);
+        let connectivity = Connectivity::from_fraction(connected_fraction);
+        for step in self.cases.tick(&vms, &self.me, connectivity, now) {
             self.apply_step(step, now);
         }
         self.blocked_locally.retain(|it| self.cases.is_suspected(*it));
         let mut messages = Vec::new();
-        for QueuedMessage { to, message, .. } in self.outbox.take_due(now) {
-            for name in recipients(&to, &message, names) {
+        for QueuedMessage { to, message, is_first, .. } in self.outbox.take_due(now) {
+            let recipients = match &to {
+                Recipient::Arbiters => vms.arbiters(message.suspect()),
+                Recipient::Vm(name) => vec![name.as_str()],
+                Recipient::All => vms.names().collect(),
+            };
+            if is_first && let PoisonMessage::PartExited { part, exit } = &message {
+                let arbiters = recipients.iter().map(|it| (*it).to_owned()).collect();
+                let (suspect, request) = ((*part).into(), exit.request);
+                self.observe(Observation::Reported { suspect, request, arbiters });
+            }
+            for name in recipients {
                 if name != self.me {
                     messages.push((name.to_owned(), message.clone()));
                 } else if !matches!(to, Recipient::All) {
@@ -273,40 +453,69 @@
     }
 
     /// Takes the quarantines that have to be written to the store.
-    pub fn take_unwritten(&mut self) -> Vec<(RequestDigest, ExitPattern)> {
+    pub fn take_unwritten(&mut self) -> Vec<Verdict> {
         std::mem::take(&mut self.unwritten)
     }
 
+    /// Reports a quarantine to all VMs again, because the store can't be written.
+    pub fn report_again(&mut self, verdict: &Verdict, now: TimePoint) {
+        let Verdict { suspect, findings, .. } = verdict.clone();
+        self.quarantine.apply_report(suspect, findings.clone(), now);
+        let message = PoisonMessage::quarantined(suspect, ExitedServers::default(), findings);
+        self.outbox.send(Recipient::All, message, now);
+    }
+
     fn apply_step(&mut self, step: Step, now: TimePoint) {
         match step {
-            Step::Inquire { digest, .. } if self.completed.contains(digest, now) => {
-                self.cases.mark_cleared(digest, now);
+            Step::Inquire { suspect: Suspect::Request(digest), .. }
+                if self.completed.contains(digest, now) =>
+            {
+                self.cases.mark_cleared(digest.into(), now);
             }
-            Step::Inquire { digest, servers } => {
-                self.cases.apply_competing_inquiry(digest, &servers);
-                self.outbox.inquire(PoisonMessage::Inquiry { digest, servers }, now);
+            Step::Inquire { suspect, servers } => {
+                if let Suspect::Part(part) = suspect {
+                    for version in self.completed_versions(part, now) {
+                        self.cases.mark_version_cleared(suspect, version, now);
+                    }
+                    if !self.cases.is_suspected(suspect) {
+                        return;
+                    }
+                }
+                self.observe(Observation::Inquired { suspect, exits: servers.len() });
+                self.cases.apply_competing_inquiry(suspect, &servers, now);
+                self.outbox.inquire(PoisonMessage::inquiry(suspect, servers), now);
             }
-            Step::BlockLocally(digest) => {
-                self.blocked_locally.insert(digest);
+            Step::BlockLocally(suspect) => {
+                self.blocked_locally.insert(suspect);
             }
-            Step::Quarantine { digest, servers, exits } => {
-                self.cases.discard_attributed_exits(&servers);
-                self.quarantine.apply_report(digest, now);
-                self.unwritten.push((digest, exits));
-                let message = PoisonMessage::Quarantined { digest, servers };
+            Step::Quarantine { suspect, servers, exits, findings } => {
+                self.cases.attribute_exits(suspect, &servers);
+                self.quarantine.apply_report(suspect, findings.clone(), now);
+                let message = PoisonMessage::quarantined(suspect, servers, findings.clone());
+                self.unwritten.push(Verdict { suspect, exits, findings });
                 self.outbox.send(Recipient::All, message, now);
             }
         }
     }
 }
 
-fn recipients<'a>(to: &'a Recipient, message: &PoisonMessage, names: &[&'a str]) -> Vec<&'a str> {
-    match (to, message) {
-        (
-            Recipient::Arbiters,
-            PoisonMessage::Exited { digest, .. } | PoisonMessage::Completed(digest),
-        ) => arbiters(*digest, names),
-        (Recipient::Vm(name), _) => vec![name],
-        (Recipient::Arbiters | Recipient::All, _) => names.to_vec(),
+/// Returns the exit of a server under a whole request, whatever its version and the stage of the answer.
+fn request_exit(digest: RequestDigest, server: u64, is_own: bool, now: TimePoint) -> Exit {
+    let (version, stage) = (VersionTag(0), RunStage::Begun);
+    let exit = ExitEvidence { server, version, stage, request: digest, beside: Vec::new() };
+    part_exit(exit, is_own, now)
+}
+
+fn part_exit(exit: ExitEvidence, is_own: bool, now: TimePoint) -> Exit {
+    let ExitEvidence { server, version, stage, request, beside } = exit;
+    Exit {
+        server,
+        version,
+        at: now,
+        is_own,
+        stage,
+        requests: vec![request],
+        beside,
+        attributed_to: None,
     }
 }
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -1,141 +1,34 @@
-//! Counts the exits under the requests for which this VM is an arbiter.
+//! The cases for which this VM is an arbiter.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use indexmap::IndexMap;
 use quincevalve_names::TimePoint;
-use serde::{Deserialize, Serialize};
 
-use super::{arbiters, completed::COMPLETION_TTL};
-use crate::request_digest::RequestDigest;
+use super::{
+    Suspect,
+    arbiters::VmRanking,
+    case::{
+        Case, CaseState, Exit, ExitPattern, ExitedServers, MIN_EXITS, MIN_EXITS_WITH_COMPETITOR,
+        is_enough,
+    },
+    evidence::PartFindings,
+};
+use crate::stream_versions::VersionTag;
 
-/// Number of exits under a request that make it a suspect. Two happen to a request by chance whenever many servers
-/// crash, and each further one costs another server.
-const MIN_EXITS: usize = 3;
-/// Number of exits after which two requests that ran on the same servers are both suspects. An innocent request runs on
-/// each of so many exiting servers by chance only where nearly all servers run it, and then it completes on others.
-const MIN_EXITS_WITH_COMPETITOR: usize = 5;
-/// Exits that are closer to each other than this belong to one event.
-const SAME_EVENT_WINDOW: Duration = Duration::from_millis(300);
-/// Time for VMs to report a completion of the same request: three transmissions of the inquiry and their latency.
-const INQUIRY_TIMEOUT: Duration = Duration::from_millis(220);
-/// The same where servers exited together. When a rack loses power, callers may just have begun to send a popular
-/// request of which no run has completed yet; a run that starts now completes in most cases within this time. Copies of
-/// a poison request that arrive at once have all been sent before anything can be known about them.
-pub(super) const MAX_INQUIRY_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time that the second arbiter waits for the verdict of the first; the third waits twice as long.
 const ARBITER_DELAY: Duration = Duration::from_millis(250);
-/// How long an exit counts against a request.
-const EXIT_TTL: Duration = Duration::from_secs(3_600);
-/// Maximum number of servers that a message about a suspect names: as many as some tens of simultaneous copies crash.
-const MAX_REPORTED_SERVERS: usize = 24;
 /// Up to this number of VMs all arbiters inquire at once. With few servers, popular requests often run on those that
 /// exit under another request, and the arbiters of both have to receive each other's inquiries.
 const MAX_VMS_OF_SMALL_SYSTEM: usize = 16;
-/// Maximum number of cases; the oldest is dropped first. Covers all requests that ran on a hundred servers that exit
-/// within the hour, as far as this VM is their arbiter, in half a megabyte.
+/// Maximum number of cases of requests, and of cases of parts. Covers all requests that ran on a hundred servers that exit
+/// within the hour, as far as this VM is their arbiter, in half a megabyte, and most parts of their prompts.
 const MAX_CASES: usize = 4_096;
 
-/// The progress of a case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CaseState {
-    Open,
-    /// Enough exits were counted to suspect the request.
-    Suspected {
-        since: TimePoint,
-    },
-    /// An inquiry was sent to all VMs.
-    Inquired {
-        sent_at: TimePoint,
-    },
-    /// This VM is connected to few others and doesn't send the request to servers until it can ask most of them.
-    BlockedLocally,
-    /// The request completed at some VM.
-    Cleared {
-        at: TimePoint,
-    },
-}
-
-/// A server that exited under a request.
-#[derive(Clone, Copy, Debug)]
-struct Exit {
-    server: u64,
-    /// When it was first reported.
-    at: TimePoint,
-    /// Whether this VM observed it itself.
-    is_own: bool,
-}
-
-/// The exits under one request and what follows from them.
-#[derive(Clone, Debug)]
-struct Case {
-    /// One entry for each server, oldest first.
-    exits: Vec<Exit>,
-    state: CaseState,
-}
-
-impl Default for Case {
-    fn default() -> Self {
-        Self { exits: Vec::new(), state: CaseState::Open }
-    }
-}
-
-impl Case {
-    fn is_suspected(&self) -> bool {
-        matches!(
-            self.state,
-            CaseState::Suspected { .. } | CaseState::Inquired { .. } | CaseState::BlockedLocally
-        )
-    }
-
-    /// Returns whether the exits that this VM observed itself suffice.
-    fn has_enough_own_exits(&self) -> bool {
-        self.exits.iter().filter(|it| it.is_own).count() >= MIN_EXITS
-    }
-
-    fn servers(&self) -> ExitedServers {
-        ExitedServers(self.exits.iter().map(|it| it.server).take(MAX_REPORTED_SERVERS).collect())
-    }
-
-    fn inquiry_timeout(&self) -> Duration {
-        match self.exits() {
-            ExitPattern::Together => MAX_INQUIRY_TIMEOUT,
-            ExitPattern::Separate => INQUIRY_TIMEOUT,
-        }
-    }
-
-    /// Returns how the counted exits are distributed over time.
-    fn exits(&self) -> ExitPattern {
-        let mut events = 0;
-        let mut newest: Option<TimePoint> = None;
-        for Exit { at, .. } in &self.exits {
-            if newest.is_none_or(|it| at.since(it) >= SAME_EVENT_WINDOW) {
-                events += 1;
-                newest = Some(*at);
-            }
-        }
-        if events < MIN_EXITS { ExitPattern::Together } else { ExitPattern::Separate }
-    }
-}
-
-/// Distribution over time of the exits under a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ExitPattern {
-    /// Some belong to one event: copies of the request ran at the same time, or a rack lost power.
-    Together,
-    /// Each exit is a separate event.
-    Separate,
-}
-
-/// The first servers that exited under a request.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ExitedServers(Vec<u64>);
-
-impl ExitedServers {
-    fn contains(&self, server: u64) -> bool {
-        self.0.contains(&server)
-    }
-}
+/// Time for which inquiries are kept.
+const INQUIRY_TTL: Duration = Duration::from_secs(5);
+/// Maximum number of inquiries kept.
+const MAX_INQUIRIES: usize = 64;
 
 /// How many of the VMs this VM is connected to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,106 +55,146 @@
 /// An action that a case requires.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Step {
-    /// Ask all VMs whether the request completed.
-    Inquire { digest: RequestDigest, servers: ExitedServers },
+    /// Ask all VMs whether it completed.
+    Inquire { suspect: Suspect, servers: ExitedServers },
     /// Don't send it to servers from this VM until other VMs can be asked.
-    BlockLocally(RequestDigest),
+    BlockLocally(Suspect),
     /// Quarantine it at all VMs.
-    Quarantine { digest: RequestDigest, servers: ExitedServers, exits: ExitPattern },
+    Quarantine {
+        suspect: Suspect,
+        servers: ExitedServers,
+        exits: ExitPattern,
+        findings: PartFindings,
+    },
 }
 
-/// The requests for which this VM is an arbiter.
+/// An inquiry of this VM or another arbiter.
+#[derive(Debug)]
+struct Inquiry {
+    suspect: Suspect,
+    servers: ExitedServers,
+    at: TimePoint,
+}
+
+/// The suspects for which this VM is an arbiter.
 #[derive(Debug, Default)]
 pub(super) struct Cases {
-    cases: IndexMap<RequestDigest, Case>,
+    cases: IndexMap<Suspect, Case>,
+    /// The newest inquiries, which parts have to be compared with: the exits under a part may be counted after an inquiry
+    /// about another suspect at the same servers.
+    inquiries: VecDeque<Inquiry>,
 }
 
 impl Cases {
-    /// Counts an exit that another VM reports. Each server counts once, however many VMs report it.
-    pub(super) fn record_reported_exit(
-        &mut self,
-        digest: RequestDigest,
-        server: u64,
-        now: TimePoint,
-    ) {
-        self.count(digest, Exit { server, at: now, is_own: false }, now);
-    }
-
-    /// Counts an exit that this VM observed itself.
-    pub(super) fn record_own_exit(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
-        self.count(digest, Exit { server, at: now, is_own: true }, now);
+    /// Counts an exit that this VM or another one reports.
+    pub(super) fn count(&mut self, suspect: Suspect, exit: Exit) {
+        if self.cases.len() >= MAX_CASES && !self.cases.contains_key(&suspect) {
+            self.make_room(suspect.kind());
+        }
+        self.cases.entry(suspect).or_default().count(suspect, exit);
     }
 
-    fn count(&mut self, digest: RequestDigest, exit: Exit, now: TimePoint) {
-        if self.cases.len() >= MAX_CASES && !self.cases.contains_key(&digest) {
-            self.cases.shift_remove_index(0);
-        }
-        let case = self.cases.entry(digest).or_default();
-        if matches!(case.state, CaseState::Cleared { at } if now.since(at) > COMPLETION_TTL) {
-            *case = Case::default();
-        }
-        if matches!(case.state, CaseState::Cleared { .. }) {
-            return;
-        }
-        case.exits.retain(|it| now.since(it.at) <= EXIT_TTL);
-        if let Some(known) = case.exits.iter_mut().find(|it| it.server == exit.server) {
-            known.is_own |= exit.is_own;
+    /// Drops a case if there are too many of its kind: the oldest request, or the oldest part with one exit, so that
+    /// parts that recur are kept.
+    fn make_room(&mut self, kind: &str) {
+        let of_kind = || self.cases.iter().enumerate().filter(|(_, (it, _))| it.kind() == kind);
+        if of_kind().count() < MAX_CASES {
             return;
         }
-        case.exits.push(exit);
-        if case.state == CaseState::Open && case.exits.len() >= MIN_EXITS {
-            case.state = CaseState::Suspected { since: now };
+        let is_weak = |suspect: &Suspect, case: &Case| {
+            matches!(suspect, Suspect::Request(_)) || case.exits.len() <= 1
+        };
+        let weakest = of_kind().find(|(_, (suspect, case))| is_weak(suspect, case));
+        let dropped = weakest.or_else(|| of_kind().next()).map(|(at, _)| at);
+        if let Some(at) = dropped {
+            self.cases.shift_remove_index(at);
         }
     }
 
     /// Clears a request that completed at some VM.
-    pub(super) fn mark_cleared(&mut self, digest: RequestDigest, now: TimePoint) {
-        if let Some(case) = self.cases.get_mut(&digest) {
+    pub(super) fn mark_cleared(&mut self, suspect: Suspect, now: TimePoint) {
+        if let Some(case) = self.cases.get_mut(&suspect) {
             *case = Case { state: CaseState::Cleared { at: now }, ..Case::default() };
         }
     }
 
-    /// Applies an inquiry about another request that is suspected of the exits of `servers`.
+    /// Clears a part at the version at which a request with it completed at some VM.
+    pub(super) fn mark_version_cleared(
+        &mut self,
+        suspect: Suspect,
+        version: VersionTag,
+        now: TimePoint,
+    ) {
+        if let Some(case) = self.cases.get_mut(&suspect) {
+            case.clear_version(suspect, version, now);
+        }
+    }
+
+    /// Applies an inquiry about another suspect of the exits of `servers`.
     ///
     /// A popular request that happens to run on each of the first three servers that a poison request crashes would be
     /// quarantined with it. The evidence against both is the same, so a suspect whose exits are all explained by the
-    /// other request goes back to open: the next exit is under only one of them and makes that one the suspect.
+    /// other one goes back to open: the next exit is under only one of them and makes that one the suspect.
     ///
     /// Two poison requests that share a prompt are placed on the same servers, and by this rule alone neither would
-    /// ever stay a suspect. From [`MIN_EXITS_WITH_COMPETITOR`] exits on, competing requests are ignored.
+    /// ever stay a suspect. From [`MIN_EXITS_WITH_COMPETITOR`] exits on, competing requests are ignored. A part is in
+    /// requests of many kinds, so that it also goes back to open while the competitor explains more than it does.
     pub(super) fn apply_competing_inquiry(
         &mut self,
-        competitor: RequestDigest,
+        competitor: Suspect,
         servers: &ExitedServers,
+        now: TimePoint,
     ) {
+        self.inquiries.retain(|it| now.since(it.at) <= INQUIRY_TTL && it.suspect != competitor);
+        if self.inquiries.len() >= MAX_INQUIRIES {
+            self.inquiries.pop_front();
+        }
+        let inquiry = Inquiry { suspect: competitor, servers: servers.clone(), at: now };
+        self.inquiries.push_back(inquiry);
         let suspects =
             self.cases.iter_mut().filter(|(it, case)| **it != competitor && case.is_suspected());
-        for (_, case) in suspects {
-            let may_reopen = case.exits.len() < MIN_EXITS_WITH_COMPETITOR;
-            if may_reopen && case.exits.iter().all(|it| servers.contains(it.server)) {
+        for (suspect, case) in suspects {
+            let is_explained = match suspect {
+                Suspect::Request(_) => {
+                    case.exits.len() < MIN_EXITS_WITH_COMPETITOR
+                        && case.exits.iter().all(|it| servers.contains(it.server))
+                }
+                Suspect::Part(_) => explains(*suspect, case, servers),
+            };
+            if is_explained {
                 case.state = CaseState::Open;
             }
         }
     }
 
-    /// Discards the exits of servers that a quarantined request crashed: they no longer count against other requests.
-    pub(super) fn discard_attributed_exits(&mut self, servers: &ExitedServers) {
-        for case in self.cases.values_mut() {
-            case.exits.retain(|it| !servers.contains(it.server));
-            if case.is_suspected() && case.exits.len() < MIN_EXITS {
-                case.state = CaseState::Open;
+    /// Attributes the exits of servers that a quarantined suspect crashed: they no longer count against others.
+    pub(super) fn attribute_exits(&mut self, to: Suspect, servers: &ExitedServers) {
+        for (suspect, case) in &mut self.cases {
+            match suspect {
+                Suspect::Request(_) => {
+                    case.exits.retain(|it| !servers.contains(it.server));
+                    if case.is_suspected() && case.exits.len() < MIN_EXITS {
+                        case.state = CaseState::Open;
+                    }
+                }
+                Suspect::Part(_) => case.attribute(*suspect, to, servers),
             }
         }
     }
 
-    /// Removes the case of a request whose quarantine began or was lifted.
-    pub(super) fn remove(&mut self, digest: RequestDigest) {
-        self.cases.shift_remove(&digest);
+    /// Counts exits again that were attributed to a suspect whose quarantine was lifted.
+    pub(super) fn withdraw_attribution(&mut self, from: Suspect) {
+        self.cases.values_mut().for_each(|it| it.withdraw_attribution(from));
+    }
+
+    /// Removes the case of a suspect whose quarantine began or was lifted.
+    pub(super) fn remove(&mut self, suspect: Suspect) {
+        self.cases.shift_remove(&suspect);
     }
 
-    /// Returns whether a request is a suspect.
-    pub(super) fn is_suspected(&self, digest: RequestDigest) -> bool {
-        self.cases.get(&digest).is_some_and(Case::is_suspected)
+    /// Returns whether it is a suspect.
+    pub(super) fn is_suspected(&self, suspect: Suspect) -> bool {
+        self.cases.get(&suspect).is_some_and(Case::is_suspected)
     }
 
     /// Returns whether any case may require an action.
@@ -269,72 +202,114 @@
         self.cases.values().any(Case::is_suspected)
     }
 
-    /// Returns the steps that are due. The position of `me` among the arbiters of a request, chosen from `names`, says
-    /// how long it waits for the arbiters before it.
+    /// Returns the steps that are due. The position of `me` among the arbiters of a suspect says how long it waits for the
+    /// arbiters before it.
     ///
     /// An arbiter that is partitioned together with a few other VMs, none of which completed a popular request, would
     /// take their silence for that of all VMs and quarantine an innocent request. An arbiter that is connected to a
-    /// minority therefore leaves decisions to arbiters that aren't, or postpones them until it is connected again.
-    /// Until then it blocks requests locally, without notifying any VM, if it observed enough exits itself, since no
-    /// other VM may know of these. An arbiter that lacks some VMs waits for one more exit.
+    /// minority therefore leaves decisions about requests to arbiters that aren't, or postpones them until it is
+    /// connected again. Until then it blocks requests locally, without notifying any VM, if it observed enough exits
+    /// itself, since no other VM may know of these. An arbiter that lacks some VMs waits for one more exit.
+    ///
+    /// About parts it decides all the same: no two requests with a part are alike, so that VMs which are all cut off from
+    /// each other would each have to lose servers. VMs at which the part completed ignore the decision and lift it.
     pub(super) fn tick(
         &mut self,
-        names: &[&str],
+        vms: &VmRanking<'_>,
         me: &str,
         connectivity: Connectivity,
         now: TimePoint,
     ) -> Vec<Step> {
-        let is_small = names.len() <= MAX_VMS_OF_SMALL_SYSTEM;
+        let is_small = vms.len() <= MAX_VMS_OF_SMALL_SYSTEM;
         let mut steps = Vec::new();
-        for (digest, case) in &mut self.cases {
+        let inquiries = &self.inquiries;
+        for (suspect, case) in &mut self.cases {
+            let others =
+                || inquiries.iter().filter(|it| it.suspect != *suspect).map(|it| &it.servers);
+            if matches!(suspect, Suspect::Part(_))
+                && case.is_suspected()
+                && others().any(|it| explains(*suspect, case, it))
+            {
+                case.state = CaseState::Open;
+            }
+            let is_isolated =
+                connectivity == Connectivity::Minority && matches!(suspect, Suspect::Request(_));
+            let arbiter_delay = || ARBITER_DELAY * vms.rank(*suspect, me) as u32;
             match case.state {
                 CaseState::Suspected { .. } | CaseState::Inquired { .. }
-                    if connectivity == Connectivity::Minority && case.has_enough_own_exits() =>
+                    if is_isolated && case.has_enough_own_exits() =>
                 {
                     case.state = CaseState::BlockedLocally;
-                    steps.push(Step::BlockLocally(*digest));
+                    steps.push(Step::BlockLocally(*suspect));
                 }
-                CaseState::Suspected { .. } | CaseState::Inquired { .. }
-                    if connectivity == Connectivity::Minority => {}
+                CaseState::Suspected { .. } | CaseState::Inquired { .. } if is_isolated => {}
                 CaseState::BlockedLocally if connectivity != Connectivity::Minority => {
                     case.state = CaseState::Suspected { since: now };
                 }
                 CaseState::Suspected { .. }
-                    if connectivity == Connectivity::Majority && case.exits.len() <= MIN_EXITS =>
+                    if connectivity == Connectivity::Majority
+                        && case.unexplained().count() <= MIN_EXITS =>
                 {
                     case.state = CaseState::Open;
                 }
                 CaseState::Suspected { since }
-                    if is_small || now.since(since) >= arbiter_delay(*digest, names, me) =>
+                    if is_small || now.since(since) >= arbiter_delay() =>
                 {
                     case.state = CaseState::Inquired { sent_at: now };
-                    steps.push(Step::Inquire { digest: *digest, servers: case.servers() });
+                    steps.push(Step::Inquire { suspect: *suspect, servers: case.servers() });
                 }
                 CaseState::Inquired { sent_at } => {
-                    let delay =
-                        if is_small { arbiter_delay(*digest, names, me) } else { Duration::ZERO };
-                    if now.since(sent_at) < case.inquiry_timeout() + delay {
+                    let delay = if is_small { arbiter_delay() } else { Duration::ZERO };
+                    if now.since(sent_at) < case.inquiry_timeout(*suspect) + delay {
                         continue;
                     }
-                    let (servers, exits) = (case.servers(), case.exits());
-                    steps.push(Step::Quarantine { digest: *digest, servers, exits });
+                    steps.push(Step::Quarantine {
+                        suspect: *suspect,
+                        servers: case.servers(),
+                        exits: if case.has_constant_companion()
+                            || others().any(|it| is_shared(*suspect, case, it))
+                        {
+                            ExitPattern::Contested
+                        } else {
+                            case.timing(*suspect)
+                        },
+                        findings: findings(case),
+                    });
                 }
                 _ => {}
             }
         }
         for step in &steps {
-            if let Step::Quarantine { digest, .. } = step {
-                self.remove(*digest);
+            if let Step::Quarantine { suspect, .. } = step {
+                self.remove(*suspect);
             }
         }
         steps
     }
 }
 
-/// Returns how long this arbiter leaves the decision to the arbiters before it. A VM that isn't an arbiter by its own
-/// list of VMs, but is by that of others, decides last.
-fn arbiter_delay(digest: RequestDigest, names: &[&str], me: &str) -> Duration {
-    let chosen = arbiters(digest, names);
-    let rank = chosen.iter().position(|it| *it == me).unwrap_or(chosen.len());
-    ARBITER_DELAY * rank as u32
+/// Returns whether another suspect of the exits of `servers` explains enough of the exits under a part.
+fn explains(part: Suspect, case: &Case, servers: &ExitedServers) -> bool {
+    let count = case.unexplained().count();
+    let left = case.unexplained().filter(|it| !servers.contains(it.server));
+    let is_outweighed = servers.len() > count;
+    (count < MIN_EXITS_WITH_COMPETITOR || is_outweighed) && !is_enough(part, left)
+}
+
+/// Returns whether another suspect of the exits of `servers` is at most of the servers of a part.
+fn is_shared(suspect: Suspect, case: &Case, servers: &ExitedServers) -> bool {
+    let shared = case.unexplained().filter(|it| servers.contains(it.server)).count();
+    matches!(suspect, Suspect::Part(_)) && shared >= MIN_EXITS
+}
+
+/// Returns at which versions servers exited, and at which requests with the part completed.
+fn findings(case: &Case) -> PartFindings {
+    let mut crashed: Vec<VersionTag> = Vec::new();
+    for exit in case.unexplained() {
+        if !crashed.contains(&exit.version) {
+            crashed.push(exit.version);
+        }
+    }
+    let sound = case.cleared_versions.iter().map(|(version, _)| *version).collect();
+    PartFindings { crashed, sound }
 }
--- a/crates/quincevalve_forwarding/src/poison/outbox.rs
+++ b/crates/quincevalve_forwarding/src/poison/outbox.rs
@@ -4,8 +4,7 @@
 
 use quincevalve_names::TimePoint;
 
-use super::{PoisonMessage, cases::MAX_INQUIRY_TIMEOUT};
-use crate::request_digest::RequestDigest;
+use super::{PoisonMessage, case::MAX_INQUIRY_TIMEOUT};
 
 /// Delays after which the report of an exit is sent. The last ones reach a VM that was unreachable for some seconds.
 const REPORT_DELAYS: [Duration; 5] = [
@@ -26,7 +25,7 @@
 /// The recipient of a message.
 #[derive(Clone, Debug)]
 pub(super) enum Recipient {
-    /// The arbiters of the request.
+    /// The arbiters of the suspect.
     Arbiters,
     /// One VM.
     Vm(String),
@@ -40,6 +39,8 @@
     pub(super) due: TimePoint,
     pub(super) to: Recipient,
     pub(super) message: PoisonMessage,
+    /// Whether it is the first transmission.
+    pub(super) is_first: bool,
 }
 
 /// The queue of messages to send.
@@ -50,24 +51,23 @@
 
 impl Outbox {
     /// Queues the report of an exit.
-    pub(super) fn report_exit(&mut self, digest: RequestDigest, server: u64, now: TimePoint) {
-        let message = PoisonMessage::Exited { digest, server };
+    pub(super) fn report_exit(&mut self, message: &PoisonMessage, now: TimePoint) {
         for delay in REPORT_DELAYS {
-            self.push(Recipient::Arbiters, message.clone(), now + delay);
+            self.push(Recipient::Arbiters, message.clone(), now + delay, delay.is_zero());
         }
     }
 
     /// Queues a message for now and a few more times.
     pub(super) fn send(&mut self, to: Recipient, message: PoisonMessage, now: TimePoint) {
         for delay in MESSAGE_DELAYS {
-            self.push(to.clone(), message.clone(), now + delay);
+            self.push(to.clone(), message.clone(), now + delay, delay.is_zero());
         }
     }
 
     /// Queues an inquiry to all VMs, with one late repeat that leaves time for the answer.
     pub(super) fn inquire(&mut self, message: PoisonMessage, now: TimePoint) {
         self.send(Recipient::All, message.clone(), now);
-        self.push(Recipient::All, message, now + MAX_INQUIRY_TIMEOUT / 2);
+        self.push(Recipient::All, message, now + MAX_INQUIRY_TIMEOUT / 2, false);
     }
 
     pub(super) fn is_due(&self, now: TimePoint) -> bool {
@@ -81,9 +81,9 @@
         Vec::from(due)
     }
 
-    fn push(&mut self, to: Recipient, message: PoisonMessage, due: TimePoint) {
+    fn push(&mut self, to: Recipient, message: PoisonMessage, due: TimePoint, is_first: bool) {
         if self.queue.len() < MAX_QUEUED {
-            self.queue.push_back(QueuedMessage { due, to, message });
+            self.queue.push_back(QueuedMessage { due, to, message, is_first });
         }
     }
 }
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantined requests: which there are, for how long, and when a trial is due.
+//! Quarantined requests and parts: which there are, for how long, and when a trial is due.
 
 use std::time::Duration;
 
@@ -6,8 +6,8 @@
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use super::cases::ExitPattern;
-use crate::request_digest::RequestDigest;
+use super::{Suspect, case::ExitPattern, evidence::PartFindings};
+use crate::{prompt_parts::PartDigest, request_digest::RequestDigest, stream_versions::VersionTag};
 
 /// Quarantine periods before the first trial and after each. A request that was caught in a burst of crashes by chance
 /// is served again when the burst is over. Few requests are, and each trial of a request that does crash servers costs
@@ -21,6 +21,17 @@
 ];
 /// First quarantine period where servers exited together: if a rack failed, the next server stays up.
 const SHORT_QUARANTINE_PERIOD: Duration = Duration::from_secs(1);
+/// Quarantine periods of a part before the first trial and after each. All requests with it share them, and of those few
+/// may reach servers in a day.
+const PART_PERIODS: [Duration; 3] =
+    [Duration::from_secs(30), Duration::from_secs(3_600), Duration::from_secs(24 * 3_600)];
+/// The same where it isn't certain that the part made the servers exit.
+const UNCERTAIN_PART_PERIODS: [Duration; 4] = [
+    SHORT_QUARANTINE_PERIOD,
+    Duration::from_secs(10),
+    Duration::from_secs(3_600),
+    Duration::from_secs(24 * 3_600),
+];
 /// How long a request is quarantined by another VM's report alone, while the store can't be read.
 const REPORT_TTL: Duration = Duration::from_secs(60);
 /// How long after a quarantine is lifted old reports of it may arrive. A report is sent three times within a fifth of a
@@ -29,7 +40,7 @@
 /// Time for the store to answer whether this VM may run the trial.
 const TRIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of entries of the store that are kept, the oldest dropped first, and of reported quarantines.
-const MAX_REQUESTS: usize = 1_024;
+const MAX_QUARANTINED: usize = 1_024;
 
 /// The store's entry of a quarantined request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,8 +55,10 @@
     /// Creates the first entry of a request.
     pub fn first(exits: ExitPattern, wall_clock_ms: i64) -> Self {
         let period_ms = match exits {
-            ExitPattern::Together => SHORT_QUARANTINE_PERIOD.as_millis() as i64,
-            ExitPattern::Separate => quarantine_period_ms(0),
+            ExitPattern::Together | ExitPattern::Contested => {
+                SHORT_QUARANTINE_PERIOD.as_millis() as i64
+            }
+            ExitPattern::Separate => period_ms(&QUARANTINE_PERIODS, 0),
         };
         Self { trials: 0, until_ms: wall_clock_ms + period_ms }
     }
@@ -63,13 +76,58 @@
     /// ```
     pub fn next_trial(&self, wall_clock_ms: i64) -> Option<Self> {
         let trials = self.trials + 1;
-        let next = Self { trials, until_ms: wall_clock_ms + quarantine_period_ms(trials) };
+        let next =
+            Self { trials, until_ms: wall_clock_ms + period_ms(&QUARANTINE_PERIODS, trials) };
         (wall_clock_ms >= self.until_ms).then_some(next)
     }
 }
 
-fn quarantine_period_ms(trials: u32) -> i64 {
-    QUARANTINE_PERIODS[(trials as usize).min(QUARANTINE_PERIODS.len() - 1)].as_millis() as i64
+/// The store's entry of a quarantined part of prompts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartEntry {
+    /// Number of trials begun.
+    pub trials: u32,
+    /// When the next trial may begin, in Unix milliseconds of wall-clock time.
+    pub until_ms: i64,
+    /// Whether the exits don't single the part out, so that the first trials come early.
+    pub is_uncertain: bool,
+    /// What is known of it at the versions of its service.
+    pub findings: PartFindings,
+}
+
+impl PartEntry {
+    /// Creates the first entry of a part.
+    pub fn first(exits: ExitPattern, findings: PartFindings, wall_clock_ms: i64) -> Self {
+        let is_uncertain = exits != ExitPattern::Separate;
+        let until_ms = wall_clock_ms + period_ms(periods(is_uncertain), 0);
+        Self { trials: 0, until_ms, is_uncertain, findings }
+    }
+
+    /// Returns the entry that begins the next trial, or `None` if none is due yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use quincevalve_forwarding::poison::{ExitPattern, PartEntry, PartFindings};
+    /// let first = PartEntry::first(ExitPattern::Separate, PartFindings::default(), 0);
+    /// assert_eq!(first.next_trial(29_999), None);
+    /// let begun = first.next_trial(30_000).unwrap();
+    /// assert_eq!((begun.trials, begun.until_ms), (1, 3_630_000));
+    /// ```
+    pub fn next_trial(&self, wall_clock_ms: i64) -> Option<Self> {
+        let trials = self.trials + 1;
+        let until_ms = wall_clock_ms + period_ms(periods(self.is_uncertain), trials);
+        let next = Self { trials, until_ms, ..self.clone() };
+        (wall_clock_ms >= self.until_ms).then_some(next)
+    }
+}
+
+fn periods(is_uncertain: bool) -> &'static [Duration] {
+    if is_uncertain { &UNCERTAIN_PART_PERIODS } else { &PART_PERIODS }
+}
+
+fn period_ms(periods: &[Duration], trials: u32) -> i64 {
+    periods[(trials as usize).min(periods.len() - 1)].as_millis() as i64
 }
 
 /// Whether a request may be sent to a server.
@@ -83,87 +141,149 @@
     TrialDue,
 }
 
-/// The quarantined requests that this VM knows.
+/// A quarantine that the store lists.
+#[derive(Clone, Debug)]
+struct Listed {
+    trials: u32,
+    until_ms: i64,
+    is_uncertain: bool,
+    findings: PartFindings,
+}
+
+/// A quarantine that a VM reported.
+#[derive(Clone, Debug)]
+struct Reported {
+    until: TimePoint,
+    findings: PartFindings,
+}
+
+/// What is quarantined as far as this VM knows.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     /// Entries of the store.
-    listed: IndexMap<RequestDigest, QuarantineEntry>,
-    /// Requests quarantined by reports of VMs, and until when.
-    reported: IndexMap<RequestDigest, TimePoint>,
+    listed: IndexMap<Suspect, Listed>,
+    /// Quarantines reported by VMs.
+    reported: IndexMap<Suspect, Reported>,
     /// Lifted quarantines, and until when old reports of them may arrive.
-    lifted: IndexMap<RequestDigest, TimePoint>,
+    lifted: IndexMap<Suspect, TimePoint>,
     /// Trials requested from the store, and until when the answer is awaited.
-    requested_trials: IndexMap<RequestDigest, TimePoint>,
+    requested_trials: IndexMap<Suspect, TimePoint>,
 }
 
 impl Quarantine {
-    pub(super) fn is_empty(&self) -> bool {
-        self.listed.is_empty() && self.reported.is_empty()
+    /// Returns whether any whole request is quarantined.
+    pub(super) fn has_requests(&self) -> bool {
+        self.suspects().any(|it| matches!(it, Suspect::Request(_)))
+    }
+
+    /// Returns whether any part is quarantined.
+    pub(super) fn has_parts(&self) -> bool {
+        self.suspects().any(|it| matches!(it, Suspect::Part(_)))
     }
 
-    fn is_listed(&self, digest: RequestDigest) -> bool {
-        self.listed.contains_key(&digest)
+    fn suspects(&self) -> impl Iterator<Item = &Suspect> {
+        self.listed.keys().chain(self.reported.keys())
     }
 
-    /// Returns whether the store or a report says that the request is quarantined.
-    pub(super) fn is_known(&self, digest: RequestDigest, now: TimePoint) -> bool {
-        self.is_listed(digest) || self.reported.get(&digest).is_some_and(|until| *until > now)
+    /// Returns whether the store or a report says that it is quarantined.
+    pub(super) fn is_known(&self, suspect: Suspect, now: TimePoint) -> bool {
+        self.listed.contains_key(&suspect)
+            || self.reported.get(&suspect).is_some_and(|it| it.until > now)
+    }
+
+    /// Returns whether the store or a report says that a part is quarantined at servers of a version.
+    pub(super) fn bars(&self, part: PartDigest, version: VersionTag, now: TimePoint) -> bool {
+        let suspect = Suspect::Part(part);
+        let listed = self.listed.get(&suspect).map(|it| &it.findings);
+        let reported = self.reported.get(&suspect).filter(|it| it.until > now);
+        listed.or(reported.map(|it| &it.findings)).is_some_and(|it| it.bars(version))
     }
 
     pub(super) fn stored_entries(&self) -> impl Iterator<Item = (RequestDigest, QuarantineEntry)> {
-        self.listed.iter().map(|(digest, entry)| (*digest, *entry))
+        self.listed.iter().filter_map(|(suspect, it)| match suspect {
+            Suspect::Request(digest) => {
+                Some((*digest, QuarantineEntry { trials: it.trials, until_ms: it.until_ms }))
+            }
+            Suspect::Part(_) => None,
+        })
+    }
+
+    pub(super) fn stored_part_entries(&self) -> impl Iterator<Item = (PartDigest, PartEntry)> {
+        self.listed.iter().filter_map(|(suspect, it)| match suspect {
+            Suspect::Part(part) => {
+                let Listed { trials, until_ms, is_uncertain, findings } = it.clone();
+                Some((*part, PartEntry { trials, until_ms, is_uncertain, findings }))
+            }
+            Suspect::Request(_) => None,
+        })
     }
 
     pub(super) fn apply_entry(&mut self, digest: RequestDigest, entry: QuarantineEntry) {
-        self.reported.shift_remove(&digest);
-        self.requested_trials.shift_remove(&digest);
-        self.listed.insert(digest, entry);
-        while self.listed.len() > MAX_REQUESTS {
+        let QuarantineEntry { trials, until_ms } = entry;
+        let findings = PartFindings::default();
+        self.list(digest.into(), Listed { trials, until_ms, is_uncertain: false, findings });
+    }
+
+    pub(super) fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry) {
+        let PartEntry { trials, until_ms, is_uncertain, findings } = entry;
+        self.list(part.into(), Listed { trials, until_ms, is_uncertain, findings });
+    }
+
+    fn list(&mut self, suspect: Suspect, listed: Listed) {
+        self.reported.shift_remove(&suspect);
+        self.requested_trials.shift_remove(&suspect);
+        self.listed.insert(suspect, listed);
+        while self.listed.len() > MAX_QUARANTINED {
             self.listed.shift_remove_index(0);
         }
     }
 
-    pub(super) fn remove_entry(&mut self, digest: RequestDigest, now: TimePoint) {
-        self.reported.shift_remove(&digest);
-        self.requested_trials.shift_remove(&digest);
-        self.listed.shift_remove(&digest);
+    pub(super) fn remove_entry(&mut self, suspect: Suspect, now: TimePoint) {
+        self.reported.shift_remove(&suspect);
+        self.requested_trials.shift_remove(&suspect);
+        self.listed.shift_remove(&suspect);
         self.lifted.retain(|_, until| *until > now);
-        self.lifted.insert(digest, now + STALE_REPORT_WINDOW);
+        self.lifted.insert(suspect, now + STALE_REPORT_WINDOW);
     }
 
-    /// Applies a VM's report that a request is quarantined.
+    /// Applies a VM's report that a suspect is quarantined.
     ///
     /// If a quarantine is lifted a moment after it began, the last of the datagrams that report it may arrive after
     /// that, and some VMs would block an innocent request for a minute. Reports of a quarantine that was lifted less
     /// than [`STALE_REPORT_WINDOW`] ago are therefore ignored.
-    pub(super) fn apply_report(&mut self, digest: RequestDigest, now: TimePoint) {
-        self.reported.retain(|_, until| *until > now);
-        if self.lifted.get(&digest).is_some_and(|until| *until > now) {
+    pub(super) fn apply_report(
+        &mut self,
+        suspect: Suspect,
+        findings: PartFindings,
+        now: TimePoint,
+    ) {
+        self.reported.retain(|_, it| it.until > now);
+        if self.lifted.get(&suspect).is_some_and(|until| *until > now) {
             return;
         }
-        if self.reported.len() < MAX_REQUESTS {
-            self.reported.insert(digest, now + REPORT_TTL);
+        if self.reported.len() < MAX_QUARANTINED {
+            self.reported.insert(suspect, Reported { until: now + REPORT_TTL, findings });
         }
     }
 
-    pub(super) fn record_trial_request(&mut self, digest: RequestDigest, now: TimePoint) {
+    pub(super) fn record_trial_request(&mut self, suspect: Suspect, now: TimePoint) {
         self.requested_trials.retain(|_, until| *until > now);
-        self.requested_trials.insert(digest, now + TRIAL_REQUEST_TIMEOUT);
+        self.requested_trials.insert(suspect, now + TRIAL_REQUEST_TIMEOUT);
     }
 
     /// Returns whether a request may be sent. Without the wall-clock time no trial begins.
     pub(super) fn send_decision(
         &self,
-        digest: RequestDigest,
+        suspect: Suspect,
         now: TimePoint,
         wall_clock_ms: Option<i64>,
     ) -> SendDecision {
-        let reported = self.reported.get(&digest).filter(|it| **it > now);
-        let Some(entry) = self.listed.get(&digest) else {
+        let reported = self.reported.get(&suspect).map(|it| it.until).filter(|it| *it > now);
+        let Some(entry) = self.listed.get(&suspect) else {
             return reported
                 .map_or(SendDecision::Allowed, |it| SendDecision::Quarantined(it.since(now)));
         };
-        if let Some(until) = self.requested_trials.get(&digest).filter(|it| **it > now) {
+        if let Some(until) = self.requested_trials.get(&suspect).filter(|it| **it > now) {
             return SendDecision::Quarantined(until.since(now));
         }
         match wall_clock_ms.map(|it| entry.until_ms - it) {
--- a/crates/quincevalve_forwarding/tests/poison.rs
+++ b/crates/quincevalve_forwarding/tests/poison.rs
@@ -59,7 +59,7 @@
     fn time_to_quarantine(&mut self, from: u64) -> Option<(u64, ExitPattern)> {
         (0..1_000).map(|it| from + it * 10).find_map(|millis| {
             self.tick(millis);
-            let (_, exits) = self.guard.take_unwritten().into_iter().next()?;
+            let exits = self.guard.take_unwritten().into_iter().next()?.exits;
             Some((millis - from, exits))
         })
     }
@@ -629,7 +629,7 @@
     let mut vm = TestVm::arbiter(2, MANY_VMS);
     let entry = QuarantineEntry::first(ExitPattern::Separate, 0);
     vm.guard.apply_entry(POISON, entry);
-    vm.guard.replace_all([(OTHER, entry)], at(0));
+    vm.guard.replace_all([(OTHER, entry)], [], at(0));
     assert_eq!(vm.guard.stored_entries().collect::<Vec<_>>(), [(OTHER, entry)]);
     assert_eq!(vm.guard.send_decision(POISON, at(0), Some(0)), SendDecision::Allowed);
 }
--- a/crates/quincevalve_forwarding/tests/poison_world/main.rs
+++ b/crates/quincevalve_forwarding/tests/poison_world/main.rs
@@ -5,11 +5,15 @@
 //!
 //! [`PoisonGuard`]: quincevalve_forwarding::poison::PoisonGuard
 
+mod part_scenarios;
+mod parts;
+mod scenario;
 mod world;
 
 use std::ops::Range;
 
-use world::{Outcome, Scenario, simulate};
+use scenario::{Outcome, Scenario};
+use world::simulate;
 
 /// Seeds of the short run.
 const FEW_SEEDS: Range<u64> = 0..4;
--- a/crates/quincevalve_forwarding/tests/signals_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/signals_world/world.rs
@@ -561,6 +561,7 @@
             tried: &[],
             scope: None,
             version: None,
+            barred: &[],
         };
         let now = at(self.now);
         let start = self.vms[vm].restarts;
--- a/crates/quincevalve_forwarding/tests/support/mod.rs
+++ b/crates/quincevalve_forwarding/tests/support/mod.rs
@@ -160,6 +160,7 @@
             tried: &self.tried,
             scope: None,
             version: None,
+            barred: &[],
         }
     }
 }
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -21,6 +21,6 @@
 mod test_node;
 
 pub use crate::{
-    quarantine::{lift_quarantine, list_quarantined},
+    quarantine::{Quarantined, lift_quarantine, list_quarantined},
     start::{Listeners, StartError, run},
 };
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -80,6 +80,7 @@
     config_version: Gauge,
     proof_age_ms: Gauge,
     quarantined: Gauge,
+    quarantined_parts: Gauge,
     suppressed_lines: Counter,
     copies: Family<AttemptLabels, Counter>,
     forwardings: Family<AttemptLabels, Counter>,
@@ -143,6 +144,8 @@
         let config_version = register(&mut all, "config_version", "Configuration in force");
         let proof_age_ms = register(&mut all, "proof_age_ms", "Age of the newest proof");
         let quarantined = register(&mut all, "quarantined", "Requests kept from servers");
+        let quarantined_parts =
+            register(&mut all, "quarantined_parts", "Parts of prompts kept from servers");
         let suppressed_lines = register(&mut all, "log_lines_left_out", "Log lines not written");
         let copies = register(&mut all, "copies", "Copies of runs by result");
         let forwardings =
@@ -179,6 +182,7 @@
             config_version,
             proof_age_ms,
             quarantined,
+            quarantined_parts,
             suppressed_lines,
             copies,
             forwardings,
@@ -272,7 +276,9 @@
         self.vms.set(gauge(node.vm_count()));
         self.config_version.set(node.config().map_or(0, |it| it.version.cast_signed()));
         self.proof_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
-        self.quarantined.set(gauge(node.poison.borrow().stored_entries().count()));
+        let poison = node.poison.borrow();
+        self.quarantined.set(gauge(poison.stored_entries().count()));
+        self.quarantined_parts.set(gauge(poison.stored_part_entries().count()));
         let (own, kept) = node.streams.versions.borrow().record_counts();
         for (of, count) in [("own", own), ("peers", kept)] {
             self.stream_records.get_or_create(&RecordLabels { of }).set(gauge(count));
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -24,8 +24,8 @@
     datagram::{Content, Datagram, Echo, ReportedContact, Scope, StoreReport, encoding},
 };
 use crate::{
-    clock, node::Node, ports::StoreRevision, rollouts, signal_reports::signal_reports_of,
-    store::view::MAX_BATCH_BYTES,
+    clock, node::Node, ports::StoreRevision, quarantine::log_observations, rollouts,
+    signal_reports::signal_reports_of, store::view::MAX_BATCH_BYTES,
 };
 
 /// Interval between two digests, called a period. Loads and spending reach all VMs within three digests.
@@ -307,6 +307,7 @@
 
 /// Sends the messages that are due about requests under which servers exit, and writes new quarantine entries.
 fn send_poison_messages(node: &Node, socket: &UdpSocket, now: TimePoint) {
+    log_observations(node);
     if !node.poison.borrow().is_due(now) {
         return;
     }
@@ -322,8 +323,9 @@
         let Some(address) = address else { continue };
         send(node, socket, address, Content::Poison(message));
     }
-    for (digest, exits) in node.poison.borrow_mut().take_unwritten() {
-        node.quarantine.write(digest, exits);
+    let unwritten = node.poison.borrow_mut().take_unwritten();
+    for verdict in unwritten {
+        node.quarantine.write(verdict);
     }
 }
 
--- a/crates/quincevalve_node/src/quarantine/commands.rs
+++ b/crates/quincevalve_node/src/quarantine/commands.rs
@@ -3,8 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use quincevalve_forwarding::{
-    poison::{ExitPattern, QuarantineEntry},
-    request_digest::RequestDigest,
+    poison::{PartEntry, QuarantineEntry, Suspect, Verdict},
+    stream_versions::VersionTag,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -12,7 +12,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::entries::{lift_quarantine, parse_entry, put, read};
+use super::entries::{Quarantined, lift_quarantine, parse_entry, put, read};
 use crate::{
     clock,
     node::Node,
@@ -23,15 +23,18 @@
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay between a failed write and its retry.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Time after which a failing write is abandoned. By then the quarantine has expired on VMs that received it by report.
+/// Time after which a failing write about a request is abandoned. By then the quarantine has expired on VMs that received
+/// it by report.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Interval at which a part's quarantine that can't be written is reported to all VMs again.
+const REPORT_INTERVAL: Duration = Duration::from_secs(20);
 /// Maximum number of queued commands; more are dropped.
 const MAX_QUEUED_COMMANDS: usize = 256;
 
 enum Command {
-    Write(RequestDigest, ExitPattern),
-    BeginTrial(RequestDigest, oneshot::Sender<bool>),
-    Lift(RequestDigest),
+    Write(Verdict),
+    BeginTrial(Suspect, oneshot::Sender<bool>),
+    Lift(Suspect, VersionTag),
 }
 
 /// Receiving end of the commands to the quarantine task.
@@ -47,21 +50,21 @@
         (Self(tx), QuarantineCommands(rx))
     }
 
-    /// Writes a quarantine entry for a request.
-    pub(crate) fn write(&self, digest: RequestDigest, exits: ExitPattern) {
-        self.send(Command::Write(digest, exits));
+    /// Writes the entry of a quarantine.
+    pub(crate) fn write(&self, verdict: Verdict) {
+        self.send(Command::Write(verdict));
     }
 
     /// Claims the due trial; returns whether this VM was the first to do so.
-    pub(super) async fn begin_trial(&self, digest: RequestDigest) -> bool {
+    pub(super) async fn begin_trial(&self, suspect: Suspect) -> bool {
         let (reply, rx) = oneshot::channel();
-        self.send(Command::BeginTrial(digest, reply));
+        self.send(Command::BeginTrial(suspect, reply));
         matches!(timeout(TRIAL_CLAIM_TIMEOUT, rx).await, Ok(Ok(true)))
     }
 
-    /// Removes the quarantine entry of a request that completed.
-    pub(super) fn lift(&self, digest: RequestDigest) {
-        self.send(Command::Lift(digest));
+    /// Removes the quarantine of a request that completed, or that of a part at a version at which it completed.
+    pub(super) fn lift(&self, suspect: Suspect, version: VersionTag) {
+        self.send(Command::Lift(suspect, version));
     }
 
     fn send(&self, command: Command) {
@@ -83,33 +86,58 @@
         let (node, store) = (node.clone(), store.clone());
         spawn_local(async move {
             match command {
-                Command::Write(digest, exits) => write(&node, &store, digest, exits).await,
-                Command::BeginTrial(digest, reply) => {
-                    let is_granted = begin_trial(&node, &store, digest).await;
+                Command::Write(verdict) => write(&node, &store, &verdict).await,
+                Command::BeginTrial(suspect, reply) => {
+                    let is_granted = begin_trial(&node, &store, suspect).await;
                     // If the caller no longer waits, the trial is used up without a request.
                     let _ = reply.send(is_granted);
                 }
-                Command::Lift(digest) => lift(&node, &store, digest).await,
+                Command::Lift(suspect, version) => lift(&node, &store, suspect, version).await,
             }
         });
     }
 }
 
-async fn write<S>(node: &Node, store: &S, digest: RequestDigest, exits: ExitPattern)
+/// Writes the entry of a quarantine.
+///
+/// While the store doesn't take it, other VMs know of it only by reports, which expire. Requests with a part come all the
+/// time, so its quarantine is reported again until it is written.
+async fn write<S>(node: &Node, store: &S, verdict: &Verdict)
 where
     S: PlatformStore,
 {
-    log::warn!(digest:% = digest, exits:? = exits; "quarantined");
-    let until = Instant::now() + WRITE_TIMEOUT;
-    while Instant::now() < until {
+    let suspect = verdict.suspect;
+    log::warn!(digest:% = suspect, kind = suspect.kind(), exits:? = verdict.exits; "quarantined");
+    let began = Instant::now();
+    let mut reported = began;
+    loop {
         let Some(now_ms) = wall_clock_ms(node) else { return };
-        let entry = QuarantineEntry::first(exits, now_ms);
-        match put(store, digest, entry, StoreRevision::ABSENT).await {
+        match put(store, suspect, &first_entry(verdict, now_ms), StoreRevision::ABSENT).await {
             // On a conflict, another VM has written the entry first.
             Ok(()) | Err(StoreError::Conflict) => return,
-            Err(error) => log::warn!(digest:% = digest, error:% = error; "quarantine-not-written"),
+            Err(error) => {
+                log::warn!(digest:% = suspect, error:% = error; "quarantine-not-written");
+            }
         }
         sleep(WRITE_RETRY_DELAY).await;
+        match suspect {
+            Suspect::Request(_) if began.elapsed() >= WRITE_TIMEOUT => return,
+            Suspect::Part(_) if reported.elapsed() >= REPORT_INTERVAL => {
+                reported = Instant::now();
+                node.poison.borrow_mut().report_again(verdict, clock::now());
+            }
+            _ => {}
+        }
+    }
+}
+
+fn first_entry(verdict: &Verdict, now_ms: i64) -> Quarantined {
+    match verdict.suspect {
+        Suspect::Request(_) => Quarantined::Request(QuarantineEntry::first(verdict.exits, now_ms)),
+        Suspect::Part(_) => {
+            let findings = verdict.findings.clone();
+            Quarantined::Part(PartEntry::first(verdict.exits, findings, now_ms))
+        }
     }
 }
 
@@ -117,46 +145,77 @@
 ///
 /// If a quarantined request reached many VMs while a trial is due and each of them sent it, as many servers would exit.
 /// Only the VM that replaces the entry at the revision that it read sends the request; the writes of all others fail.
-async fn begin_trial<S>(node: &Node, store: &S, digest: RequestDigest) -> bool
+async fn begin_trial<S>(node: &Node, store: &S, suspect: Suspect) -> bool
 where
     S: PlatformStore,
 {
     let claim = async {
-        let Some(item) = read(store, digest).await? else { return Ok(false) };
+        let Some(item) = read(store, suspect).await? else { return Ok(false) };
         let next = parse_entry(&item.key, &item.value).zip(wall_clock_ms(node));
         let Some(next) = next.and_then(|((_, entry), now)| entry.next_trial(now)) else {
             return Ok(false);
         };
-        put(store, digest, next, item.revision).await?;
+        put(store, suspect, &next, item.revision).await?;
         Ok::<_, StoreError>(true)
     };
     match claim.await {
         Ok(begun) => begun,
         Err(error) => {
-            log::info!(digest:% = digest, error:% = error; "trial-not-begun");
+            log::info!(digest:% = suspect, error:% = error; "trial-not-begun");
             false
         }
     }
 }
 
-async fn lift<S>(node: &Node, store: &S, digest: RequestDigest)
+async fn lift<S>(node: &Node, store: &S, suspect: Suspect, version: VersionTag)
 where
     S: PlatformStore,
 {
     let until = Instant::now() + WRITE_TIMEOUT;
     while Instant::now() < until {
-        match lift_quarantine(store, digest).await {
-            Ok(_) => {
-                log::info!(digest:% = digest; "quarantine-lifted");
-                node.poison.borrow_mut().remove_entry(digest, clock::now());
+        match lift_at_version(store, suspect, version).await {
+            Ok(Lifted::Everywhere) => {
+                log::info!(digest:% = suspect; "quarantine-lifted");
+                node.poison.borrow_mut().remove_entry(suspect, clock::now());
                 return;
             }
-            Err(error) => log::warn!(digest:% = digest, error:% = error; "quarantine-not-lifted"),
+            Ok(Lifted::AtVersion) => {
+                log::info!(digest:% = suspect; "quarantine-lifted-at-version");
+                return;
+            }
+            Err(error) => log::warn!(digest:% = suspect, error:% = error; "quarantine-not-lifted"),
         }
         sleep(WRITE_RETRY_DELAY).await;
     }
 }
 
+/// How far a quarantine was lifted.
+enum Lifted {
+    Everywhere,
+    AtVersion,
+}
+
+/// Lifts a quarantine, or that of a part at one version if servers of others exit under it.
+async fn lift_at_version<S>(
+    store: &S,
+    suspect: Suspect,
+    version: VersionTag,
+) -> Result<Lifted, StoreError>
+where
+    S: PlatformStore,
+{
+    let item = read(store, suspect).await?;
+    let entry = item.as_ref().and_then(|it| parse_entry(&it.key, &it.value));
+    if let (Some(item), Some((_, Quarantined::Part(mut entry)))) = (&item, entry)
+        && entry.findings.add_sound(version)
+    {
+        put(store, suspect, &Quarantined::Part(entry), item.revision).await?;
+        return Ok(Lifted::AtVersion);
+    }
+    lift_quarantine(store, suspect).await?;
+    Ok(Lifted::Everywhere)
+}
+
 /// Returns the estimated wall-clock time in Unix milliseconds.
 fn wall_clock_ms(node: &Node) -> Option<i64> {
     node.wall_clock.borrow().estimate_ms(clock::now())
--- a/crates/quincevalve_node/src/request/copies.rs
+++ b/crates/quincevalve_node/src/request/copies.rs
@@ -159,7 +159,7 @@
 ) -> Option<RunCopy> {
     let copying = *req.config.run_copies.engines.get(&req.service)?;
     let engine = req.config.services.get(&req.service).and_then(|it| it.engine)?;
-    if !req.retry_safety().is_stream() || quarantine::is_quarantined(node, req) {
+    if !req.retry_safety().is_stream() || quarantine::is_quarantined(node, req, &place.version) {
         return None;
     }
     let now = clock::now();
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -45,6 +45,7 @@
     let mut refusals = 0;
     let mut runs = req.forwarded.map_or(0, |it| it.runs);
     let is_counted = req.forwarded.is_some_and(|it| it.is_counted);
+    quarantine::check(node, &req).map_err(|it| after_runs(it, runs))?;
     if is_cut_off(node, &req) {
         if req.forwarded.is_some() {
             return Err(cut_off_refusal(runs));
@@ -268,7 +269,7 @@
     }
     if status.is_success() {
         record_first_answer(node, place, sent);
-        quarantine::record_completion(node, req);
+        quarantine::record_completion(node, req, place);
     }
     if runs == 0 {
         node.record_usage_start(req.account.as_ref());
--- a/crates/quincevalve_node/src/request/exchange.rs
+++ b/crates/quincevalve_node/src/request/exchange.rs
@@ -60,7 +60,7 @@
     place: &Placement,
     extra_headers: &[(HeaderName, HeaderValue)],
 ) -> Result<ServerAnswer, AttemptError> {
-    quarantine::admit(node, req)
+    quarantine::admit(node, req, place)
         .await
         .map_err(|remaining| AttemptError::Quarantined { remaining })?;
     let address = node.servers.borrow().get(&place.server).map(|it| it.entry.address);
--- a/crates/quincevalve_node/src/request/exit_check.rs
+++ b/crates/quincevalve_node/src/request/exit_check.rs
@@ -2,7 +2,12 @@
 
 use std::rc::Rc;
 
-use quincevalve_forwarding::{placement::Placement, poison::RunStage, servers::start_hash};
+use quincevalve_forwarding::{
+    placement::Placement,
+    poison::{ExitEvidence, RunStage},
+    servers::start_hash,
+    stream_versions::VersionTag,
+};
 use tokio::task::spawn_local;
 
 use crate::{
@@ -12,7 +17,7 @@
 };
 
 /// Checks in the background whether a server has exited after its connection closed before the answer was complete, and
-/// records the exit under the request's digest.
+/// records the exit under the request's digest and the parts of its prompt.
 pub(crate) fn record_if_exited(
     node: &Rc<Node>,
     req: &IdentifiedRequest,
@@ -21,18 +26,22 @@
 ) {
     let (node, place) = (node.clone(), place.clone());
     let (id, digest) = (req.id.clone(), req.digest());
-    let parts = listed(req.parts());
+    let parts = req.parts().to_vec();
+    let version = VersionTag::of(&req.service, &place.version);
     spawn_local(async move {
         if !has_exited(&node, &place).await {
             return;
         }
         log::warn!(
             id, server = place.server.as_str(), start = place.start.0, digest:% = digest,
-            parts, stage:% = stage;
+            parts = listed(&parts), stage:% = stage;
             "server-exited"
         );
         let server = start_hash(&place.server, place.start);
-        node.poison.borrow_mut().record_server_exit(digest, server, clock::now());
+        let exit = ExitEvidence { server, version, stage, request: digest, beside: Vec::new() };
+        let mut poison = node.poison.borrow_mut();
+        poison.record_server_exit(digest, server, clock::now());
+        poison.record_part_exits(&parts, &exit, clock::now());
     });
 }
 
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -175,7 +175,7 @@
             let end = self.forward_events(&mut source, may_migrate, self.stall_limit).await;
             match end {
                 StreamEnd::Completed => {
-                    quarantine::record_completion(&self.node, &self.req);
+                    quarantine::record_completion(&self.node, &self.req, &source.place);
                     record_whole(&self.node, &self.req);
                     self.record_end("whole", &servers);
                     if servers.len() == 1 && self.gap_count > 0 {
@@ -258,7 +258,9 @@
             let stall_limit = stall_limit.filter(|_| self.has_begun && !self.ignores_stall);
             let stalled_at = stall_limit.map(|it| self.reading_since + it);
             // A request that is quarantined while its stream runs is not migrated: the other engine would exit too.
-            let is_migratable = may_migrate && !quarantine::is_quarantined(&self.node, &self.req);
+            let version = &source.place.version;
+            let is_migratable =
+                may_migrate && !quarantine::is_quarantined(&self.node, &self.req, version);
             let migrate_at = if is_migratable { self.migrate_at(&source.place) } else { None };
             let frame = tokio::select! {
                 biased;
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -257,13 +257,13 @@
                 .as_ref()
                 .is_some_and(|it| self.copy_obstacle(it, source).is_none()),
             may_restart: self.may_restart(servers),
-            obstacle: self.obstacle(),
+            obstacle: self.obstacle(source),
             time_left: remaining(self.req.deadline),
         }
     }
 
-    fn obstacle(&self) -> Option<Obstacle> {
-        if quarantine::is_quarantined(&self.node, &self.req) {
+    fn obstacle(&self, source: &Placement) -> Option<Obstacle> {
+        if quarantine::is_quarantined(&self.node, &self.req, &source.version) {
             return Some(Obstacle::Quarantined);
         }
         if self.has_begun && self.last_event_id.is_none() {
@@ -414,7 +414,7 @@
     ) -> Option<Source> {
         match end {
             StreamEnd::Completed => {
-                quarantine::record_completion(&self.node, &self.req);
+                quarantine::record_completion(&self.node, &self.req, &source.place);
                 self.record_end("whole", servers);
                 self.node.connections.release(
                     source.place.server_key(),
--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use quincevalve_forwarding::{
-    config::{Engine, RetrySafety, Route},
+    config::{Engine, RetrySafety},
     load::Work,
     placement::{Placement, PlacementError, PlacementRequest},
     rollout::{scope::VersionScope, table::VersionChoice},
@@ -15,11 +15,12 @@
 use crate::{
     clock,
     node::{Node, remaining},
+    quarantine::{self, barred_versions},
     request::{
         copies::RunCopy,
         exchange::update_server,
         identify::IdentifiedRequest,
-        refusal::{Refusal, Refused},
+        refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
         stream_versions::version_gone_refusal,
         waiting::{TICK, WaitResult, engine, first_answer_deadline},
     },
@@ -157,7 +158,9 @@
         let engine = node.waiting.assumed_engine(req);
         let version = required_version(node, req);
         let budget = latency_budget(req);
-        let request = placement_request(node, req, tried, budget, engine, version.as_ref());
+        let barred = barred_versions(node, req);
+        let wanted = WantedVersions { only: version.as_ref(), barred: &barred };
+        let request = placement_request(node, req, tried, budget, engine, wanted);
         let may_start = node.waiting.may_start_at_once(req);
         let mut error = match pick_for(node, req, &request, &choice) {
             Ok(place) if may_start => {
@@ -229,14 +232,20 @@
             }
         }
         let retry_choice = |service: &ServiceName| rollouts::choice_for_retry(&node, service);
-        let can_finish = |route: &Route| node.can_finish(route);
+        let refusal = |req: &IdentifiedRequest| {
+            if !node.can_finish(&req.route) {
+                let retry_after = Some(OTHER_VM_RETRY_AFTER);
+                return Some(Refused { refusal: Refusal::Stopping, retry_after });
+            }
+            quarantine::check(&node, req).err()
+        };
         let vms = node.vm_count();
         node.waiting.run_pass(
             clock::now(),
             &node.rng,
             vms,
             retry_choice,
-            can_finish,
+            refusal,
             |it, attempt| {
                 let budget = if attempt.is_late {
                     late_latency_budget(&it.req)
@@ -245,8 +254,9 @@
                 };
                 let (excluded, engine) = (&attempt.excluded, attempt.engine);
                 let version = required_version(&node, &it.req);
-                let version = version.as_ref();
-                let request = placement_request(&node, &it.req, excluded, budget, engine, version);
+                let barred = barred_versions(&node, &it.req);
+                let wanted = WantedVersions { only: version.as_ref(), barred: &barred };
+                let request = placement_request(&node, &it.req, excluded, budget, engine, wanted);
                 let place = pick_for(&node, &it.req, &request, &it.choice)?;
                 Ok(FoundServer::new(&node, place, Duration::ZERO))
             },
@@ -269,7 +279,9 @@
     };
     let version = version.cloned().or_else(|| required_version(node, req));
     let budget = req.route.objective;
-    let request = placement_request(node, req, tried, budget, engine(req), version.as_ref());
+    let barred = barred_versions(node, req);
+    let wanted = WantedVersions { only: version.as_ref(), barred: &barred };
+    let request = placement_request(node, req, tried, budget, engine(req), wanted);
     let place = pick_for(node, req, &request, &choice).ok()?;
     node.servers.borrow_mut().spend_allowance(&place.server, place.start, clock::now());
     Some(place)
@@ -287,13 +299,22 @@
     node.streams.versions.borrow().only_beginner(&req.service, clock::now()).cloned()
 }
 
+/// The versions that may process a request.
+#[derive(Clone, Copy)]
+struct WantedVersions<'a> {
+    /// The only one, if its stream began there.
+    only: Option<&'a ServerVersion>,
+    /// Those whose servers exit under a part of its prompt.
+    barred: &'a [ServerVersion],
+}
+
 fn placement_request<'a>(
     node: &'a Node,
     req: &'a IdentifiedRequest,
     tried: &'a [BackendServerName],
     latency_budget: Duration,
     engine: Option<Engine>,
-    version: Option<&'a ServerVersion>,
+    versions: WantedVersions<'a>,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
         service: &req.service,
@@ -303,7 +324,8 @@
         data_centre: &node.settings.data_centre,
         tried,
         scope: None,
-        version,
+        version: versions.only,
+        barred: versions.barred,
     }
 }
 
--- a/crates/quincevalve_node/src/request/server_selection/tests.rs
+++ b/crates/quincevalve_node/src/request/server_selection/tests.rs
@@ -49,6 +49,7 @@
             tried: &[],
             scope: None,
             version: None,
+            barred: &[],
         };
         let new = Arc::new(VersionScope::Only("v2".into()));
         let old = Arc::new(VersionScope::Except(vec!["v2".into()]));
--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -12,7 +12,7 @@
     WaitingRequest, WaitingSettings,
 };
 use quincevalve_forwarding::{
-    config::{Engine, ForwardingConfig, Route},
+    config::{Engine, ForwardingConfig},
     load::step_ms,
     placement::PlacementError,
     rollout::table::VersionChoice,
@@ -26,7 +26,7 @@
 
 use crate::request::{
     identify::IdentifiedRequest,
-    refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
+    refusal::{Refusal, Refused},
     server_selection::FoundServer,
 };
 
@@ -224,21 +224,21 @@
 
     /// Tries to place waiting requests, and refuses those that can't be answered in time.
     ///
-    /// `retry_choice` returns the versions to which retries of a service may be sent, `can_finish` whether a request of
-    /// a route can finish before this process exits, and `try_place` places a request. `vms` is the number of entry VMs.
+    /// `retry_choice` returns the versions to which retries of a service may be sent, `refusal` why a request can't be
+    /// served whatever capacity becomes free, and `try_place` places a request. `vms` is the number of entry VMs.
     pub(super) fn run_pass(
         &self,
         now: TimePoint,
         rng: &RefCell<Pcg64Mcg>,
         vms: usize,
         retry_choice: impl Fn(&ServiceName) -> VersionChoice,
-        can_finish: impl Fn(&Route) -> bool,
+        refusal: impl Fn(&IdentifiedRequest) -> Option<Refused>,
         mut try_place: impl FnMut(&Waiter, Attempt) -> Result<FoundServer, PlacementError>,
     ) {
         let mut queues = self.queues.borrow_mut();
         for (name, service) in queues.services.iter_mut().filter(|(_, it)| !it.queue.is_empty()) {
             service.refresh_choices(retry_choice(name));
-            service.refuse_unfinishable(&can_finish);
+            service.refuse_unservable(&refusal);
             let refusals = service.queue.begin_pass(now, &mut *rng.borrow_mut());
             for refusal in refusals {
                 service.end(refusal.ticket, WaitResult::Refused(refused(refusal)));
@@ -318,14 +318,13 @@
         self.retry_choice = Some(retry_choice);
     }
 
-    /// Refuses the requests that can't finish before the process exits.
-    fn refuse_unfinishable(&mut self, can_finish: impl Fn(&Route) -> bool) {
-        let unfinishable = self.waiters.iter().filter(|(_, it)| !can_finish(&it.req.route));
-        let unfinishable: Vec<_> = unfinishable.map(|(ticket, _)| *ticket).collect();
-        for ticket in unfinishable {
+    /// Refuses the requests that can't be served whatever capacity becomes free.
+    fn refuse_unservable(&mut self, refusal: impl Fn(&IdentifiedRequest) -> Option<Refused>) {
+        let refused =
+            self.waiters.iter().filter_map(|(it, waiter)| Some((*it, refusal(&waiter.req)?)));
+        let refused: Vec<_> = refused.collect();
+        for (ticket, refused) in refused {
             self.queue.remove(ticket);
-            let retry_after = Some(OTHER_VM_RETRY_AFTER);
-            let refused = Refused { refusal: Refusal::Stopping, retry_after };
             self.end(ticket, WaitResult::Refused(refused));
         }
     }
--- a/crates/quincevalve_node/src/request/waiting/tests.rs
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -2,7 +2,7 @@
 
 use http::{Method, Request};
 use quincevalve_forwarding::{
-    config::{CallerLimits, RetrySafety, Service, Target},
+    config::{CallerLimits, RetrySafety, Route, Service, Target},
     load::{Work, WorkSum},
     placement::Placement,
     rollout::scope::VersionScope,
@@ -101,7 +101,7 @@
         &rng,
         1,
         |_| retry_choice.clone(),
-        |_| true,
+        |_| None,
         |waiter, _| {
             choices.push(waiter.choice.clone());
             Err(error)
@@ -188,7 +188,7 @@
             &rng,
             8,
             |_| VersionChoice::Any,
-            |_| true,
+            |_| None,
             |_, attempt| {
                 if attempt.excluded.is_empty() {
                     return Ok(found(&node));
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -8,7 +8,8 @@
     change_log::{ChangeBatch, ChangeLog},
     config::ForwardingConfig,
     peer_table::VmDescriptor,
-    poison::QuarantineEntry,
+    poison::{PartEntry, QuarantineEntry, Suspect},
+    prompt_parts::PartDigest,
     request_digest::RequestDigest,
     rollout::record::{RolloutOrder, RolloutRecord},
     servers::{Removal, ServerEntry},
@@ -21,7 +22,9 @@
     node::Node,
     peers::encoding,
     ports::{Change, Changes, LeaseId, Snapshot, StoreRevision, SystemItem},
-    quarantine::{QUARANTINE_KEY_PREFIX, digest_of, parse_entry},
+    quarantine::{
+        QUARANTINE_KEY_PREFIX, Quarantined, QuarantinedItems, key_of, parse_entry, suspect_of,
+    },
     rollouts::{self, ROLLOUT_KEY_PREFIX},
     store::version_history::{VERSION_KEY_PREFIX, parse_versions},
 };
@@ -181,6 +184,8 @@
     pub(crate) rollouts: Vec<(ServiceName, RolloutRecord)>,
     /// The versions that services had recently, where there were several.
     pub(crate) versions: Vec<(ServiceName, Vec<ServerVersion>)>,
+    /// Quarantined parts of prompts.
+    pub(crate) quarantined_parts: Vec<(PartDigest, PartEntry)>,
 }
 
 /// Applies a snapshot of the whole store that this VM read.
@@ -200,6 +205,7 @@
     let holder = holder.map(|it| holder_name(&it.value));
     let (at, newest, servers) = (snapshot.at.0, snapshot.newest.0, snapshot.servers.len());
     let differences = differences(node, &snapshot);
+    let quarantined = QuarantinedItems::parse(&snapshot.system_items);
     let state = StoreState {
         at,
         newest,
@@ -208,11 +214,7 @@
         unreadable: snapshot.unreadable.into_iter().map(|(name, _)| name).collect(),
         vms: parse_descriptors(&snapshot.system_items),
         holder,
-        quarantine: snapshot
-            .system_items
-            .iter()
-            .filter_map(|it| parse_entry(&it.key, &it.value))
-            .collect(),
+        quarantine: quarantined.requests,
         rollouts: rollouts::parse_records(&snapshot.system_items),
         rollout_orders: snapshot.rollouts,
         versions: snapshot
@@ -220,6 +222,7 @@
             .iter()
             .filter_map(|it| parse_versions(&it.key, &it.value))
             .collect(),
+        quarantined_parts: quarantined.parts,
     };
     let previous_log = node.store_view.borrow().log.clone();
     if apply_state(node, state) {
@@ -293,8 +296,9 @@
         node.store_view.borrow().log.upto() < StoreRevision::in_era(snapshot.at.era(), 0).0;
     let holder = (is_new_era || peers.has_holder()).then(|| HOLDER_KEY.to_owned());
     let poison = node.poison.borrow();
-    let quarantined =
-        poison.stored_entries().map(|(digest, _)| format!("{QUARANTINE_KEY_PREFIX}{digest}"));
+    let requests = poison.stored_entries().map(|(digest, _)| key_of(digest.into()));
+    let parts = poison.stored_part_entries().map(|(part, _)| key_of(part.into()));
+    let quarantined = requests.chain(parts);
     let me = peer_key(peers.table.me());
     let known = listed.keys().filter(|it| **it != me).cloned().chain(holder).chain(quarantined);
     let removed =
@@ -316,7 +320,7 @@
     for (name, removal) in missing {
         log_removal(&name, Some(removal));
     }
-    node.poison.borrow_mut().replace_all(state.quarantine, now);
+    node.poison.borrow_mut().replace_all(state.quarantine, state.quarantined_parts, now);
     let was_running = node.store_view.borrow().was_ever_read();
     node.observe_versions(now);
     node.streams.replace_history(state.versions, now);
@@ -351,6 +355,7 @@
         rollout_orders: to_owned_pairs(node.rollouts.borrow().orders()),
         rollouts: to_owned_pairs(node.rollouts.borrow().records()),
         versions: node.streams.history(),
+        quarantined_parts: node.poison.borrow().stored_part_entries().collect(),
     })
 }
 
@@ -487,8 +492,15 @@
             }
         }
         RelayedChange::SystemItem { key, value } if key.starts_with(QUARANTINE_KEY_PREFIX) => {
-            if let Some((digest, entry)) = parse_entry(key, value) {
-                node.poison.borrow_mut().apply_entry(digest, entry);
+            let mut poison = node.poison.borrow_mut();
+            match parse_entry(key, value) {
+                Some((Suspect::Request(digest), Quarantined::Request(entry))) => {
+                    poison.apply_entry(digest, entry);
+                }
+                Some((Suspect::Part(part), Quarantined::Part(entry))) => {
+                    poison.apply_part_entry(part, entry);
+                }
+                _ => {}
             }
         }
         RelayedChange::SystemItem { key, value } if key.starts_with(VERSION_KEY_PREFIX) => {
@@ -510,8 +522,8 @@
             node.peers.borrow_mut().set_holder(None);
         }
         RelayedChange::SystemItemRemoved(key) if key.starts_with(QUARANTINE_KEY_PREFIX) => {
-            if let Some(digest) = digest_of(key) {
-                node.poison.borrow_mut().remove_entry(digest, now);
+            if let Some(suspect) = suspect_of(key) {
+                node.poison.borrow_mut().remove_entry(suspect, now);
             }
         }
         RelayedChange::SystemItemRemoved(key) if key.starts_with(VERSION_KEY_PREFIX) => {
--- a/crates/quincevalve_node/tests/poison_part.rs
+++ b/crates/quincevalve_node/tests/poison_part.rs
@@ -20,8 +20,8 @@
 
 /// Returns the header lines of a prompt with these parts and one of its own.
 fn prompt(parts: &[&str], own: usize) -> String {
-    let parts: String = parts.iter().map(|it| format!("{it}:40,")).collect();
-    format!("x-tokens: 100,20\r\nx-parts: {parts}e4402b{own:x}:20\r\n")
+    let parts = parts.join(":40,");
+    format!("x-tokens: 100,20\r\nx-parts: {parts}:40,e4402b{own:x}:20\r\n")
 }
 
 /// Makes the server exit when it begins an answer on the crashing part, and answers all other requests.
