Parts: entries of the store name the servers, and two that come together are both uncertain

In worlds where VMs were split or frozen, popular innocent parts that had not completed yet were kept back for 30 s: VMs that learned of the verdict from the store attributed no exits to it. The entry names the servers now.

A part that always came with the crashing one was sure of a long first period, because the last exit was reported when the crashing one was known already and so not named beside it. It is named now, and a suspect counts as contested only if the other one explains all its exits, so that the crashing part itself rarely does. Three exits under answers that had just begun suffice, or six points of others (five before).

--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -82,6 +82,8 @@
     pub exits: ExitPattern,
     /// The versions at which a part crashed and completed; empty for requests.
     pub findings: PartFindings,
+    /// The servers that exited.
+    pub servers: ExitedServers,
 }
 
 /// What happened to a suspect, for the log.
@@ -169,12 +171,13 @@
     /// Records that a server exited while it ran a request of this VM whose prompt holds these parts. `exit` doesn't say
     /// yet what else may have made the server exit.
     pub fn record_part_exits(&mut self, parts: &[PartDigest], exit: &ExitEvidence, now: TimePoint) {
-        let is_possible = |it: &&PartDigest| {
-            !self.completed_parts.contains((**it, exit.version), now)
-                && !self.quarantine.bars(**it, exit.version, now)
-        };
+        let is_possible =
+            |it: &&PartDigest| !self.completed_parts.contains((**it, exit.version), now);
         let possible: Vec<PartDigest> = parts.iter().filter(is_possible).copied().collect();
         for part in &possible {
+            if self.quarantine.bars(*part, exit.version, now) {
+                continue;
+            }
             let others = possible.iter().filter(|it| *it != part);
             let beside = others.copied().take(MAX_REPORTED_BESIDE).collect();
             let exit = ExitEvidence { beside, ..exit.clone() };
@@ -278,6 +281,7 @@
     /// Applies the store's entry of a part.
     pub fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry) {
         self.cases.remove(part.into());
+        self.cases.attribute_exits(part.into(), &entry.servers);
         self.quarantine.apply_part_entry(part, entry);
     }
 
@@ -459,9 +463,9 @@
 
     /// Reports a quarantine to all VMs again, because the store can't be written.
     pub fn report_again(&mut self, verdict: &Verdict, now: TimePoint) {
-        let Verdict { suspect, findings, .. } = verdict.clone();
+        let Verdict { suspect, findings, servers, .. } = verdict.clone();
         self.quarantine.apply_report(suspect, findings.clone(), now);
-        let message = PoisonMessage::quarantined(suspect, ExitedServers::default(), findings);
+        let message = PoisonMessage::quarantined(suspect, servers, findings);
         self.outbox.send(Recipient::All, message, now);
     }
 
@@ -491,8 +495,9 @@
             Step::Quarantine { suspect, servers, exits, findings } => {
                 self.cases.attribute_exits(suspect, &servers);
                 self.quarantine.apply_report(suspect, findings.clone(), now);
-                let message = PoisonMessage::quarantined(suspect, servers, findings.clone());
-                self.unwritten.push(Verdict { suspect, exits, findings });
+                let message =
+                    PoisonMessage::quarantined(suspect, servers.clone(), findings.clone());
+                self.unwritten.push(Verdict { suspect, exits, findings, servers });
                 self.outbox.send(Recipient::All, message, now);
             }
         }
--- a/crates/quincevalve_forwarding/src/poison/case.rs
+++ b/crates/quincevalve_forwarding/src/poison/case.rs
@@ -14,9 +14,9 @@
 /// Number of exits after which two suspects that ran on the same servers are both accused. An innocent request runs on
 /// each of so many exiting servers by chance only where nearly all servers run it, and then it completes on others.
 pub(super) const MIN_EXITS_WITH_COMPETITOR: usize = 5;
-/// Weight of the exits under a part from which on it is a suspect: three under answers that had just begun, or five
-/// under any. A part is in many requests, and most of these wait or have long been answered when a server exits.
-const MIN_PART_WEIGHT: usize = 5;
+/// Weight of the exits under a part from which on it is a suspect: three under answers that had just begun, or six under
+/// any. A part is in many requests, and most of these wait or have long been answered when a server exits.
+const MIN_PART_WEIGHT: usize = 6;
 /// Number of different requests with a part that servers must have exited under. With one, the request is the suspect.
 const MIN_REQUESTS: usize = 2;
 /// Exits that are closer to each other than this belong to one event.
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -296,10 +296,10 @@
     (count < MIN_EXITS_WITH_COMPETITOR || is_outweighed) && !is_enough(part, left)
 }
 
-/// Returns whether another suspect of the exits of `servers` is at most of the servers of a part.
+/// Returns whether another suspect of the exits of `servers` explains all exits under a part.
 fn is_shared(suspect: Suspect, case: &Case, servers: &ExitedServers) -> bool {
-    let shared = case.unexplained().filter(|it| servers.contains(it.server)).count();
-    matches!(suspect, Suspect::Part(_)) && shared >= MIN_EXITS
+    let is_explained = case.unexplained().all(|it| servers.contains(it.server));
+    matches!(suspect, Suspect::Part(_)) && is_explained
 }
 
 /// Returns at which versions servers exited, and at which requests with the part completed.
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -6,7 +6,11 @@
 use quincevalve_names::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use super::{Suspect, case::ExitPattern, evidence::PartFindings};
+use super::{
+    Suspect, Verdict,
+    case::{ExitPattern, ExitedServers},
+    evidence::PartFindings,
+};
 use crate::{prompt_parts::PartDigest, request_digest::RequestDigest, stream_versions::VersionTag};
 
 /// Quarantine periods before the first trial and after each. A request that was caught in a burst of crashes by chance
@@ -93,14 +97,17 @@
     pub is_uncertain: bool,
     /// What is known of it at the versions of its service.
     pub findings: PartFindings,
+    /// The servers that exited under it.
+    pub servers: ExitedServers,
 }
 
 impl PartEntry {
     /// Creates the first entry of a part.
-    pub fn first(exits: ExitPattern, findings: PartFindings, wall_clock_ms: i64) -> Self {
-        let is_uncertain = exits != ExitPattern::Separate;
+    pub fn first(verdict: &Verdict, wall_clock_ms: i64) -> Self {
+        let is_uncertain = verdict.exits != ExitPattern::Separate;
         let until_ms = wall_clock_ms + period_ms(periods(is_uncertain), 0);
-        Self { trials: 0, until_ms, is_uncertain, findings }
+        let Verdict { findings, servers, .. } = verdict.clone();
+        Self { trials: 0, until_ms, is_uncertain, findings, servers }
     }
 
     /// Returns the entry that begins the next trial, or `None` if none is due yet.
@@ -108,8 +115,17 @@
     /// # Examples
     ///
     /// ```
-    /// use quincevalve_forwarding::poison::{ExitPattern, PartEntry, PartFindings};
-    /// let first = PartEntry::first(ExitPattern::Separate, PartFindings::default(), 0);
+    /// use quincevalve_forwarding::{
+    ///     poison::{ExitPattern, ExitedServers, PartEntry, PartFindings, Verdict},
+    ///     prompt_parts::PartDigest,
+    /// };
+    /// let verdict = Verdict {
+    ///     suspect: PartDigest(7).into(),
+    ///     exits: ExitPattern::Separate,
+    ///     findings: PartFindings::default(),
+    ///     servers: ExitedServers::default(),
+    /// };
+    /// let first = PartEntry::first(&verdict, 0);
     /// assert_eq!(first.next_trial(29_999), None);
     /// let begun = first.next_trial(30_000).unwrap();
     /// assert_eq!((begun.trials, begun.until_ms), (1, 3_630_000));
@@ -148,6 +164,7 @@
     until_ms: i64,
     is_uncertain: bool,
     findings: PartFindings,
+    servers: ExitedServers,
 }
 
 /// A quarantine that a VM reported.
@@ -211,8 +228,8 @@
     pub(super) fn stored_part_entries(&self) -> impl Iterator<Item = (PartDigest, PartEntry)> {
         self.listed.iter().filter_map(|(suspect, it)| match suspect {
             Suspect::Part(part) => {
-                let Listed { trials, until_ms, is_uncertain, findings } = it.clone();
-                Some((*part, PartEntry { trials, until_ms, is_uncertain, findings }))
+                let Listed { trials, until_ms, is_uncertain, findings, servers } = it.clone();
+                Some((*part, PartEntry { trials, until_ms, is_uncertain, findings, servers }))
             }
             Suspect::Request(_) => None,
         })
@@ -220,13 +237,14 @@
 
     pub(super) fn apply_entry(&mut self, digest: RequestDigest, entry: QuarantineEntry) {
         let QuarantineEntry { trials, until_ms } = entry;
-        let findings = PartFindings::default();
-        self.list(digest.into(), Listed { trials, until_ms, is_uncertain: false, findings });
+        let (findings, servers) = (PartFindings::default(), ExitedServers::default());
+        let listed = Listed { trials, until_ms, is_uncertain: false, findings, servers };
+        self.list(digest.into(), listed);
     }
 
     pub(super) fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry) {
-        let PartEntry { trials, until_ms, is_uncertain, findings } = entry;
-        self.list(part.into(), Listed { trials, until_ms, is_uncertain, findings });
+        let PartEntry { trials, until_ms, is_uncertain, findings, servers } = entry;
+        self.list(part.into(), Listed { trials, until_ms, is_uncertain, findings, servers });
     }
 
     fn list(&mut self, suspect: Suspect, listed: Listed) {
--- a/crates/quincevalve_node/src/quarantine/commands.rs
+++ b/crates/quincevalve_node/src/quarantine/commands.rs
@@ -134,10 +134,7 @@
 fn first_entry(verdict: &Verdict, now_ms: i64) -> Quarantined {
     match verdict.suspect {
         Suspect::Request(_) => Quarantined::Request(QuarantineEntry::first(verdict.exits, now_ms)),
-        Suspect::Part(_) => {
-            let findings = verdict.findings.clone();
-            Quarantined::Part(PartEntry::first(verdict.exits, findings, now_ms))
-        }
+        Suspect::Part(_) => Quarantined::Part(PartEntry::first(verdict, now_ms)),
     }
 }
 
