--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -726,6 +726,8 @@
     Send(String),
     /// Sends these bytes and closes the connection.
     SendAndClose(String),
+    /// Sends these bytes and resets the connection.
+    SendAndReset(String),
     /// Sends these bytes and waits until the caller closes the connection.
     SendAndWait(String),
     /// Sends these bytes, waits for the notification, and closes the connection.
@@ -948,6 +950,8 @@
     connections: Rc<Cell<usize>>,
 }
 
+/// Time in which bytes that were sent arrive before their connection is reset.
+const ARRIVAL_TIME: Duration = Duration::from_millis(30);
 /// Time between the exit of a server and its restart.
 const RESTART_TIME: Duration = Duration::from_millis(100);
 
@@ -1012,6 +1016,12 @@
                 let _ = stream.write_all(text.as_bytes()).await;
                 return;
             }
+            Reply::SendAndReset(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                sleep(ARRIVAL_TIME).await;
+                let _ = stream.set_zero_linger();
+                return;
+            }
             Reply::SendAndWait(text) => {
                 let _ = stream.write_all(text.as_bytes()).await;
                 let mut buf = [0; 64];
