Quarantines outlive the return of the store from an older copy

What callers would see: servers exit anew, three under each quarantined request and up to five under a part, after the store came back from a copy that is older than the entries: the VMs that read it forgot them and told all others to.

The same cause elsewhere: what the store lost was taken for lifted. A VM that reads a copy keeps the entries that it knows and writes them again, and doesn't relay their removal. The test fails without it (0 entries).

--- a/crates/quincevalve_node/src/quarantine.rs
+++ b/crates/quincevalve_node/src/quarantine.rs
@@ -186,6 +186,24 @@
     }
 }
 
+/// Keeps the quarantines that this VM knows and that the store has lost, since it returned from an older copy, and writes
+/// them again. Servers would exit under the same requests as often as before they were quarantined.
+pub(crate) fn restore_lost_entries(node: &Node, found: &mut QuarantinedItems) {
+    let poison = node.poison.borrow();
+    for (digest, entry) in poison.stored_entries() {
+        if !found.requests.iter().any(|(it, _)| *it == digest) {
+            found.requests.push((digest, entry));
+            node.quarantine.restore(digest.into(), Quarantined::Request(entry));
+        }
+    }
+    for (part, entry) in poison.stored_part_entries() {
+        if !found.parts.iter().any(|(it, _)| *it == part) {
+            found.parts.push((part, entry.clone()));
+            node.quarantine.restore(part.into(), Quarantined::Part(entry));
+        }
+    }
+}
+
 /// Logs what happened to suspects since the last call.
 pub(crate) fn log_observations(node: &Node) {
     for observation in node.poison.borrow_mut().take_observations() {
--- a/crates/quincevalve_node/src/quarantine/commands.rs
+++ b/crates/quincevalve_node/src/quarantine/commands.rs
@@ -35,6 +35,7 @@
     Write(Verdict),
     BeginTrial(Suspect, oneshot::Sender<bool>),
     Lift(Suspect, VersionTag),
+    Restore(Suspect, Quarantined),
 }
 
 /// Receiving end of the commands to the quarantine task.
@@ -67,6 +68,11 @@
         self.send(Command::Lift(suspect, version));
     }
 
+    /// Writes an entry again that the store has lost.
+    pub(super) fn restore(&self, suspect: Suspect, entry: Quarantined) {
+        self.send(Command::Restore(suspect, entry));
+    }
+
     fn send(&self, command: Command) {
         if self.0.try_send(command).is_err() {
             log::error!("quarantine-orders-full");
@@ -93,6 +99,7 @@
                     let _ = reply.send(is_granted);
                 }
                 Command::Lift(suspect, version) => lift(&node, &store, suspect, version).await,
+                Command::Restore(suspect, entry) => restore(&store, suspect, &entry).await,
             }
         });
     }
@@ -131,6 +138,27 @@
     }
 }
 
+/// Writes an entry again that the store has lost, unless another VM was first.
+async fn restore<S>(store: &S, suspect: Suspect, entry: &Quarantined)
+where
+    S: PlatformStore,
+{
+    let until = Instant::now() + WRITE_TIMEOUT;
+    while Instant::now() < until {
+        match put(store, suspect, entry, StoreRevision::ABSENT).await {
+            Ok(()) => {
+                log::info!(digest:% = suspect; "quarantine-restored");
+                return;
+            }
+            Err(StoreError::Conflict) => return,
+            Err(error) => {
+                log::warn!(digest:% = suspect, error:% = error; "quarantine-not-written");
+            }
+        }
+        sleep(WRITE_RETRY_DELAY).await;
+    }
+}
+
 fn first_entry(verdict: &Verdict, now_ms: i64) -> Quarantined {
     match verdict.suspect {
         Suspect::Request(_) => Quarantined::Request(QuarantineEntry::first(verdict.exits, now_ms)),
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -23,7 +23,8 @@
     peers::encoding,
     ports::{Change, Changes, LeaseId, Snapshot, StoreRevision, SystemItem},
     quarantine::{
-        QUARANTINE_KEY_PREFIX, Quarantined, QuarantinedItems, key_of, parse_entry, suspect_of,
+        QUARANTINE_KEY_PREFIX, Quarantined, QuarantinedItems, key_of, parse_entry,
+        restore_lost_entries, suspect_of,
     },
     rollouts::{self, ROLLOUT_KEY_PREFIX},
     store::version_history::{VERSION_KEY_PREFIX, parse_versions},
@@ -191,7 +192,8 @@
 /// Applies a snapshot of the whole store that this VM read.
 pub(crate) fn apply_snapshot(node: &Node, mut snapshot: Snapshot) {
     let known = StoreRevision(node.store_view.borrow().log.upto());
-    if known != StoreRevision::ABSENT && known.era() != snapshot.at.era() {
+    let is_copy = known != StoreRevision::ABSENT && known.era() != snapshot.at.era();
+    if is_copy {
         log::warn!(era = snapshot.at.era(), known = known.era(); "store-copy-returned");
         // The copy lists servers that have left since; a server that is there writes its entry again.
         let servers = node.servers.borrow();
@@ -205,7 +207,10 @@
     let holder = holder.map(|it| holder_name(&it.value));
     let (at, newest, servers) = (snapshot.at.0, snapshot.newest.0, snapshot.servers.len());
     let differences = differences(node, &snapshot);
-    let quarantined = QuarantinedItems::parse(&snapshot.system_items);
+    let mut quarantined = QuarantinedItems::parse(&snapshot.system_items);
+    if is_copy {
+        restore_lost_entries(node, &mut quarantined);
+    }
     let state = StoreState {
         at,
         newest,
@@ -298,7 +303,8 @@
     let poison = node.poison.borrow();
     let requests = poison.stored_entries().map(|(digest, _)| key_of(digest.into()));
     let parts = poison.stored_part_entries().map(|(part, _)| key_of(part.into()));
-    let quarantined = requests.chain(parts);
+    // What a copy of the store lost is written again.
+    let quarantined = requests.chain(parts).filter(|_| !is_new_era);
     let me = peer_key(peers.table.me());
     let known = listed.keys().filter(|it| **it != me).cloned().chain(holder).chain(quarantined);
     let removed =
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -244,6 +244,38 @@
     });
 }
 
+// Guards against servers that exit anew under what was quarantined: the store returned from a copy that is older than the
+// entries.
+#[test]
+fn quarantines_outlive_the_return_of_the_store_from_an_older_copy() {
+    run(|| {
+        let node = node("vm-1");
+        let item = |key: &str, value: &str| SystemItem {
+            key: key.to_owned(),
+            value: value.as_bytes().to_vec(),
+            revision: StoreRevision::in_era(0, 5),
+            lease: None,
+        };
+        let findings = r#"{"crashed":[1],"sound":[]}"#;
+        let part = format!(
+            r#"{{"trials":1,"until_ms":1,"is_uncertain":false,"findings":{findings},"servers":[7]}}"#
+        );
+        let system_items = vec![
+            item("quarantine/00000000000000ab", r#"{"trials":0,"until_ms":1}"#),
+            item("quarantine/part-00000000000000cd", &part),
+        ];
+        let (before, after) = (StoreRevision::in_era(0, 7), StoreRevision::in_era(1, 3));
+        apply_snapshot(
+            &node,
+            Snapshot { system_items, at: before, newest: before, ..Snapshot::default() },
+        );
+        apply_snapshot(&node, Snapshot { at: after, newest: after, ..Snapshot::default() });
+        let poison = node.poison.borrow();
+        assert_eq!(poison.stored_entries().count(), 1);
+        assert_eq!(poison.stored_part_entries().map(|(_, it)| it.trials).collect::<Vec<_>>(), [1]);
+    });
+}
+
 fn read_store_again(
     node: &Node,
     servers: Vec<(BackendServerName, ServerEntry)>,
