Requests beyond a VM's share of servers' limits go to peers

The VM offers such a request to two peers, as it does when it reaches no server; a peer spends its own share, so that the sum stays within the limit. Without limits, with a quota and from the waiting queue the code as it stood served them already.

--- a/crates/quincevalve_forwarding/src/peer_forwarding.rs
+++ b/crates/quincevalve_forwarding/src/peer_forwarding.rs
@@ -1,4 +1,4 @@
-//! Forwarding of requests to peers that reach the servers which this VM can't reach.
+//! Forwarding of requests to peers that may send them to servers, when this VM may not or can't reach any.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -10,7 +10,7 @@
 
 /// How long a peer or a data centre that can't help is left out.
 const EXCLUSION_TIME: Duration = Duration::from_secs(2);
-/// How long a peer that has taken its maximum of other VMs' requests is left out.
+/// How long a peer that has taken its maximum of other VMs' requests, or used up its share of limits, is left out.
 const FULL_EXCLUSION_TIME: Duration = Duration::from_millis(200);
 /// Number of peers of a data centre in a row that reach no server of a service either, from which on the data centre is
 /// left out.
@@ -29,7 +29,7 @@
 pub enum PeerFailure {
     /// It reaches no server of the service either.
     CutOff,
-    /// It has taken its maximum of other VMs' requests.
+    /// It has taken its maximum of other VMs' requests, or used up its share of the servers' limits.
     Full,
     /// It doesn't answer, stops, or has an older configuration.
     Unavailable,
@@ -52,7 +52,8 @@
 
 /// Picks the peers that get requests of this VM.
 ///
-/// A VM forwards a request only if it can't reach the request's servers itself, and a request that a peer took isn't
+/// A VM forwards a request only if it can't reach the request's servers itself or has used up its share of their limits, and
+/// a request that a peer took isn't
 /// forwarded again. So there are no loops, and one failure of all servers costs few messages: peers that reach no
 /// server either say so at once and are left out for some time.
 ///
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -67,9 +67,14 @@
         }
         let FoundServer { place, mut guard, waited } = match found {
             Ok(found) => found,
-            Err(refused) if runs == 0 => return Err(refused),
-            // A request that may have run must not be refused with a status that says it has not.
-            Err(_) => return Err(Refusal::ServerFailed.into()),
+            Err(refused) => {
+                if refused.refusal == Refusal::Limited
+                    && let Some(answer) = offer_to_peers(node, &req, runs).await
+                {
+                    return answer;
+                }
+                return Err(after_runs(refused, runs));
+            }
         };
         tried.push(place.server.clone());
         guard.start_tracking(&req, &place);
@@ -156,13 +161,14 @@
     node.servers.borrow().is_cut_off_from(&req.service, clock::now())
 }
 
-/// Forwards a request to a peer after this VM could not connect to a server, if another server may run it.
+/// Forwards a request to a peer after this VM could not connect to a server or has used up its share of the servers'
+/// limits, if another server may run it. The shares of VMs that get fewer connections are unused.
 async fn offer_to_peers(
     node: &Rc<Node>,
     req: &Rc<IdentifiedRequest>,
     runs: u32,
 ) -> Option<Result<Response<AnswerBody>, Refused>> {
-    if runs >= req.route.max_servers {
+    if req.forwarded.is_some() || runs >= req.route.max_servers {
         return None;
     }
     forward_to_peer(node, req, Progress { runs, is_counted: true }).await
--- a/crates/quincevalve_node/src/request/forward_to_peer.rs
+++ b/crates/quincevalve_node/src/request/forward_to_peer.rs
@@ -1,4 +1,4 @@
-//! Forwards a request to a peer that reaches the request's servers.
+//! Forwards a request to a peer that may send it to the request's servers.
 
 use std::rc::Rc;
 
@@ -30,8 +30,8 @@
 
 /// Maximum number of peers that a request is offered to while this VM knows that it reaches no server.
 const MAX_PEERS_WHEN_CUT_OFF: usize = 8;
-/// Maximum number of peers that a request is offered to after connections for it failed. The servers may be overloaded,
-/// and each peer would try to connect too.
+/// Maximum number of peers that a request is offered to after connections for it failed, or while servers are limited. The
+/// servers may be overloaded, and each peer would try to connect too.
 const MAX_PEERS_AFTER_FAILURES: usize = 2;
 /// Maximum number of peers that a request is offered to although they don't answer. Each costs the caller a connection's
 /// timeout, and this VM is probably cut off from its peers too.
@@ -191,7 +191,7 @@
     }
     match refusal {
         Refusal::CutOff => PeerAnswer::NotTaken(PeerFailure::CutOff),
-        Refusal::PeerFull => PeerAnswer::NotTaken(PeerFailure::Full),
+        Refusal::PeerFull | Refusal::Limited => PeerAnswer::NotTaken(PeerFailure::Full),
         Refusal::StaleConfig | Refusal::Stopping | Refusal::NoServer => {
             PeerAnswer::NotTaken(PeerFailure::Unavailable)
         }
