Streams: an event that doesn't end is bounded

A server whose stream holds no end of an event made the VM's memory grow with its length, and each chunk was searched from the event's beginning. A stream whose event exceeds 4 MiB, the bound of plain answers, is broken off, and only new bytes are searched.

The test with an event of 5 MiB doesn't fail on the code before: searching takes until the deadline there (33 s in a debug build), which breaks the stream off too. With the mend it takes 0.2 s.

--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -22,7 +22,7 @@
     node::{InFlight, Node},
     quarantine,
     request::{
-        body::{AnswerAborted, AnswerBody, MAX_BUFFERED_CHUNKS},
+        body::{AnswerAborted, AnswerBody, MAX_BUFFERED_ANSWER, MAX_BUFFERED_CHUNKS},
         connection_pool::{Connection, KeepAlive},
         copies::{RunCopy, StreamAtEngine},
         exchange::{ServerAnswer, caller_response, record_first_answer, update_server},
@@ -284,7 +284,16 @@
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
-            let Some(events) = self.take_complete_events(&data) else { continue };
+            let Some(events) = self.take_complete_events(&data) else {
+                if self.partial.len() > MAX_BUFFERED_ANSWER {
+                    log::warn!(
+                        id = self.req.id, server = source.place.server.as_str(), bytes = self.partial.len();
+                        "event-too-long"
+                    );
+                    return StreamEnd::Interrupted;
+                }
+                continue;
+            };
             source.began_at.get_or_insert_with(Instant::now);
             if !std::mem::replace(&mut self.has_begun, true) {
                 source.guard.complete_prefill();
@@ -335,8 +344,11 @@
 
     /// Adds received data and returns the events that are complete. Stores the id of the last of them.
     fn take_complete_events(&mut self, data: &[u8]) -> Option<Bytes> {
+        // What arrived before holds no end of an event, except that its last byte may be the first of one.
+        let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(data);
-        let end = self.partial.windows(2).rposition(|it| it == b"\n\n")? + 2;
+        let end = self.partial[searched..].windows(2).rposition(|it| it == b"\n\n")?;
+        let end = searched + end + 2;
         let events = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&events) {
             self.last_event_id = HeaderValue::from_bytes(id).ok();
--- a/crates/quincevalve_node/tests/unframed_answers.rs
+++ b/crates/quincevalve_node/tests/unframed_answers.rs
@@ -81,6 +81,19 @@
     });
 }
 
+// Guards against a VM whose memory grows with the length of an event.
+#[test]
+fn a_stream_with_an_event_beyond_the_limit_is_broken() {
+    run(async {
+        let reply = |arrival: &Arrival| {
+            let event = format!("id: 1\ndata: {}\n\n", "x".repeat(5 << 20));
+            Reply::SendAndClose(unframed_head(arrival) + &event)
+        };
+        let (answer, _) = answer_to("/stream/", reply).await;
+        assert!(!answer.ends_with(LAST_CHUNK) && !answer.contains("xxx"));
+    });
+}
+
 macro_rules! broken_streams {
     ($($name:ident: $reply:expr;)+) => {
         $(
