Parts: a quarantine is withdrawn when another suspect explains its exits and more

The VM that decided withdraws it once it hears of a quarantine that explains the same exits and others, unless both parts came together each time.

--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -70,6 +70,8 @@
 const MAX_VERSIONS: usize = 64;
 /// Maximum number of other parts that the report of an exit names.
 const MAX_REPORTED_BESIDE: usize = 4;
+/// Time for which this VM may withdraw its quarantine of a part.
+const WITHDRAWAL_WINDOW: Duration = Duration::from_secs(30);
 /// Maximum number of observations kept for the log.
 const MAX_OBSERVATIONS: usize = 256;
 
@@ -138,6 +140,10 @@
     blocked_locally: IndexSet<Suspect>,
     /// Quarantines that aren't written to the store yet.
     unwritten: Vec<Verdict>,
+    /// Parts that this VM quarantined lately and that may be innocent, the servers that exited, and when.
+    decided: Vec<(PartDigest, ExitedServers, TimePoint)>,
+    /// Parts whose quarantine by this VM turned out to be wrong.
+    withdrawn: Vec<PartDigest>,
     observations: Vec<Observation>,
 }
 
@@ -155,6 +161,8 @@
             inquiries: IndexMap::new(),
             blocked_locally: IndexSet::new(),
             unwritten: Vec::new(),
+            decided: Vec::new(),
+            withdrawn: Vec::new(),
             observations: Vec::new(),
         }
     }
@@ -279,9 +287,10 @@
     }
 
     /// Applies the store's entry of a part.
-    pub fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry) {
+    pub fn apply_part_entry(&mut self, part: PartDigest, entry: PartEntry, now: TimePoint) {
         self.cases.remove(part.into());
         self.cases.attribute_exits(part.into(), &entry.servers);
+        self.withdraw_explained(part.into(), &entry.servers, now);
         self.quarantine.apply_part_entry(part, entry);
     }
 
@@ -313,7 +322,7 @@
             self.apply_entry(digest, entry);
         }
         for (part, entry) in parts {
-            self.apply_part_entry(part, entry);
+            self.apply_part_entry(part, entry, now);
         }
     }
 
@@ -391,9 +400,30 @@
         }
         self.cases.remove(suspect);
         self.cases.attribute_exits(suspect, servers);
+        self.withdraw_explained(suspect, servers, now);
         self.quarantine.apply_report(suspect, findings, now);
     }
 
+    /// Withdraws this VM's quarantines of parts whose exits a quarantined suspect explains, together with others.
+    ///
+    /// If the arbiters of the part that crashes servers stand still, those of an innocent part that was on the same
+    /// servers decide before them.
+    fn withdraw_explained(&mut self, by: Suspect, servers: &ExitedServers, now: TimePoint) {
+        self.decided.retain(|(_, _, at)| now.since(*at) <= WITHDRAWAL_WINDOW);
+        let is_explained = |part: &PartDigest, own: &ExitedServers| {
+            by != Suspect::Part(*part) && servers.exceeds(own)
+        };
+        let explained = self.decided.extract_if(.., |(part, own, _)| is_explained(part, own));
+        self.withdrawn.extend(explained.map(|(part, ..)| part));
+    }
+
+    /// Takes the parts whose quarantine by this VM has to be lifted, once the store lists them: the removal of the entry
+    /// reaches all VMs.
+    pub fn take_withdrawn(&mut self) -> Vec<PartDigest> {
+        let quarantine = &self.quarantine;
+        self.withdrawn.extract_if(.., |it| quarantine.is_listed((*it).into())).collect()
+    }
+
     /// Returns the versions at which this VM completed requests with a part.
     fn completed_versions(&self, part: PartDigest, now: TimePoint) -> Vec<VersionTag> {
         let versions = self.versions.iter().copied();
@@ -413,7 +443,10 @@
 
     /// Returns whether [`Self::tick`] has anything to do.
     pub fn is_due(&self, now: TimePoint) -> bool {
-        self.outbox.is_due(now) || self.cases.is_due() || !self.blocked_locally.is_empty()
+        self.outbox.is_due(now)
+            || self.cases.is_due()
+            || !self.blocked_locally.is_empty()
+            || !self.withdrawn.is_empty()
     }
 
     /// Makes the decisions that are due and returns the messages to send, each with its recipient.
@@ -492,7 +525,13 @@
             Step::BlockLocally(suspect) => {
                 self.blocked_locally.insert(suspect);
             }
-            Step::Quarantine { suspect, servers, exits, findings } => {
+            Step::Quarantine { suspect, servers, exits, findings, may_be_innocent } => {
+                if let Suspect::Part(part) = suspect
+                    && may_be_innocent
+                {
+                    self.decided.push((part, servers.clone(), now));
+                }
+                self.withdraw_explained(suspect, &servers, now);
                 self.cases.attribute_exits(suspect, &servers);
                 self.quarantine.apply_report(suspect, findings.clone(), now);
                 let message =
--- a/crates/quincevalve_forwarding/src/poison/case.rs
+++ b/crates/quincevalve_forwarding/src/poison/case.rs
@@ -117,6 +117,11 @@
         self.0.contains(&server)
     }
 
+    /// Returns whether these are all the servers of `other`, and more.
+    pub(super) fn exceeds(&self, other: &Self) -> bool {
+        self.len() > other.len() && other.0.iter().all(|it| self.contains(*it))
+    }
+
     pub(super) fn len(&self) -> usize {
         self.0.len()
     }
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -65,6 +65,8 @@
         servers: ExitedServers,
         exits: ExitPattern,
         findings: PartFindings,
+        /// Whether a quarantine of another suspect that explains its exits shows that it is innocent.
+        may_be_innocent: bool,
     },
 }
 
@@ -274,6 +276,8 @@
                             case.timing(*suspect)
                         },
                         findings: findings(case),
+                        may_be_innocent: matches!(suspect, Suspect::Part(_))
+                            && !case.has_constant_companion(),
                     });
                 }
                 _ => {}
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -202,10 +202,14 @@
         self.listed.keys().chain(self.reported.keys())
     }
 
+    /// Returns whether the store lists it.
+    pub(super) fn is_listed(&self, suspect: Suspect) -> bool {
+        self.listed.contains_key(&suspect)
+    }
+
     /// Returns whether the store or a report says that it is quarantined.
     pub(super) fn is_known(&self, suspect: Suspect, now: TimePoint) -> bool {
-        self.listed.contains_key(&suspect)
-            || self.reported.get(&suspect).is_some_and(|it| it.until > now)
+        self.is_listed(suspect) || self.reported.get(&suspect).is_some_and(|it| it.until > now)
     }
 
     /// Returns whether the store or a report says that a part is quarantined at servers of a version.
--- a/crates/quincevalve_forwarding/tests/poison_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/poison_world/world.rs
@@ -338,10 +338,13 @@
             if known_at > self.now {
                 return;
             }
+            let now = at(self.now);
             let guard = &mut self.vms[vm].guard;
             match (suspect, entry) {
                 (Suspect::Request(it), Some(Entry::Request(entry))) => guard.apply_entry(it, entry),
-                (Suspect::Part(it), Some(Entry::Part(entry))) => guard.apply_part_entry(it, entry),
+                (Suspect::Part(it), Some(Entry::Part(entry))) => {
+                    guard.apply_part_entry(it, entry, now);
+                }
                 (suspect, _) => guard.remove_entry(suspect, at(self.now)),
             }
             self.vms[vm].applied_changes += 1;
@@ -724,6 +727,11 @@
         if self.is_partitioned(vm) || self.is_store_unreachable() {
             return;
         }
+        for part in self.vms[vm].guard.take_withdrawn() {
+            self.outcome.store_calls += 2;
+            self.store.remove(&part.into());
+            self.changes.push((self.now, part.into(), None));
+        }
         for verdict in std::mem::take(&mut self.vms[vm].unwritten) {
             self.outcome.store_calls += 1;
             if !self.store.contains_key(&verdict.suspect) {
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -323,6 +323,10 @@
         let Some(address) = address else { continue };
         send(node, socket, address, Content::Poison(message));
     }
+    let withdrawn = node.poison.borrow_mut().take_withdrawn();
+    for part in withdrawn {
+        node.quarantine.withdraw(part);
+    }
     let unwritten = node.poison.borrow_mut().take_unwritten();
     for verdict in unwritten {
         node.quarantine.write(verdict);
--- a/crates/quincevalve_node/src/quarantine/commands.rs
+++ b/crates/quincevalve_node/src/quarantine/commands.rs
@@ -4,6 +4,7 @@
 
 use quincevalve_forwarding::{
     poison::{PartEntry, QuarantineEntry, Suspect, Verdict},
+    prompt_parts::PartDigest,
     stream_versions::VersionTag,
 };
 use tokio::{
@@ -36,6 +37,7 @@
     BeginTrial(Suspect, oneshot::Sender<bool>),
     Lift(Suspect, VersionTag),
     Restore(Suspect, Quarantined),
+    Withdraw(PartDigest),
 }
 
 /// Receiving end of the commands to the quarantine task.
@@ -68,6 +70,11 @@
         self.send(Command::Lift(suspect, version));
     }
 
+    /// Removes the quarantine of a part that turned out to be innocent.
+    pub(crate) fn withdraw(&self, part: PartDigest) {
+        self.send(Command::Withdraw(part));
+    }
+
     /// Writes an entry again that the store has lost.
     pub(super) fn restore(&self, suspect: Suspect, entry: Quarantined) {
         self.send(Command::Restore(suspect, entry));
@@ -99,6 +106,7 @@
                     let _ = reply.send(is_granted);
                 }
                 Command::Lift(suspect, version) => lift(&node, &store, suspect, version).await,
+                Command::Withdraw(part) => withdraw(&node, &store, part.into()).await,
                 Command::Restore(suspect, entry) => restore(&store, suspect, &entry).await,
             }
         });
@@ -196,9 +204,26 @@
 where
     S: PlatformStore,
 {
+    lift_by(node, suspect, || lift_at_version(store, suspect, version)).await;
+}
+
+async fn withdraw<S>(node: &Node, store: &S, suspect: Suspect)
+where
+    S: PlatformStore,
+{
+    let lift = async || lift_quarantine(store, suspect).await.map(|_| Lifted::Everywhere);
+    lift_by(node, suspect, lift).await;
+}
+
+/// Lifts a quarantine by calls to the store until one succeeds.
+async fn lift_by(
+    node: &Node,
+    suspect: Suspect,
+    call: impl AsyncFn() -> Result<Lifted, StoreError>,
+) {
     let until = Instant::now() + WRITE_TIMEOUT;
     while Instant::now() < until {
-        match lift_at_version(store, suspect, version).await {
+        match call().await {
             Ok(Lifted::Everywhere) => {
                 log::info!(digest:% = suspect; "quarantine-lifted");
                 node.poison.borrow_mut().remove_entry(suspect, clock::now());
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -504,7 +504,7 @@
                     poison.apply_entry(digest, entry);
                 }
                 Some((Suspect::Part(part), Quarantined::Part(entry))) => {
-                    poison.apply_part_entry(part, entry);
+                    poison.apply_part_entry(part, entry, now);
                 }
                 _ => {}
             }
