Parts: what is withdrawn, and only by whom it did not come with

A quarantine that is contested is withdrawn once a quarantine explains most of its exits and more, unless that part was in the requests at each of the servers.

poison_world compares the ways that were weighed (compare_ways).

--- a/crates/quincevalve_forwarding/src/poison.rs
+++ b/crates/quincevalve_forwarding/src/poison.rs
@@ -88,6 +88,17 @@
     pub servers: ExitedServers,
 }
 
+/// A quarantine of a part that this VM decided although another suspect may be the cause.
+#[derive(Debug)]
+struct UncertainVerdict {
+    part: PartDigest,
+    /// The servers that exited.
+    servers: ExitedServers,
+    /// Other parts that were in requests at each of them.
+    companions: Vec<PartDigest>,
+    at: TimePoint,
+}
+
 /// What happened to a suspect, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Observation {
@@ -140,8 +151,8 @@
     blocked_locally: IndexSet<Suspect>,
     /// Quarantines that aren't written to the store yet.
     unwritten: Vec<Verdict>,
-    /// Parts that this VM quarantined lately and that may be innocent, the servers that exited, and when.
-    decided: Vec<(PartDigest, ExitedServers, TimePoint)>,
+    /// Parts that this VM quarantined lately although another suspect may be the cause.
+    decided: Vec<UncertainVerdict>,
     /// Parts whose quarantine by this VM turned out to be wrong.
     withdrawn: Vec<PartDigest>,
     observations: Vec<Observation>,
@@ -406,15 +417,16 @@
 
     /// Withdraws this VM's quarantines of parts whose exits a quarantined suspect explains, together with others.
     ///
-    /// If the arbiters of the part that crashes servers stand still, those of an innocent part that was on the same
+    /// If the arbiters of the part that crashes servers stand still, those of an innocent part that was on most of the same
     /// servers decide before them.
     fn withdraw_explained(&mut self, by: Suspect, servers: &ExitedServers, now: TimePoint) {
-        self.decided.retain(|(_, _, at)| now.since(*at) <= WITHDRAWAL_WINDOW);
-        let is_explained = |part: &PartDigest, own: &ExitedServers| {
-            by != Suspect::Part(*part) && servers.exceeds(own)
+        self.decided.retain(|it| now.since(it.at) <= WITHDRAWAL_WINDOW);
+        let is_explained = |it: &mut UncertainVerdict| {
+            let came_together = it.companions.iter().any(|part| by == Suspect::Part(*part));
+            by != Suspect::Part(it.part) && !came_together && servers.explain(&it.servers)
         };
-        let explained = self.decided.extract_if(.., |(part, own, _)| is_explained(part, own));
-        self.withdrawn.extend(explained.map(|(part, ..)| part));
+        let explained = self.decided.extract_if(.., is_explained);
+        self.withdrawn.extend(explained.map(|it| it.part));
     }
 
     /// Takes the parts whose quarantine by this VM has to be lifted, once the store lists them: the removal of the entry
@@ -525,11 +537,12 @@
             Step::BlockLocally(suspect) => {
                 self.blocked_locally.insert(suspect);
             }
-            Step::Quarantine { suspect, servers, exits, findings, may_be_innocent } => {
+            Step::Quarantine { suspect, servers, exits, findings, companions } => {
                 if let Suspect::Part(part) = suspect
-                    && may_be_innocent
+                    && exits == ExitPattern::Contested
                 {
-                    self.decided.push((part, servers.clone(), now));
+                    let servers = servers.clone();
+                    self.decided.push(UncertainVerdict { part, servers, companions, at: now });
                 }
                 self.withdraw_explained(suspect, &servers, now);
                 self.cases.attribute_exits(suspect, &servers);
--- a/crates/quincevalve_forwarding/src/poison/case.rs
+++ b/crates/quincevalve_forwarding/src/poison/case.rs
@@ -117,9 +117,10 @@
         self.0.contains(&server)
     }
 
-    /// Returns whether these are all the servers of `other`, and more.
-    pub(super) fn exceeds(&self, other: &Self) -> bool {
-        self.len() > other.len() && other.0.iter().all(|it| self.contains(*it))
+    /// Returns whether these are more servers than `other`, and so many of them that the rest wouldn't make a suspect.
+    pub(super) fn explain(&self, other: &Self) -> bool {
+        let left = other.0.iter().filter(|it| !self.contains(**it)).count();
+        self.len() > other.len() && left < MIN_EXITS
     }
 
     pub(super) fn len(&self) -> usize {
@@ -151,13 +152,13 @@
         )
     }
 
-    /// Returns whether the same other part was in requests at each of the servers, so that the exits may be due to that one.
-    pub(super) fn has_constant_companion(&self) -> bool {
+    /// Returns the other parts that were in requests at each of the servers, so that the exits may be due to them.
+    pub(super) fn companions(&self) -> Vec<PartDigest> {
         let mut exits = self.unexplained();
-        let Some(first) = exits.next() else { return false };
+        let Some(first) = exits.next() else { return Vec::new() };
         let mut common = first.beside.clone();
         exits.for_each(|exit| common.retain(|it| exit.beside.contains(it)));
-        !common.is_empty()
+        common
     }
 
     /// Returns the exits that no quarantined suspect explains.
--- a/crates/quincevalve_forwarding/src/poison/cases.rs
+++ b/crates/quincevalve_forwarding/src/poison/cases.rs
@@ -14,7 +14,7 @@
     },
     evidence::PartFindings,
 };
-use crate::stream_versions::VersionTag;
+use crate::{prompt_parts::PartDigest, stream_versions::VersionTag};
 
 /// Time that the second arbiter waits for the verdict of the first; the third waits twice as long.
 const ARBITER_DELAY: Duration = Duration::from_millis(250);
@@ -65,8 +65,8 @@
         servers: ExitedServers,
         exits: ExitPattern,
         findings: PartFindings,
-        /// Whether a quarantine of another suspect that explains its exits shows that it is innocent.
-        may_be_innocent: bool,
+        /// Other parts that were in requests at each of the servers.
+        companions: Vec<PartDigest>,
     },
 }
 
@@ -265,19 +265,17 @@
                     if now.since(sent_at) < case.inquiry_timeout(*suspect) + delay {
                         continue;
                     }
+                    let companions = case.companions();
+                    let is_contested =
+                        !companions.is_empty() || others().any(|it| is_shared(*suspect, case, it));
+                    let exits =
+                        if is_contested { ExitPattern::Contested } else { case.timing(*suspect) };
                     steps.push(Step::Quarantine {
                         suspect: *suspect,
                         servers: case.servers(),
-                        exits: if case.has_constant_companion()
-                            || others().any(|it| is_shared(*suspect, case, it))
-                        {
-                            ExitPattern::Contested
-                        } else {
-                            case.timing(*suspect)
-                        },
+                        exits,
                         findings: findings(case),
-                        may_be_innocent: matches!(suspect, Suspect::Part(_))
-                            && !case.has_constant_companion(),
+                        companions,
                     });
                 }
                 _ => {}
--- a/crates/quincevalve_forwarding/tests/poison_world/part_scenarios.rs
+++ b/crates/quincevalve_forwarding/tests/poison_world/part_scenarios.rs
@@ -175,6 +175,35 @@
     };
 }
 
+/// Bounds that hold in any case, for comparisons.
+const NONE: Bounds =
+    Bounds { late: usize::MAX, rejected: usize::MAX, rejected_ms: u64::MAX, share: 0.0 };
+
+// Prints the ways that were weighed beside the chosen one: parts counted as if they were whole requests, and each VM
+// counting alone.
+#[test]
+#[ignore = "comparison, started by hand"]
+fn compare_ways() {
+    let change = |it: Scenario, at: usize| match at {
+        0 => with_part(it, 4.0),
+        1 => changed(with_part(it, 4.0), |it| it.companion = Some(20_000..45_000)),
+        2 => Scenario { burst: Some(5_000..15_000), ..with_part(it, 2.0) },
+        _ => Scenario { all_killed_at: Some(3_400), ..with_part(it, 4.0) },
+    };
+    for (vms, servers) in [(8, 12), (64, 60), (295, 204)] {
+        for at in 0..4 {
+            let scenario = change(Scenario::new(vms, servers), at);
+            for seed in 0..3 {
+                run(&format!("chosen {at}"), NONE, &scenario, seed);
+                let as_requests = Scenario { parts_as_requests: true, ..scenario.clone() };
+                run(&format!("as requests {at}"), NONE, &as_requests, seed);
+                let alone = Scenario { loss: 1.0, ..scenario.clone() };
+                run(&format!("each VM alone {at}"), NONE, &alone, seed);
+            }
+        }
+    }
+}
+
 // Guards against a measurement that can't fail: without quarantine, each request with the part crashes a server.
 #[test]
 fn every_request_with_the_part_crashes_a_server_when_unguarded() {
--- a/crates/quincevalve_forwarding/tests/poison_world/scenario.rs
+++ b/crates/quincevalve_forwarding/tests/poison_world/scenario.rs
@@ -48,6 +48,8 @@
     pub(crate) frozen: Option<(usize, TimeSpan)>,
     /// Number of software versions of the servers.
     pub(crate) versions: usize,
+    /// Whether each part is counted as if it were a whole request, for comparison.
+    pub(crate) parts_as_requests: bool,
 }
 
 impl Scenario {
@@ -73,6 +75,7 @@
             split: None,
             frozen: None,
             versions: 1,
+            parts_as_requests: false,
         }
     }
 }
--- a/crates/quincevalve_forwarding/tests/poison_world/world.rs
+++ b/crates/quincevalve_forwarding/tests/poison_world/world.rs
@@ -116,6 +116,11 @@
     message: PoisonMessage,
 }
 
+/// Returns the request as which a part is counted for comparison.
+fn as_request(part: PartDigest) -> RequestDigest {
+    RequestDigest(part.0)
+}
+
 /// An entry of the store.
 #[derive(Clone, Debug)]
 enum Entry {
@@ -389,7 +394,13 @@
                 vm.guard.record_server_exit(*digest, start, at(self.now));
                 let (server, request, beside) = (start, *digest, Vec::new());
                 let exit = ExitEvidence { server, version, stage, request, beside };
-                vm.guard.record_part_exits(parts, &exit, at(self.now));
+                if self.scenario.parts_as_requests {
+                    for part in parts {
+                        vm.guard.record_server_exit(as_request(*part), server, at(self.now));
+                    }
+                } else {
+                    vm.guard.record_part_exits(parts, &exit, at(self.now));
+                }
             }
             let retried = match run.kind {
                 Kind::Poison => continue,
@@ -453,6 +464,16 @@
             }
             let Content { digest, parts } = &run.content;
             let is_lifted = vm.guard.record_completion(*digest, at(self.now));
+            if self.scenario.parts_as_requests {
+                for part in parts {
+                    if vm.guard.record_completion(as_request(*part), at(self.now)) {
+                        self.outcome.store_calls += 2;
+                        self.store.remove(&as_request(*part).into());
+                        self.changes.push((self.now, as_request(*part).into(), None));
+                    }
+                }
+                continue;
+            }
             let version = VersionTag((run.server % self.scenario.versions) as u64 + 1);
             let sound = vm.guard.record_part_completions(parts, version, at(self.now));
             if self.is_partitioned(run.vm) || self.is_store_unreachable() {
@@ -608,10 +629,14 @@
         let (now, wall_clock_ms) = (at(self.now), Some(self.wall_clock_ms()));
         let guard = &self.vms[vm].guard;
         let own = guard.send_decision(content.digest, now, wall_clock_ms);
-        let parts = content
-            .parts
-            .iter()
-            .map(|it| (Suspect::Part(*it), guard.part_decision(*it, version, now, wall_clock_ms)));
+        let as_requests = self.scenario.parts_as_requests;
+        let parts = content.parts.iter().map(|it| {
+            if as_requests {
+                let request = as_request(*it);
+                return (request.into(), guard.send_decision(request, now, wall_clock_ms));
+            }
+            (Suspect::Part(*it), guard.part_decision(*it, version, now, wall_clock_ms))
+        });
         let barring: Vec<_> = parts
             .chain([(content.digest.into(), own)])
             .filter(|(_, it)| *it != SendDecision::Allowed)
