--- a/crates/quincevalve_measure/src/experiments/placement.rs
+++ b/crates/quincevalve_measure/src/experiments/placement.rs
@@ -84,6 +84,7 @@
         tried: &[],
         scope: None,
         version: None,
+        barred: &[],
     };
     std::hint::black_box(servers.place(&ask, rng, now()).is_ok());
 }
