--- a/crates/quincevalve_admission/tests/waiting_load/play.rs
+++ b/crates/quincevalve_admission/tests/waiting_load/play.rs
@@ -354,6 +354,7 @@
             tried: others,
             scope: None,
             version: None,
+            barred: &[],
         };
         table.place(&request, rng, time(now))
     }
