--- a/review/standins/src/bin/holders.rs
+++ b/review/standins/src/bin/holders.rs
@@ -127,7 +127,8 @@
     let address = |host, port| SocketAddr::new(ip(network, host).into(), port);
     let platform = Platform::start(address(200, 8225), address(201, 8225), record.clone())?;
     platform.set_none_available(true);
-    for (host, zone) in [(100, "freising"), (101, "freising"), (102, "moosburg"), (103, "moosburg")] {
+    for (host, zone) in [(100, "freising"), (101, "freising"), (102, "moosburg"), (103, "moosburg")]
+    {
         let worker = Worker {
             id: format!("i-{host}"),
             service: "sprach",
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -197,7 +197,9 @@
     bookings: &Mutex<Bookings>,
     is_over: &AtomicBool,
 ) {
-    let Ok(mut stream) = TcpStream::connect_timeout(&frontend, Duration::from_secs(1)) else { return };
+    let Ok(mut stream) = TcpStream::connect_timeout(&frontend, Duration::from_secs(1)) else {
+        return;
+    };
     let Ok(reading) = stream.try_clone() else { return };
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_millis(2_500)));
--- a/review/standins/src/bin/slow-readers.rs
+++ b/review/standins/src/bin/slow-readers.rs
@@ -214,8 +214,12 @@
     let mut stream = TcpStream::from(socket);
     stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))?;
     let (path, tokens, body) = match kind {
-        Kind::Stream => ("/menu/2f", "X-Quincevalve-Model: m\r\nX-Quincevalve-Token-Count: 1460,1700\r\n\
-            X-Quincevalve-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n", vec![b'p'; 4_000]),
+        Kind::Stream => (
+            "/menu/2f",
+            "X-Quincevalve-Model: m\r\nX-Quincevalve-Token-Count: 1460,1700\r\n\
+            X-Quincevalve-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n",
+            vec![b'p'; 4_000],
+        ),
         Kind::Order => ("/order/2f", "", vec![b'o'; 600]),
     };
     let head = format!(
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -144,11 +144,13 @@
     pub fn is_ready(&self) -> bool {
         use std::io::{Read, Write};
         let address = SocketAddr::new(self.ip.into(), 8224);
-        let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(500)) else {
+        let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(500))
+        else {
             return false;
         };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let _ = stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+        let _ =
+            stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
         let mut answer = String::new();
         let _ = stream.read_to_string(&mut answer);
         answer.starts_with("HTTP/1.1 200")
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's store and cloud API: all calls of PROTOCOL.md that `quincevalve-node` makes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io,
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
@@ -55,9 +55,65 @@
     /// When each machine's renewal of a lease was last answered.
     renewed: BTreeMap<IpAddr, Instant>,
     none_available: bool,
+    /// Rises each time the store returns from an older copy.
+    era: u64,
+    is_away: bool,
+    copies: VecDeque<Copy>,
 }
 
+/// The store's state at some time, from which it may return.
+struct Copy {
+    at: Instant,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
+/// Interval between two copies.
+const COPY_INTERVAL: Duration = Duration::from_millis(100);
+/// How long copies are kept.
+const COPY_TTL: Duration = Duration::from_secs(10);
+/// Prefixes of the keys that the operator and the workers write again after the store has returned from a copy.
+const REWRITTEN_PREFIXES: [&str; 2] = ["op/", "servers/"];
+
 impl State {
+    fn copy_if_due(&mut self, now: Instant) {
+        if self.copies.back().is_some_and(|it| now.duration_since(it.at) < COPY_INTERVAL) {
+            return;
+        }
+        let copy = Copy { at: now, revision: self.revision, items: self.items.clone() };
+        self.copies.push_back(copy);
+        while self.copies.front().is_some_and(|it| now.duration_since(it.at) > COPY_TTL) {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Replaces the state by the newest copy that is at least `age` old. Leases and what the system wrote since are lost;
+    /// what the operator and the workers wrote is written again.
+    fn return_from_copy(&mut self, age: Duration) -> bool {
+        let now = Instant::now();
+        let copy = self.copies.iter().rposition(|it| now.duration_since(it.at) >= age);
+        let Some(copy) = copy.and_then(|at| self.copies.drain(..).nth(at)) else { return false };
+        let rewritten: Vec<(String, Vec<u8>)> = self
+            .items
+            .iter()
+            .filter(|(key, _)| REWRITTEN_PREFIXES.iter().any(|it| key.starts_with(it)))
+            .map(|(key, it)| (key.clone(), it.value.clone()))
+            .collect();
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.items.retain(|_, it| it.lease == 0);
+        self.leases.clear();
+        self.events.retain(|it| it["Revision"].as_u64() <= Some(copy.revision));
+        self.era += 1;
+        for (key, value) in rewritten {
+            if self.items.get(&key).is_none_or(|it| it.value != value) {
+                self.revision += 1;
+                self.write(&key, Some(value), 0);
+            }
+        }
+        true
+    }
+
     fn write(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         let revision = self.revision;
         match value {
@@ -79,8 +135,12 @@
         if self.leases.remove(&id).is_none() {
             return false;
         }
-        let keys: Vec<String> =
-            self.items.iter().filter(|(_, it)| it.lease == id).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, it)| it.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
         if !keys.is_empty() {
             self.revision += 1;
         }
@@ -122,6 +182,7 @@
             loop {
                 thread::sleep(Duration::from_millis(10));
                 it.expire_leases();
+                it.with(|it| it.copy_if_due(Instant::now()));
             }
         });
         Ok(platform)
@@ -178,6 +239,17 @@
         self.with(|it| it.none_available = none);
     }
 
+    /// Lets the store be away for a moment and return from a copy that is at least `age` old; returns `false` if there is
+    /// no such copy.
+    pub fn drill(&self, away: Duration, age: Duration) -> bool {
+        self.with(|it| it.is_away = true);
+        thread::sleep(away);
+        self.with(|it| {
+            it.is_away = false;
+            it.return_from_copy(age)
+        })
+    }
+
     /// Returns the calls to the cloud API so far.
     pub fn cloud_calls(&self) -> Vec<CloudCall> {
         self.with(|it| it.cloud_calls.clone())
@@ -204,8 +276,13 @@
             // The cut refuses: the connection ends, and nothing is executed.
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        let (status, body) = if is_cloud { self.cloud_call(req, from) } else { self.call(req, from) };
-        let headers = [("Content-Type", "application/json")];
+        if !is_cloud && self.with(|it| it.is_away) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let (status, body) =
+            if is_cloud { self.cloud_call(req, from) } else { self.call(req, from) };
+        let era = self.with(|it| it.era).to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
         write_answer(stream, status, &headers, body.to_string().as_bytes())
     }
 
@@ -233,11 +310,14 @@
 
     fn call(&self, req: &Request, from: SocketAddr) -> (u16, Value) {
         let body: Value = serde_json::from_slice(&req.body).unwrap_or(Value::Null);
-        let last_number = || req.path().rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let last_number =
+            || req.path().rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(0);
         match (req.method.as_str(), req.path()) {
             ("GET", "/kv-key") => self.with(|it| {
                 let key = req.query("Key").unwrap_or_default();
-                let Some(item) = it.items.get(key) else { return (404, json!({"At": it.revision})) };
+                let Some(item) = it.items.get(key) else {
+                    return (404, json!({"At": it.revision}));
+                };
                 let mut answer = item_json(key, item);
                 answer["At"] = it.revision.into();
                 (200, answer)
@@ -253,7 +333,9 @@
                 (200, json!({"Lease": it.last_lease, "TtlMs": ttl_ms}))
             }),
             ("POST", path) if path.starts_with("/kv-keep/") => self.with(|it| {
-                let Some(lease) = it.leases.get_mut(&last_number()) else { return (404, json!({})) };
+                let Some(lease) = it.leases.get_mut(&last_number()) else {
+                    return (404, json!({}));
+                };
                 lease.until = Instant::now() + lease.ttl;
                 let ttl_ms = lease.ttl.as_millis() as u64;
                 if ttl_ms <= 5_000 {
@@ -276,6 +358,9 @@
         let prefix = req.query("Prefix").unwrap_or_default();
         let mut state = self.state.0.lock().expect("no panic under the lock");
         loop {
+            if after > state.revision {
+                return (410, json!({}));
+            }
             let is_new = |it: &&Value| {
                 it["Revision"].as_u64() > Some(after)
                     && it["Key"].as_str().is_some_and(|it| it.starts_with(prefix))
@@ -306,8 +391,7 @@
 fn commit(state: &mut State, body: &Value) -> (u16, Value) {
     let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let expected = list("ExpectedRevision");
-    let revision_of =
-        |state: &State, key: &str| state.items.get(key).map_or(0, |it| it.revision);
+    let revision_of = |state: &State, key: &str| state.items.get(key).map_or(0, |it| it.revision);
     let holds = expected.iter().all(|it| {
         revision_of(state, it["Key"].as_str().unwrap_or_default())
             == it["Revision"].as_u64().unwrap_or_default()
