Log panics and the ends of long-lived tasks

A panic went to standard error in a format of its own, and the dozen tasks that live as long as the process ended without a word. Now a panic is a line of the program's log (`panicked`), and the end of such a task another (`task-ended`: which, how, why), with a counter (quincevalve_task_ends_total) and a line in the body of the readiness answer. What the process does is unchanged.

--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -17,6 +17,8 @@
 mod start;
 mod store;
 mod stream_directory;
+mod supervision;
+mod tasks;
 #[cfg(test)]
 mod test_node;
 
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -64,6 +64,12 @@
     of: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct TaskLabels {
+    task: &'static str,
+    how: &'static str,
+}
+
 /// All metrics of the process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -91,6 +97,7 @@
     quota_decisions: Family<DecisionLabels, Counter>,
     resumptions: Family<AttemptLabels, Counter>,
     stream_records: Family<RecordLabels, Gauge>,
+    task_ends: Family<TaskLabels, Counter>,
 }
 
 /// Creates and registers a metric.
@@ -169,6 +176,8 @@
             register(&mut all, "resumptions", "Streams that callers took up, by result");
         let stream_records =
             register(&mut all, "stream_records", "Streams whose version is known here");
+        let task_ends =
+            register(&mut all, "task_ends", "Ends of tasks that live as long as the process");
         Self {
             registry: all,
             requests,
@@ -195,6 +204,7 @@
             quota_decisions,
             resumptions,
             stream_records,
+            task_ends,
         }
     }
 }
@@ -270,6 +280,11 @@
         self.resumptions.get_or_create(&labels).inc();
     }
 
+    /// Counts the end of a task that should live as long as the process.
+    pub(crate) fn count_task_end(&self, task: &'static str, how: &'static str) {
+        self.task_ends.get_or_create(&TaskLabels { task, how }).inc();
+    }
+
     /// Updates the gauges and encodes all metrics.
     fn encode_text(&self, node: &Node) -> String {
         let now = clock::now();
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -48,6 +48,7 @@
     settings::NodeSettings,
     store::{config_copy::ConfigCopy, state_copy::StateCopy, view::StoreView},
     stream_directory::StreamDirectory,
+    tasks::EndedTasks,
 };
 
 /// Phase of the process's life cycle.
@@ -133,6 +134,8 @@
     pub(crate) quota_owners: QuotaOwners,
     /// The versions that began streams.
     pub(crate) streams: StreamDirectory,
+    /// Tasks that ended although they live as long as the process.
+    pub(crate) ended_tasks: EndedTasks,
 }
 
 impl Node {
@@ -182,6 +185,7 @@
             waiting: WaitingRequests::default(),
             quota_owners: QuotaOwners::default(),
             streams: StreamDirectory::new(settings.bounds.change_in_force),
+            ended_tasks: EndedTasks::default(),
             settings,
             headers,
         }
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -261,8 +261,8 @@
         let node = node.clone();
         async move {
             let service = service_fn(|_req| {
-                let ready = node.is_ready();
-                async move { Ok::<_, Infallible>(readiness_response(ready)) }
+                let answer = readiness_response(node.is_ready(), node.ended_tasks.describe());
+                async move { Ok::<_, Infallible>(answer) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -273,8 +273,9 @@
     accept_connections(listener, serve).await;
 }
 
-fn readiness_response(ready: bool) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
+/// Builds the answer of the readiness check; its body lists the tasks that ended.
+fn readiness_response(ready: bool, ended_tasks: String) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(ended_tasks));
     if !ready {
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -23,6 +23,8 @@
     },
     settings::NodeSettings,
     store::sync::{follow_store, maintain_entry},
+    supervision::supervise,
+    tasks::LongTask,
 };
 
 /// Time from SIGTERM until idle connections are closed. The platform stops sending callers here after two readiness
@@ -149,19 +151,26 @@
         vm = node.settings.name.as_str(), data_centre = node.settings.data_centre.as_str(),
         incarnation = node.incarnation; "started"
     );
-    spawn_local(frontend::serve_ready(node.clone(), ready));
-    spawn_local(crate::metrics::serve_metrics(node.clone(), metrics));
-    spawn_local(frontend::serve_callers(node.clone(), front, closing.clone()));
-    spawn_local(serve_peers(node.clone(), peer_requests, closing));
-    spawn_local(place_waiting_requests(node.clone()));
-    spawn_local(watch_reachability(node.clone()));
-    spawn_local(follow_store(node.clone(), store.clone(), socket.clone()));
-    spawn_local(maintain_entry(node.clone(), store.clone()));
-    spawn_local(run_quarantine_task(node.clone(), store.clone(), quarantine_commands));
-    spawn_local(peers::send_digests(node.clone(), socket.clone()));
-    spawn_local(peers::receive_datagrams(node.clone(), socket));
     let (stop_duties, duties_stopped) = watch::channel(false);
-    spawn_local(duties::run_duties(node.clone(), store, cloud, duties_stopped));
+    macro_rules! supervise {
+        ($($task:ident: $running:expr;)+) => {
+            $(spawn_local(supervise(node.clone(), LongTask::$task, $running));)+
+        };
+    }
+    supervise! {
+        ServeReady: frontend::serve_ready(node.clone(), ready);
+        ServeMetrics: crate::metrics::serve_metrics(node.clone(), metrics);
+        ServeCallers: frontend::serve_callers(node.clone(), front, closing.clone());
+        ServePeers: serve_peers(node.clone(), peer_requests, closing);
+        PlaceWaiting: place_waiting_requests(node.clone());
+        WatchReachability: watch_reachability(node.clone());
+        FollowStore: follow_store(node.clone(), store.clone(), socket.clone());
+        MaintainEntry: maintain_entry(node.clone(), store.clone());
+        WriteQuarantine: run_quarantine_task(node.clone(), store.clone(), quarantine_commands);
+        SendDigests: peers::send_digests(node.clone(), socket.clone());
+        ReceiveDatagrams: peers::receive_datagrams(node.clone(), socket);
+        RunDuties: duties::run_duties(node.clone(), store, cloud, duties_stopped);
+    }
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/quincevalve_program/src/lib.rs
+++ b/crates/quincevalve_program/src/lib.rs
@@ -1,10 +1,11 @@
-//! Functions that all quincevalve programs share: command line, settings files, logs and metrics.
+//! Functions that all quincevalve programs share: command line, settings files, logs, metrics and panics.
 
 mod arguments;
 mod bounded_stdout;
 mod launch;
 mod logs;
 mod metrics;
+mod panics;
 mod settings;
 mod stop;
 
@@ -13,6 +14,7 @@
     launch::{ProgramSettings, launch},
     logs::{LogFormat, LogLevel, LogSettings, start_logs},
     metrics::{Metrics, MetricsError, MetricsSettings},
+    panics::{contain_panic, describe_panic},
     settings::{SettingsError, parse_settings, read_settings},
     stop::stop_signal,
 };
--- a/crates/quincevalve_program/src/logs.rs
+++ b/crates/quincevalve_program/src/logs.rs
@@ -10,7 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::bounded_stdout::BoundedStdout;
+use crate::{bounded_stdout::BoundedStdout, panics::log_panics};
 
 /// The format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,7 +70,7 @@
     pub level: LogLevel,
 }
 
-/// Starts logging for the whole process. A second call changes nothing.
+/// Starts logging for the whole process, of its panics too. A second call changes nothing.
 pub fn start_logs(settings: &LogSettings) {
     // Libraries log spans at the trace level without regard to the process-wide level, so each record is filtered
     // by its level again.
@@ -85,6 +85,7 @@
     };
     if builder.try_apply().is_ok() {
         log::set_max_level(settings.level.into());
+        log_panics();
     }
 }
 
