Start long-lived tasks anew when they end

Callers saw: keys refused for good at a process that looks alive. The dozen tasks that live as long as the process were started once and nobody looked at their end.

Each now has a supervisor. A task that panics, returns, or (where it acts by itself) does nothing for 20 s is started anew, after a pause that doubles from 100 ms to 5 s and begins again after a sound run of 30 s. While a task that requests need doesn't run, the VM isn't ready and says so. The process ends by itself, with a non-zero status and after its requests, only where a start can help: it is at least 10 minutes old, the task has failed for 1 to 5 minutes (by the VM's name), and other VMs are sound. An input that ends the task at each start therefore never makes a loop of exits. The cores is task_restarts in quincevalve_forwarding.

--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod store_pacing;
 pub mod stream_versions;
 pub mod sums;
+pub mod task_restarts;
 pub mod usage;
 pub mod wall_clock;
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -324,7 +324,7 @@
 }
 
 /// Serves the metrics for as long as the process runs.
-pub(crate) async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
+pub(crate) async fn serve_metrics(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -263,6 +263,7 @@
         self.phase.get() == Phase::Serving
             && self.config.borrow().is_some()
             && !self.is_losing_freshness()
+            && !self.ended_tasks.lacks_essential()
     }
 
     /// Returns whether a request that arrives now can finish before the process exits.
--- a/crates/quincevalve_node/src/quarantine/commands.rs
+++ b/crates/quincevalve_node/src/quarantine/commands.rs
@@ -8,7 +8,7 @@
     stream_versions::VersionTag,
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{Mutex, mpsc, oneshot},
     task::spawn_local,
     time::{Instant, sleep, timeout},
 };
@@ -91,10 +91,11 @@
 pub(crate) async fn run_quarantine_task<S>(
     node: Rc<Node>,
     store: S,
-    mut commands: QuarantineCommands,
+    commands: Rc<Mutex<QuarantineCommands>>,
 ) where
     S: PlatformStore,
 {
+    let mut commands = commands.lock().await;
     while let Some(command) = commands.0.recv().await {
         let (node, store) = (node.clone(), store.clone());
         spawn_local(async move {
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -54,8 +54,8 @@
 const UNIDENTIFIED_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves callers' connections until the process exits.
-pub(crate) async fn serve_callers(node: Rc<Node>, listener: TcpListener, closing: CloseSignal) {
-    accept_connections(listener, |it| serve_caller(node.clone(), it, closing.clone())).await;
+pub(crate) async fn serve_callers(node: Rc<Node>, listener: Rc<TcpListener>, closing: CloseSignal) {
+    accept_connections(&listener, |it| serve_caller(node.clone(), it, closing.clone())).await;
 }
 
 async fn serve_caller(node: Rc<Node>, stream: TcpStream, closing: CloseSignal) {
@@ -256,7 +256,7 @@
 }
 
 /// Serves the platform's readiness checks, which decide whether callers are routed to this VM.
-pub(crate) async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+pub(crate) async fn serve_ready(node: Rc<Node>, listener: Rc<TcpListener>) {
     let serve = |stream| {
         let node = node.clone();
         async move {
@@ -270,7 +270,7 @@
             }
         }
     };
-    accept_connections(listener, serve).await;
+    accept_connections(&listener, serve).await;
 }
 
 /// Builds the answer of the readiness check; its body lists the tasks that ended.
--- a/crates/quincevalve_node/src/request/http_server.rs
+++ b/crates/quincevalve_node/src/request/http_server.rs
@@ -27,7 +27,7 @@
 pub(crate) type CloseSignal = watch::Receiver<bool>;
 
 /// Accepts connections and serves each in a task of its own.
-pub(crate) async fn accept_connections<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+pub(crate) async fn accept_connections<F>(listener: &TcpListener, serve: impl Fn(TcpStream) -> F)
 where
     F: Future<Output = ()> + 'static,
 {
--- a/crates/quincevalve_node/src/request/serve_peers.rs
+++ b/crates/quincevalve_node/src/request/serve_peers.rs
@@ -27,8 +27,8 @@
 };
 
 /// Serves connections of peers until the process exits.
-pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener, closing: CloseSignal) {
-    accept_connections(listener, |it| serve_peer(node.clone(), it, closing.clone())).await;
+pub(crate) async fn serve_peers(node: Rc<Node>, listener: Rc<TcpListener>, closing: CloseSignal) {
+    accept_connections(&listener, |it| serve_peer(node.clone(), it, closing.clone())).await;
 }
 
 async fn serve_peer(node: Rc<Node>, stream: TcpStream, closing: CloseSignal) {
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -6,8 +6,8 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
-    sync::watch,
-    task::{LocalSet, spawn_local},
+    sync::{Mutex, watch},
+    task::{JoinSet, LocalSet},
     time::{Instant, sleep},
 };
 
@@ -40,7 +40,7 @@
 /// Interval at which a draining process checks whether all requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Error that prevents the process from starting.
+/// Error that prevents the process from starting, or ends it.
 #[derive(Debug, Snafu)]
 pub enum StartError {
     /// An address of the settings can't be bound.
@@ -53,6 +53,12 @@
         /// Why.
         source: io::Error,
     },
+    /// A task that the process needs kept failing, and its memory may be damaged.
+    #[snafu(display("task {task} kept failing"))]
+    TaskFailed {
+        /// Name of the task.
+        task: &'static str,
+    },
     /// Signals can't be received.
     #[snafu(display("signals: {source}"))]
     Signals {
@@ -107,7 +113,8 @@
     }
 }
 
-/// Runs the process until SIGTERM is received and its requests have finished or the grace period is over.
+/// Runs the process until SIGTERM is received, or a task keeps failing, and its requests have finished or the grace period
+/// is over.
 pub async fn run<S, C, E>(
     settings: NodeSettings,
     listeners: Listeners,
@@ -152,36 +159,67 @@
         incarnation = node.incarnation; "started"
     );
     let (stop_duties, duties_stopped) = watch::channel(false);
+    let (ready, metrics, front) = (Rc::new(ready), Rc::new(metrics), Rc::new(front));
+    let peer_requests = Rc::new(peer_requests);
+    let commands = Rc::new(Mutex::new(quarantine_commands));
+    let mut supervisors = JoinSet::new();
     macro_rules! supervise {
-        ($($task:ident: $running:expr;)+) => {
-            $(spawn_local(supervise(node.clone(), LongTask::$task, $running));)+
+        ($($task:ident: $start:expr;)+) => {
+            $(supervisors.spawn_local(supervise(node.clone(), LongTask::$task, {
+                let node = node.clone();
+                let start = $start;
+                move || start(node.clone())
+            }));)+
         };
     }
     supervise! {
-        ServeReady: frontend::serve_ready(node.clone(), ready);
-        ServeMetrics: crate::metrics::serve_metrics(node.clone(), metrics);
-        ServeCallers: frontend::serve_callers(node.clone(), front, closing.clone());
-        ServePeers: serve_peers(node.clone(), peer_requests, closing);
-        PlaceWaiting: place_waiting_requests(node.clone());
-        WatchReachability: watch_reachability(node.clone());
-        FollowStore: follow_store(node.clone(), store.clone(), socket.clone());
-        MaintainEntry: maintain_entry(node.clone(), store.clone());
-        WriteQuarantine: run_quarantine_task(node.clone(), store.clone(), quarantine_commands);
-        SendDigests: peers::send_digests(node.clone(), socket.clone());
-        ReceiveDatagrams: peers::receive_datagrams(node.clone(), socket);
-        RunDuties: duties::run_duties(node.clone(), store, cloud, duties_stopped);
+        ServeReady: move |node| frontend::serve_ready(node, ready.clone());
+        ServeMetrics: move |node| crate::metrics::serve_metrics(node, metrics.clone());
+        ServeCallers: {
+            let closing = closing.clone();
+            move |node| frontend::serve_callers(node, front.clone(), closing.clone())
+        };
+        ServePeers: move |node| serve_peers(node, peer_requests.clone(), closing.clone());
+        PlaceWaiting: place_waiting_requests;
+        WatchReachability: watch_reachability;
+        FollowStore: {
+            let (store, socket) = (store.clone(), socket.clone());
+            move |node| follow_store(node, store.clone(), socket.clone())
+        };
+        MaintainEntry: {
+            let store = store.clone();
+            move |node| maintain_entry(node, store.clone())
+        };
+        WriteQuarantine: {
+            let store = store.clone();
+            move |node| run_quarantine_task(node, store.clone(), commands.clone())
+        };
+        SendDigests: {
+            let socket = socket.clone();
+            move |node| peers::send_digests(node, socket.clone())
+        };
+        ReceiveDatagrams: move |node| peers::receive_datagrams(node, socket.clone());
+        RunDuties: move |node| {
+            duties::run_duties(node, store.clone(), cloud.clone(), duties_stopped.clone())
+        };
     }
-    loop {
+    let failed = loop {
         tokio::select! {
-            _ = terminate.recv() => break,
+            _ = terminate.recv() => break None,
             _ = hangup.recv() => log::info!("reloaded"),
+            Some(ended) = supervisors.join_next() => {
+                break Some(ended.map_or("supervisor", LongTask::name));
+            }
         }
-    }
+    };
     stop_duties.send_replace(true);
     drain(&node, &closing_tx).await;
     log::info!(left = node.in_flight.get(); "stopped");
     log::logger().flush();
-    Ok(())
+    match failed {
+        None => Ok(()),
+        Some(task) => TaskFailedSnafu { task }.fail(),
+    }
 }
 
 /// Stops accepting callers, then waits for the requests in flight.
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -79,6 +79,8 @@
     /// A concurrent write that is made just before the next roll-out status is committed.
     before_status_commit: RefCell<Option<ConcurrentWrite>>,
     are_changes_paused: Cell<bool>,
+    /// Number of requests for changes that still panic.
+    panics: Cell<usize>,
     /// Maximum number of changes in one answer.
     max_changes: Cell<Option<usize>>,
     changed: Notify,
@@ -147,6 +149,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Makes the next `count` requests for changes panic in the VM that sends them.
+    pub fn panic_on_changes(&self, count: usize) {
+        self.shared.panics.set(count);
+    }
+
     /// Limits the number of changes in one answer to `changes` from now on.
     pub fn truncate_answers(&self, changes: usize) {
         self.shared.max_changes.set(Some(changes));
@@ -326,6 +333,10 @@
 
     async fn changes(&self, after: StoreRevision, wait: Duration) -> Result<Changes, StoreError> {
         self.admit_call().await?;
+        if let Some(left) = self.shared.panics.get().checked_sub(1) {
+            self.shared.panics.set(left);
+            panic!("panicked by the test's hand");
+        }
         while self.shared.are_changes_paused.get() {
             self.shared.changed.notified().await;
         }
@@ -527,6 +538,7 @@
 
 /// Decodes the headers with which scripted servers state their limit, leaving and rest.
 fn signals(headers: &HeaderMap) -> DecodedSignals {
+    assert!(!headers.contains_key("x-panic"), "panicked by the test's hand");
     let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
     let signals = ServerSignals {
         limit: number("x-limit").and_then(RequestRate::new),
