Answer callers whose request's task panics

Callers would see: a stream that breaks off when the task that relays it panics looks complete, since its body ended as soon as its sender was gone; any other request whose processing panics ends with a closed connection.

A streamed body now ends in order only once its sender has said so; whatever else drops the sender aborts it, and the explicit aborts go. A request whose processing panics is answered 500, which promises nothing, also by way of a peer.

--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod body;
 pub(crate) mod connection_pool;
+mod contained;
 pub(crate) mod copies;
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
--- a/crates/quincevalve_node/src/request/body.rs
+++ b/crates/quincevalve_node/src/request/body.rs
@@ -1,7 +1,9 @@
 //! Bodies of responses to callers.
 
 use std::{
+    cell::Cell,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -11,7 +13,7 @@
 use tokio::sync::mpsc;
 
 /// Maximum number of chunks buffered for a slow caller before reading from the server pauses.
-pub(crate) const MAX_BUFFERED_CHUNKS: usize = 64;
+const MAX_BUFFERED_CHUNKS: usize = 64;
 /// Maximum size, in bytes, of an answer that is buffered until it is complete.
 pub(crate) const MAX_BUFFERED_ANSWER: usize = 4 << 20;
 
@@ -25,7 +27,59 @@
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
     Whole(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, AnswerAborted>>),
+    Stream(StreamBody),
+}
+
+/// A body whose chunks are sent by an [`AnswerSender`].
+#[derive(Debug)]
+pub(crate) struct StreamBody {
+    rx: mpsc::Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+    was_aborted: bool,
+}
+
+/// Sends the chunks of a streamed body.
+///
+/// Unless it is completed, the body ends with an error once the sender is dropped, also when its task panics: a truncated
+/// response must not look complete.
+#[derive(Debug)]
+pub(crate) struct AnswerSender {
+    tx: mpsc::Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// The caller has closed its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallerLeft;
+
+impl AnswerSender {
+    /// Sends a chunk once there is room for it.
+    pub(crate) async fn send(&self, chunk: Bytes) -> Result<(), CallerLeft> {
+        self.tx.send(chunk).await.map_err(|_| CallerLeft)
+    }
+
+    /// Waits until the caller has closed its connection.
+    pub(crate) async fn closed(&self) {
+        self.tx.closed().await;
+    }
+
+    /// Returns whether the caller has closed its connection.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.tx.is_closed()
+    }
+
+    /// States that the chunks sent so far are the whole body.
+    pub(crate) fn complete(&self) {
+        self.is_complete.set(true);
+    }
+}
+
+/// Creates a streamed body and its sender.
+pub(crate) fn stream_body() -> (AnswerSender, AnswerBody) {
+    let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let is_complete = Rc::new(Cell::new(false));
+    let body = StreamBody { rx, is_complete: is_complete.clone(), was_aborted: false };
+    (AnswerSender { tx, is_complete }, AnswerBody::Stream(body))
 }
 
 impl AnswerBody {
@@ -44,7 +98,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Self::Stream(rx) => rx.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data))),
+            Self::Stream(body) => match body.rx.poll_recv(cx) {
+                Poll::Ready(None) if !body.is_complete.get() && !body.was_aborted => {
+                    body.was_aborted = true;
+                    Poll::Ready(Some(Err(AnswerAborted)))
+                }
+                received => received.map(|it| it.map(|it| Ok(Frame::data(it)))),
+            },
         }
     }
 
@@ -59,3 +119,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/quincevalve_node/src/request/forward_to_peer.rs
+++ b/crates/quincevalve_node/src/request/forward_to_peer.rs
@@ -9,7 +9,6 @@
 use quincevalve_forwarding::{peer_forwarding::PeerFailure, peer_table::VmDescriptor};
 use quincevalve_names::Outcome;
 use tokio::{
-    sync::mpsc,
     task::spawn_local,
     time::{Duration, timeout_at},
 };
@@ -18,7 +17,7 @@
     clock,
     node::{InFlight, Node, remaining},
     request::{
-        body::{AnswerAborted, AnswerBody, MAX_BUFFERED_ANSWER, MAX_BUFFERED_CHUNKS},
+        body::{AnswerBody, AnswerSender, MAX_BUFFERED_ANSWER, stream_body},
         connection_pool::{Connection, KeepAlive},
         exchange::caller_response,
         forwarded::{Forwarded, peer_refusal},
@@ -238,7 +237,7 @@
     let (head, incoming) = answer.into_parts();
     let keep_alive = KeepAlive::of(&head.headers);
     if head.status.is_success() && req.retry_safety().is_stream() {
-        let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+        let (tx, body) = stream_body();
         let stream = ForwardedStream {
             node: node.clone(),
             req: req.clone(),
@@ -250,7 +249,7 @@
             _in_flight: InFlight::new(node),
         };
         spawn_local(stream.run(incoming));
-        return Ok(caller_response(head.status, &head.headers, AnswerBody::Stream(rx)));
+        return Ok(caller_response(head.status, &head.headers, body));
     }
     let body = Limited::new(incoming, MAX_BUFFERED_ANSWER).collect();
     let body = match timeout_at(req.deadline, body).await {
@@ -272,7 +271,7 @@
     peer: VmDescriptor,
     connection: Connection,
     keep_alive: KeepAlive,
-    tx: mpsc::Sender<Result<Bytes, AnswerAborted>>,
+    tx: AnswerSender,
     _sent: SentToPeer,
     _in_flight: InFlight,
 }
@@ -304,13 +303,12 @@
                 first_ms = Some(took.as_millis() as u64);
                 self.node.metrics.observe_first_answer(&self.req.route.name, took);
             }
-            if self.tx.send(Ok(data)).await.is_err() {
+            if self.tx.send(data).await.is_err() {
                 break "caller-left";
             }
         };
-        if !matches!(how, "whole" | "caller-left") {
-            // If the caller has disconnected meanwhile, there is nothing to close.
-            let _ = self.tx.send(Err(AnswerAborted)).await;
+        if how == "whole" {
+            self.tx.complete();
         }
         self.finish(how, first_ms);
     }
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -21,6 +21,7 @@
     peers::quota::{self, Charge, QuotaRejection},
     request::{
         body::AnswerBody,
+        contained::refuse_on_panic,
         dispatch::dispatch,
         http_server::{
             CloseSignal, DEFAULT_IDLE_TIMEOUT, accept_connections, connection_settings,
@@ -78,7 +79,7 @@
     let _in_flight = InFlight::new(&node);
     let arrived = Instant::now();
     let id = header_text(req.headers(), &node.headers.attempt_id).unwrap_or_default().to_owned();
-    let mut answer = match serve(&node, req, arrived).await {
+    let mut answer = match refuse_on_panic(&id, serve(&node, req, arrived)).await {
         Ok(answer) => answer,
         Err(refused) => {
             log_refusal(&node, &id, arrived, refused);
--- a/crates/quincevalve_node/src/request/refusal.rs
+++ b/crates/quincevalve_node/src/request/refusal.rs
@@ -55,11 +55,13 @@
     Late,
     /// A server failed while processing it, and it may have run.
     ServerFailed,
+    /// The code that processed it panicked, and it may have run.
+    Internal,
 }
 
 impl Refusal {
     /// All refusals.
-    pub(crate) const ALL: [Self; 21] = [
+    pub(crate) const ALL: [Self; 22] = [
         Self::Malformed,
         Self::NoRoute,
         Self::UnknownKey,
@@ -81,6 +83,7 @@
         Self::LateNotRun,
         Self::Late,
         Self::ServerFailed,
+        Self::Internal,
     ];
 
     /// Returns the refusal with a name.
@@ -112,13 +115,14 @@
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
     /// Returns whether the request may have run.
     pub(crate) fn outcome(self) -> Outcome {
         match self {
-            Self::Late | Self::ServerFailed => Outcome::MayHaveRun,
+            Self::Late | Self::ServerFailed | Self::Internal => Outcome::MayHaveRun,
             _ => Outcome::NotRun,
         }
     }
@@ -146,6 +150,7 @@
             Self::LateNotRun => "late-not-run",
             Self::Late => "late",
             Self::ServerFailed => "server-failed",
+            Self::Internal => "internal-error",
         }
     }
 
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -11,10 +11,7 @@
 use quincevalve_forwarding::{placement::Placement, poison::RunStage};
 use quincevalve_names::BackendServerName;
 use quincevalve_recovery::{RecoveryEvent, RunRecovery, stall_limit};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
-};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::recovery::HandOverOrder;
 use crate::{
@@ -22,7 +19,7 @@
     node::{InFlight, Node},
     quarantine,
     request::{
-        body::{AnswerAborted, AnswerBody, MAX_BUFFERED_ANSWER, MAX_BUFFERED_CHUNKS},
+        body::{AnswerBody, AnswerSender, MAX_BUFFERED_ANSWER, stream_body},
         connection_pool::{Connection, KeepAlive},
         copies::{RunCopy, StreamAtEngine},
         exchange::{ServerAnswer, caller_response, record_first_answer, update_server},
@@ -84,9 +81,9 @@
     sent: Instant,
     runs_before: u32,
 ) -> Response<AnswerBody> {
-    let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let (head, incoming) = answer.response.into_parts();
-    let response = caller_response(head.status, &head.headers, AnswerBody::Stream(rx));
+    let (tx, body) = stream_body();
+    let response = caller_response(head.status, &head.headers, body);
     let copy = guard.take_copy();
     let source = Source {
         _stream: StreamAtEngine::start(node, req, place),
@@ -127,7 +124,7 @@
 struct Relay {
     node: Rc<Node>,
     req: Rc<IdentifiedRequest>,
-    tx: mpsc::Sender<Result<Bytes, AnswerAborted>>,
+    tx: AnswerSender,
     /// The received part of an event whose end has not arrived yet.
     partial: BytesMut,
     last_event_id: Option<HeaderValue>,
@@ -177,6 +174,7 @@
                 StreamEnd::Completed => {
                     quarantine::record_completion(&self.node, &self.req, &source.place);
                     record_whole(&self.node, &self.req);
+                    self.tx.complete();
                     self.record_end("whole", &servers);
                     if servers.len() == 1 && self.gap_count > 0 {
                         let mean_gap = self.gap_sum / self.gap_count;
@@ -196,7 +194,7 @@
                 },
                 StreamEnd::TimedOut => {
                     self.record_end("timed-out", &servers);
-                    return self.abort().await;
+                    return;
                 }
                 StreamEnd::Stalled => {
                     match self.recover(source, RecoveryEvent::Stalled, &mut servers).await {
@@ -216,7 +214,7 @@
                     drop(source);
                     let Some(next) = self.resume(&mut servers).await else {
                         self.record_end("broke-off", &servers);
-                        return self.abort().await;
+                        return;
                     };
                     source = next;
                 }
@@ -240,12 +238,6 @@
         self.req.trace.end(&self.node, &self.req.id, was_bad);
     }
 
-    /// Closes the caller's connection, so that the truncated answer doesn't look complete.
-    async fn abort(&self) {
-        // If the caller has disconnected meanwhile, there is nothing to close.
-        let _ = self.tx.send(Err(AnswerAborted)).await;
-    }
-
     /// Forwards complete events until the source ends, the stream has to be migrated, or it is silent for longer than
     /// `stall_limit`.
     async fn forward_events(
@@ -321,7 +313,7 @@
                 self.longest_gap = self.longest_gap.max(now - before);
                 self.gap_count += 1;
             }
-            if self.tx.send(Ok(events)).await.is_err() {
+            if self.tx.send(events).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
             self.ignores_stall = false;
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -94,7 +94,6 @@
             return Some(next);
         }
         self.record_end("broke-off", servers);
-        self.abort().await;
         None
     }
 
@@ -201,7 +200,6 @@
                 RecoveryAction::KeepReading | RecoveryAction::Abort => {
                     self.discard_copy_if(&place, |_| true);
                     self.record_end("broke-off", servers);
-                    self.abort().await;
                     return None;
                 }
             };
@@ -416,6 +414,7 @@
         match end {
             StreamEnd::Completed => {
                 quarantine::record_completion(&self.node, &self.req, &source.place);
+                self.tx.complete();
                 self.record_end("whole", servers);
                 self.node.connections.release(
                     source.place.server_key(),
@@ -425,7 +424,6 @@
             }
             StreamEnd::TimedOut => {
                 self.record_end("timed-out", servers);
-                self.abort().await;
             }
             _ => self.record_end("caller-left", servers),
         }
--- a/crates/quincevalve_node/src/request/serve_peers.rs
+++ b/crates/quincevalve_node/src/request/serve_peers.rs
@@ -13,6 +13,7 @@
     node::{InFlight, Node, Phase},
     request::{
         body::AnswerBody,
+        contained::refuse_on_panic,
         dispatch::dispatch,
         forwarded::{Forwarded, mark_refused},
         frontend::read_body,
@@ -20,7 +21,7 @@
             CloseSignal, DEFAULT_IDLE_TIMEOUT, accept_connections, connection_settings,
             serve_connection,
         },
-        identify::identify_forwarded,
+        identify::{header_text, identify_forwarded},
         refusal::{OTHER_VM_RETRY_AFTER, Refusal, Refused},
         trace::log_request,
     },
@@ -44,7 +45,8 @@
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let _in_flight = InFlight::new(&node);
-    let mut answer = match serve(&node, req).await {
+    let id = header_text(req.headers(), &node.headers.attempt_id).unwrap_or_default().to_owned();
+    let mut answer = match refuse_on_panic(&id, serve(&node, req)).await {
         Ok(answer) => answer,
         Err(Refused { refusal, retry_after }) => {
             let mut answer = refusal.answer(retry_after);
--- a/crates/quincevalve_node/tests/supervision.rs
+++ b/crates/quincevalve_node/tests/supervision.rs
@@ -61,3 +61,19 @@
         assert_eq!(status_of(&world, "/open/7").await, "200");
     });
 }
+
+// Guards against a caller whose connection closes without an answer when the code that processes its request panics, and
+// against an answer that says that the request has not run. The request after it is served.
+#[test]
+fn a_request_whose_processing_panics_is_answered() {
+    run(async {
+        let script = |number, it: &Arrival| {
+            let whole = sealed(it, "200 OK", "done");
+            let panics = whole.replacen("\r\n", "\r\nx-panic: 1\r\n", 1);
+            Reply::Send(if number == 0 { panics } else { whole })
+        };
+        let world = World::start(1, script).await;
+        assert_eq!(status_of(&world, "/once/7").await, "500");
+        assert_eq!(status_of(&world, "/once/7").await, "200");
+    });
+}
