Leave out one input whose application panics

A change of the store, a datagram, or a part of the store's state that panics when it is applied costs only itself: it is left out with a line that names it, instead of ending the task that reads all others. That is the second line behind the decoders; the supervisor is the third.

--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -7,6 +7,7 @@
     change_log::ChangeBatch, signal_outbox::SignalSource, store_contact::ContactSpan,
 };
 use quincevalve_names::TimePoint;
+use quincevalve_program::contain_panic;
 use tokio::{net::UdpSocket, time::sleep};
 
 use super::{
@@ -42,7 +43,12 @@
             }
         };
         match encoding().deserialize::<Datagram>(&buf[..length]) {
-            Ok(datagram) => handle_datagram(&node, &socket, datagram),
+            Ok(datagram) => {
+                let handled = contain_panic(|| handle_datagram(&node, &socket, datagram));
+                if let Err(why) = handled {
+                    log::error!(from:% = from, why; "datagram-panicked");
+                }
+            }
             Err(error) => log::warn!(from:% = from, error:% = error; "datagram-unreadable"),
         }
     }
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -16,6 +16,7 @@
     servers::{Removal, ServerEntry},
 };
 use quincevalve_names::{BackendServerName, DataCentreName, ServerVersion, ServiceName};
+use quincevalve_program::contain_panic;
 use serde::{Deserialize, Serialize};
 
 use self::differences::differences;
@@ -77,6 +78,18 @@
 const MAX_REVISION_BYTES: usize = 9;
 
 impl RelayedChange {
+    /// Returns the name under which the changed item is found.
+    fn key(&self) -> &str {
+        match self {
+            Self::Server(name, _) | Self::ServerRemoved(name) | Self::ServerUnreadable(name) => {
+                name.as_str()
+            }
+            Self::SystemItem { key, .. } | Self::SystemItemRemoved(key) => key,
+            Self::RolloutOrder(service, _) => service.as_str(),
+            Self::Config(_) => "configuration",
+        }
+    }
+
     /// Returns an upper bound of the change's size in a datagram, in bytes.
     fn max_encoded_bytes(&self) -> usize {
         let size = encoding().serialized_size(self).unwrap_or(u64::MAX);
@@ -252,19 +265,28 @@
     if node.store_view.borrow().reached().is_some_and(|it| it.0 >= state.at) {
         return false;
     }
-    let missing = node.servers.borrow_mut().replace_all(state.servers, &state.unreadable, now);
-    for (name, removal) in missing {
-        log_removal(&name, Some(removal));
-    }
-    node.poison.borrow_mut().replace_all(state.quarantine, state.quarantined_parts, now);
     let was_running = node.store_view.borrow().was_ever_read();
-    node.observe_versions(now);
-    node.streams.replace_history(state.versions, now);
-    rollouts::replace_all(node, state.rollout_orders, state.rollouts, was_running);
-    let mut peers = node.peers.borrow_mut();
-    peers.table.replace_all(state.vms);
-    peers.set_holder(state.holder);
-    drop(peers);
+    apply_part("servers", || {
+        let missing = node.servers.borrow_mut().replace_all(state.servers, &state.unreadable, now);
+        for (name, removal) in missing {
+            log_removal(&name, Some(removal));
+        }
+    });
+    apply_part("quarantine", || {
+        node.poison.borrow_mut().replace_all(state.quarantine, state.quarantined_parts, now);
+    });
+    apply_part("versions", || {
+        node.observe_versions(now);
+        node.streams.replace_history(state.versions, now);
+    });
+    apply_part("roll-outs", || {
+        rollouts::replace_all(node, state.rollout_orders, state.rollouts, was_running);
+    });
+    apply_part("vms", || {
+        let mut peers = node.peers.borrow_mut();
+        peers.table.replace_all(state.vms);
+        peers.set_holder(state.holder);
+    });
     update_rank(node, now);
     let mut view = node.store_view.borrow_mut();
     view.log.reset(state.at);
@@ -275,6 +297,13 @@
     true
 }
 
+/// Applies one part of the store's state, or leaves it as it is if that panics: one item must not keep a VM from starting.
+fn apply_part(part: &'static str, apply: impl FnOnce()) {
+    if let Err(why) = contain_panic(apply) {
+        log::error!(part, why; "state-panicked");
+    }
+}
+
 /// Returns this VM's view of the store, for another VM; `None` while it isn't complete or has no configuration.
 pub(crate) fn current_state(node: &Node) -> Option<StoreState> {
     let at = node.store_view.borrow().reached()?.0;
@@ -372,7 +401,7 @@
     let mut relevant = Vec::new();
     for (at, change) in relayed.into_iter().filter(|(at, _)| *at > reached) {
         // Servers renew their entries all the time; renewals that change nothing aren't relayed.
-        let is_new = apply_change(node, &change) || at <= full_read_upto;
+        let is_new = apply_contained(node, &change) || at <= full_read_upto;
         if is_new && change.is_needed_by_peers() {
             relevant.push((at, change));
         }
@@ -395,6 +424,15 @@
     }
 }
 
+/// Applies one change, or leaves it out if that panics: one change must not keep a VM from all later ones. Other VMs may
+/// be able to apply it.
+fn apply_contained(node: &Node, change: &RelayedChange) -> bool {
+    contain_panic(|| apply_change(node, change)).unwrap_or_else(|why| {
+        log::error!(key = change.key(), why; "change-panicked");
+        true
+    })
+}
+
 /// Applies one change. Returns `false` if it is a server entry that changes nothing.
 fn apply_change(node: &Node, change: &RelayedChange) -> bool {
     let now = clock::now();
