Bound the memory of answers without end

Each answer was bounded (a head by 400 KB, a body or an event by 4 MiB), their sum wasn't: a machine of 120 to 260 MB is killed by some dozens of them, with all that it serves.

An answer or an event beyond 32 KB now needs one of a few permissions, a quarter of MemoryMb in all; the others pause reading, within their deadline. A head is 32 KB at most. A body whose length is stated beyond 4 MiB is refused before it is read.

--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -43,7 +43,8 @@
     ports::HeaderNames,
     quarantine::QuarantineStore,
     request::{
-        connection_pool::ConnectionPool, migration::MigrationClient, waiting::WaitingRequests,
+        answer_buffer::LargeAnswers, connection_pool::ConnectionPool, migration::MigrationClient,
+        waiting::WaitingRequests,
     },
     settings::NodeSettings,
     store::{config_copy::ConfigCopy, state_copy::StateCopy, view::StoreView},
@@ -103,6 +104,8 @@
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) migrations: MigrationClient,
+    /// Bounds the memory of answers that are buffered.
+    pub(crate) large_answers: LargeAnswers,
     /// Detects requests that make servers exit, and holds their quarantines.
     pub(crate) poison: RefCell<PoisonGuard>,
     pub(crate) quarantine: QuarantineStore,
@@ -168,6 +171,7 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             in_flight: Cell::new(0),
             migrations,
+            large_answers: LargeAnswers::new(settings.memory),
             poison: RefCell::new(PoisonGuard::new(settings.name.as_str())),
             quarantine,
             rollouts: RefCell::new(RolloutTable::new(settings.exposure)),
--- a/crates/quincevalve_node/src/request.rs
+++ b/crates/quincevalve_node/src/request.rs
@@ -7,6 +7,7 @@
 //! A request whose servers this VM can't connect to goes to a peer by [`forward_to_peer`], where [`serve_peers`] receives
 //! it; [`reachability`] observes which servers these are.
 
+pub(crate) mod answer_buffer;
 pub(crate) mod body;
 pub(crate) mod connection_pool;
 mod contained;
--- a/crates/quincevalve_node/src/request/body.rs
+++ b/crates/quincevalve_node/src/request/body.rs
@@ -14,8 +14,6 @@
 
 /// Maximum number of chunks buffered for a slow caller before reading from the server pauses.
 const MAX_BUFFERED_CHUNKS: usize = 64;
-/// Maximum size, in bytes, of an answer that is buffered until it is complete.
-pub(crate) const MAX_BUFFERED_ANSWER: usize = 4 << 20;
 
 /// The error of a response body that ends before it is complete. It closes the connection to the caller, so that the
 /// truncated response doesn't look complete.
--- a/crates/quincevalve_node/src/request/connection_pool.rs
+++ b/crates/quincevalve_node/src/request/connection_pool.rs
@@ -37,6 +37,9 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Time without acknowledgement after which a connection fails. A sound server may be silent for more than a second.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size, in bytes, of a connection's read buffer, and so of an answer's head. A faulty server may send a head
+/// without end, on hundreds of connections at once.
+const MAX_READ_BUFFER: usize = 32 << 10;
 /// Margin subtracted from the idle timeout that a server announces, because the server closes the connection only about
 /// at that time.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
@@ -189,7 +192,9 @@
         let stream = opening
             .map_err(|_| ConnectError::TimedOut { address })?
             .context(RefusedSnafu { address })?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut settings = http1::Builder::new();
+        settings.max_buf_size(MAX_READ_BUFFER);
+        let handshake = settings.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.context(HandshakeSnafu { address })?;
         let task = tokio::task::spawn_local(async move {
             // A request on the connection also receives this error and logs it.
--- a/crates/quincevalve_node/src/request/dispatch.rs
+++ b/crates/quincevalve_node/src/request/dispatch.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use http::Response;
-use http_body_util::{BodyExt, Limited};
 use quincevalve_forwarding::{config::RetrySafety, placement::Placement, poison::RunStage};
 use quincevalve_names::BackendServerName;
 use tokio::time::{Instant, timeout_at};
@@ -13,7 +12,8 @@
     node::Node,
     quarantine,
     request::{
-        body::{AnswerBody, MAX_BUFFERED_ANSWER},
+        answer_buffer::read_whole,
+        body::AnswerBody,
         copies::order_copy,
         exchange::{
             AttemptError, ServerAnswer, caller_response, exchange, record_first_answer,
@@ -308,16 +308,19 @@
         return Ok(relay::start_stream(node, req, place, answer, guard, sent, runs));
     }
     let (head, incoming) = answer.response.into_parts();
-    let body = Limited::new(incoming, MAX_BUFFERED_ANSWER).collect();
+    let body = read_whole(&node.large_answers, incoming);
     let body = match timeout_at(req.deadline, body).await {
-        Err(_) => return Err(AttemptError::TimedOut),
+        Err(_) => {
+            update_server(node, place, |it, _| it.load.record_failure());
+            return Err(AttemptError::TimedOut);
+        }
         Ok(Err(error)) => {
             log::warn!(id = req.id, server = place.server.as_str(), error:% = error; "answer-broke-off");
             update_server(node, place, |it, _| it.load.record_failure());
             record_if_exited(node, req, place, RunStage::Begun);
             return Err(AttemptError::MayHaveRun);
         }
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     guard.complete_prefill();
     if !status.is_server_error() {
--- a/crates/quincevalve_node/src/request/forward_to_peer.rs
+++ b/crates/quincevalve_node/src/request/forward_to_peer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use quincevalve_forwarding::{peer_forwarding::PeerFailure, peer_table::VmDescriptor};
 use quincevalve_names::Outcome;
@@ -17,7 +17,8 @@
     clock,
     node::{InFlight, Node, remaining},
     request::{
-        body::{AnswerBody, AnswerSender, MAX_BUFFERED_ANSWER, stream_body},
+        answer_buffer::read_whole,
+        body::{AnswerBody, AnswerSender, stream_body},
         connection_pool::{Connection, KeepAlive},
         exchange::caller_response,
         forwarded::{Forwarded, peer_refusal},
@@ -251,14 +252,14 @@
         spawn_local(stream.run(incoming));
         return Ok(caller_response(head.status, &head.headers, body));
     }
-    let body = Limited::new(incoming, MAX_BUFFERED_ANSWER).collect();
+    let body = read_whole(&node.large_answers, incoming);
     let body = match timeout_at(req.deadline, body).await {
         Err(_) => return Err(Refusal::Late.into()),
         Ok(Err(error)) => {
             log::warn!(id = req.id, peer = peer.name.as_str(), error:% = error; "peer-lost");
             return Err(Refusal::ServerFailed.into());
         }
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     node.peer_connections.release(peer.address, connection, &keep_alive);
     Ok(caller_response(head.status, &head.headers, AnswerBody::whole(body)))
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -19,7 +19,8 @@
     node::{InFlight, Node},
     quarantine,
     request::{
-        body::{AnswerBody, AnswerSender, MAX_BUFFERED_ANSWER, stream_body},
+        answer_buffer::{LargeAnswer, MAX_BUFFERED_ANSWER},
+        body::{AnswerBody, AnswerSender, stream_body},
         connection_pool::{Connection, KeepAlive},
         copies::{RunCopy, StreamAtEngine},
         exchange::{ServerAnswer, caller_response, record_first_answer, update_server},
@@ -100,6 +101,7 @@
         req: req.clone(),
         tx,
         partial: BytesMut::new(),
+        large_event: None,
         last_event_id: None,
         has_begun: false,
         time_to_first_event: None,
@@ -127,6 +129,8 @@
     tx: AnswerSender,
     /// The received part of an event whose end has not arrived yet.
     partial: BytesMut,
+    /// Permission of that part to be large.
+    large_event: Option<LargeAnswer>,
     last_event_id: Option<HeaderValue>,
     has_begun: bool,
     /// Time from the request's arrival to the first event.
@@ -284,8 +288,14 @@
                     );
                     return StreamEnd::Interrupted;
                 }
+                let admitted =
+                    self.node.large_answers.admit(self.partial.len(), &mut self.large_event);
+                if timeout_at(self.req.deadline, admitted).await.is_err() {
+                    return StreamEnd::TimedOut;
+                }
                 continue;
             };
+            self.large_event = None;
             source.began_at.get_or_insert_with(Instant::now);
             if !std::mem::replace(&mut self.has_begun, true) {
                 source.guard.complete_prefill();
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -442,6 +442,7 @@
             return None;
         }
         self.partial.clear();
+        self.large_event = None;
         while self.may_restart(servers) {
             if Instant::now() >= self.req.deadline {
                 return None;
@@ -466,6 +467,7 @@
         // It is sent at once.
         let _paid = retries::try_spend(&self.node, &self.req)?;
         self.partial.clear();
+        self.large_event = None;
         let mut guard = WorkGuard::new(&self.node, &place);
         let sent = Instant::now();
         let names = &self.node.headers;
--- a/crates/quincevalve_node/src/settings.rs
+++ b/crates/quincevalve_node/src/settings.rs
@@ -21,6 +21,8 @@
     pub ip: IpAddr,
     /// CPU quota in thousandths of a core.
     pub cpu: u32,
+    /// Memory of the VM in bytes.
+    pub memory: u64,
     /// Capacity of the VM's network link in bytes per second.
     pub link: u64,
     /// Address to which callers connect.
--- a/crates/quincevalve_node/src/test_node.rs
+++ b/crates/quincevalve_node/src/test_node.rs
@@ -76,6 +76,7 @@
         data_centre: "a".into(),
         ip: any_address().ip(),
         cpu: 250,
+        memory: 256 << 20,
         link: 125_000_000,
         front: any_address(),
         ready: any_address(),
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -585,6 +585,7 @@
         data_centre: "a".into(),
         ip: any.ip(),
         cpu: 250,
+        memory: 256 << 20,
         link: 125_000_000,
         front: any,
         ready: any,
@@ -750,6 +751,8 @@
     SendAndExit(String),
     /// Sends these bytes, waits for the notification, and sends the others.
     SendMoreOnNotify(String, Rc<Notify>, String),
+    /// Sends the first bytes, then the others again and again with a pause, until the connection is closed.
+    SendWithoutEnd(String, String, Duration),
     /// Like [`Reply::SendAndExit`], but waits for the notification before the exit.
     SendAndExitOnNotify(String, Rc<Notify>),
 }
@@ -1048,6 +1051,15 @@
                 let _ = fleet.disconnects.send(server);
                 return;
             }
+            Reply::SendWithoutEnd(first, unit, pause) => {
+                let mut sent = stream.write_all(first.as_bytes()).await;
+                while sent.is_ok() {
+                    sleep(pause).await;
+                    sent = stream.write_all(unit.as_bytes()).await;
+                }
+                let _ = fleet.disconnects.send(server);
+                return;
+            }
             Reply::SendAndCloseOnNotify(text, notify) => {
                 let _ = stream.write_all(text.as_bytes()).await;
                 notify.notified().await;
