--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -273,7 +273,7 @@
         };
         // Releases nothing during the discovery window: servers that seem superfluous may be the only ones left.
         let wanted = wanted.into_iter().filter(|it| !(is_discovering && is_fewer(it)));
-        let start_time = scaling.boot_time + LISTING_DELAY;
+        let start_time = scaling.boot_time.saturating_add(LISTING_DELAY);
         let due: Vec<_> = wanted.filter(|it| self.is_due(it, start_time, now)).collect();
         // On-demand servers replace unavailable reclaimable ones, so those orders' outcomes must be known first.
         let (reclaimable, on_demand): (Vec<_>, Vec<_>) =
@@ -362,7 +362,7 @@
     /// none are expected.
     fn starting(&self, centre: &DataCentreName, scaling: &Scaling, now: TimePoint) -> u32 {
         let sent = self.sent_orders.get(&(centre.clone(), ServerKind::Reclaimable));
-        let start_time = scaling.boot_time + LISTING_DELAY;
+        let start_time = scaling.boot_time.saturating_add(LISTING_DELAY);
         let present = self.present_count(centre, ServerKind::Reclaimable);
         sent.filter(|it| it.outcome == OrderOutcome::Taken && now.since(it.at) < start_time)
             .filter(|it| present >= it.present)
@@ -420,7 +420,7 @@
     let degraded = (busy / DEGRADED_UTILIZATION).max(1.0);
     let remaining = centres.saturating_sub(TOLERATED_LOST_CENTRES).max(1);
     let per_centre = (wanted / centres as f64).max(degraded / remaining as f64);
-    (per_centre.ceil() as u32).clamp(scaling.min, scaling.max)
+    (per_centre.ceil() as u32).min(scaling.max).max(scaling.min)
 }
 
 /// Returns the number of on-demand servers needed in addition to the reclaimable ones, which are given by data centre.
