Leave out servers at addresses of the VMs

Callers would see: requests that go round. An entry of another writer that names a VM's own address (or 0.0.0.0 with its port) was a server like any other; a request for it came back as a caller's, and on a route without keys went out again until its deadline.

An entry whose address is of no host, or is one at which a VM listens, names no server, as one that can't be read. Before: an_entry_with_the_address_of_a_vm_names_no_server failed (502 instead of 503, sent to itself).

--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -2,7 +2,7 @@
 
 mod differences;
 
-use std::slice;
+use std::{net::Ipv4Addr, slice};
 
 use bincode::Options;
 use quincevalve_forwarding::{
@@ -267,7 +267,11 @@
     }
     let was_running = node.store_view.borrow().was_ever_read();
     apply_part("servers", || {
-        let missing = node.servers.borrow_mut().replace_all(state.servers, &state.unreadable, now);
+        let (servers, misaddressed): (Vec<_>, Vec<_>) =
+            state.servers.into_iter().partition(|(name, it)| has_server_address(node, name, it));
+        let misaddressed = misaddressed.into_iter().map(|(name, _)| name);
+        let unreadable: Vec<_> = state.unreadable.into_iter().chain(misaddressed).collect();
+        let missing = node.servers.borrow_mut().replace_all(servers, &unreadable, now);
         for (name, removal) in missing {
             log_removal(&name, Some(removal));
         }
@@ -433,10 +437,34 @@
     })
 }
 
+/// Returns whether a server can be at the address of an entry, and logs if none can.
+///
+/// An entry of another writer may name any address. Requests for a server at one of the VMs' own would come back as
+/// callers' requests, and go out again until their deadline.
+fn has_server_address(node: &Node, name: &BackendServerName, entry: &ServerEntry) -> bool {
+    let (ip, port) = (entry.address.ip(), entry.address.port());
+    let settings = &node.settings;
+    let own = [settings.front.port(), settings.ready.port(), settings.metrics.port()];
+    let is_own_port = port != 0 && (own.contains(&port) || port == settings.peer_port);
+    let is_of_vm = || {
+        let peers = node.peers.borrow();
+        ip == settings.ip || peers.table.listed_descriptors().any(|it| it.address.ip() == ip)
+    };
+    let is_no_host = ip.is_unspecified() || ip.is_multicast() || ip == Ipv4Addr::BROADCAST;
+    if is_no_host || (is_own_port && is_of_vm()) {
+        log::error!(name = name.as_str(), address:% = entry.address; "server-address-invalid");
+        return false;
+    }
+    true
+}
+
 /// Applies one change. Returns `false` if it is a server entry that changes nothing.
 fn apply_change(node: &Node, change: &RelayedChange) -> bool {
     let now = clock::now();
     match change {
+        RelayedChange::Server(name, entry) if !has_server_address(node, name, entry) => {
+            node.servers.borrow_mut().mark_unreadable(name);
+        }
         RelayedChange::Server(name, entry) => {
             let mut servers = node.servers.borrow_mut();
             let known = servers.get(name).map(|it| it.entry.clone());
--- a/crates/quincevalve_node/tests/supervision.rs
+++ b/crates/quincevalve_node/tests/supervision.rs
@@ -77,3 +77,20 @@
         assert_eq!(status_of(&world, "/once/7").await, "200");
     });
 }
+
+// Guards against requests that go round and round: an entry of another writer names the VM's own address, and each
+// request for the server that it seems to be comes back as a caller's.
+#[test]
+fn an_entry_with_the_address_of_a_vm_names_no_server() {
+    run(async {
+        let world = World::start(0, |_, it: &Arrival| Reply::Send(sealed(it, "200 OK", ""))).await;
+        for address in [world.front, ([0, 0, 0, 0], world.front.port()).into()] {
+            world.store.put_server("batch-7", support::entry(address));
+            sleep(Duration::from_millis(400)).await;
+            assert_eq!(status_of(&world, "/open/7").await, "503");
+            let sent = "quincevalve_sendings_total{service=\"engines\",result=\"answered\"}";
+            assert_eq!(support::metric(world.metrics, sent).await, None);
+        }
+        assert_eq!(support::metric(world.metrics, "quincevalve_servers").await, Some(0));
+    });
+}
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -827,6 +827,7 @@
         let front = listeners.front_address().expect("an address");
         let ready = listeners.ready_address().expect("an address");
         let metrics = listeners.metrics_address().expect("an address");
+        settings.front = front;
         let (migrations_tx, migrations) = mpsc::unbounded_channel();
         let engines = FakeEngines { migrations: migrations_tx, answer };
         let process =
