Bound what is computed from values of others

What property tests of the state found (hostile_tests.rs of the node: entries, orders, items of the system, configurations, headers of callers, datagrams with extremes or damaged bytes are applied, and the state is asked for all that is computed from it):

- sums of work, of VMs, of streams and of evidence, that VMs report to each other, wrapped: a total near zero where each part is largest;
- the shared tokens of a caller's prompt wrapped in the same way;
- a fencing number of 2^64 - 1 in the stored term wrapped to zero, so that the platform would have seen a lower token;
- wall clocks beyond all times made the estimate overflow; they are ignored;
- durations beyond 2^64 microseconds were cut when added to a time;
- a usage report in the store that can't be read kept the holder from all reports; it is replaced, and its windows count as reported.

Sums saturate, casts are checked.

--- a/crates/quincevalve_forwarding/src/duty.rs
+++ b/crates/quincevalve_forwarding/src/duty.rs
@@ -19,6 +19,8 @@
 
 /// Number of fencing numbers of one era of the store.
 const NUMBERS_PER_ERA: u64 = 1 << 20;
+/// A number that no era reaches.
+const MAX_NUMBER: u64 = 1 << 62;
 
 impl Term {
     /// Returns the term that begins when `holder` takes over in an era of the store.
@@ -26,8 +28,14 @@
     /// A store that returns from an older copy has lost the newest terms. The numbers of an era are above those of all
     /// earlier ones, so that none is used twice.
     pub fn next(&self, holder: &str, era: u64) -> Self {
+        let first = era.saturating_mul(NUMBERS_PER_ERA);
+        let number = match self.number.0 {
+            // Another writer's number. Those of the next era are above all that this one has given out.
+            number if number >= MAX_NUMBER => first.saturating_add(NUMBERS_PER_ERA),
+            number => number.max(first),
+        };
         Self {
-            number: FencingNumber(self.number.0.max(era * NUMBERS_PER_ERA) + 1),
+            number: FencingNumber(number.saturating_add(1)),
             holder: holder.to_owned(),
             previous: self.holder.clone(),
         }
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -115,7 +115,8 @@
 
     /// Returns the load that the work puts on a server, in equivalent prompt tokens, for comparing servers.
     pub fn weight(&self) -> u64 {
-        self.prefill + self.recent_prefill + u64::from(self.requests) * REQUEST_WEIGHT_TOKENS
+        let requests = u64::from(self.requests).saturating_mul(REQUEST_WEIGHT_TOKENS);
+        self.prefill.saturating_add(self.recent_prefill).saturating_add(requests)
     }
 
     fn add(&mut self, work: Work) {
@@ -149,11 +150,11 @@
     /// Returns the field-by-field sum of both.
     pub fn plus(self, other: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
-            prefill: self.prefill + other.prefill,
-            urgent_prefill: self.urgent_prefill + other.urgent_prefill,
-            memory: self.memory + other.memory,
-            recent_prefill: self.recent_prefill + other.recent_prefill,
+            requests: self.requests.saturating_add(other.requests),
+            prefill: self.prefill.saturating_add(other.prefill),
+            urgent_prefill: self.urgent_prefill.saturating_add(other.urgent_prefill),
+            memory: self.memory.saturating_add(other.memory),
+            recent_prefill: self.recent_prefill.saturating_add(other.recent_prefill),
         }
     }
 }
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -79,7 +79,7 @@
     /// assert_eq!((begun.trials, begun.until_ms), (1, 330_000));
     /// ```
     pub fn next_trial(&self, wall_clock_ms: i64) -> Option<Self> {
-        let trials = self.trials + 1;
+        let trials = self.trials.saturating_add(1);
         let next =
             Self { trials, until_ms: wall_clock_ms + period_ms(&QUARANTINE_PERIODS, trials) };
         (wall_clock_ms >= self.until_ms).then_some(next)
@@ -131,7 +131,7 @@
     /// assert_eq!((begun.trials, begun.until_ms), (1, 3_630_000));
     /// ```
     pub fn next_trial(&self, wall_clock_ms: i64) -> Option<Self> {
-        let trials = self.trials + 1;
+        let trials = self.trials.saturating_add(1);
         let until_ms = wall_clock_ms + period_ms(periods(self.is_uncertain), trials);
         let next = Self { trials, until_ms, ..self.clone() };
         (wall_clock_ms >= self.until_ms).then_some(next)
--- a/crates/quincevalve_forwarding/src/rollout/evidence.rs
+++ b/crates/quincevalve_forwarding/src/rollout/evidence.rs
@@ -69,9 +69,9 @@
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
-            n: self.n + other.n,
-            sum: self.sum + other.sum,
-            squares: self.squares + other.squares,
+            n: self.n.saturating_add(other.n),
+            sum: self.sum.saturating_add(other.sum),
+            squares: self.squares.saturating_add(other.squares),
         }
     }
 
@@ -80,7 +80,7 @@
     pub const fn minus(self, removed: Self) -> Self {
         Self {
             n: self.n.saturating_sub(removed.n),
-            sum: self.sum - removed.sum,
+            sum: self.sum.saturating_sub(removed.sum),
             squares: self.squares.saturating_sub(removed.squares),
         }
     }
@@ -130,8 +130,8 @@
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
-            answers: self.answers + other.answers,
-            failed: self.failed + other.failed,
+            answers: self.answers.saturating_add(other.answers),
+            failed: self.failed.saturating_add(other.failed),
             first: self.first.plus(other.first),
             pace: self.pace.plus(other.pace),
         }
--- a/crates/quincevalve_forwarding/src/rollout/partial_sum.rs
+++ b/crates/quincevalve_forwarding/src/rollout/partial_sum.rs
@@ -38,8 +38,8 @@
             return;
         }
         self.observations.add(&other.observations);
-        self.old_in_flight += other.old_in_flight;
-        self.switched += other.switched;
+        self.old_in_flight = self.old_in_flight.saturating_add(other.old_in_flight);
+        self.switched = self.switched.saturating_add(other.switched);
         self.halted = self.halted.or(other.halted);
     }
 
--- a/crates/quincevalve_forwarding/src/rollout/record.rs
+++ b/crates/quincevalve_forwarding/src/rollout/record.rs
@@ -94,7 +94,8 @@
 impl RolloutRecord {
     /// Returns when the roll-out has to be completed or rolled back, in milliseconds of wall-clock time.
     pub fn deadline_ms(&self) -> i64 {
-        self.ordered_ms + self.duration.as_millis() as i64
+        let millis = i64::try_from(self.duration.as_millis()).unwrap_or(i64::MAX);
+        self.ordered_ms.saturating_add(millis)
     }
 
     /// Returns the record of a new order that supersedes this one. The version of this record is barred unless it was
--- a/crates/quincevalve_forwarding/src/sums.rs
+++ b/crates/quincevalve_forwarding/src/sums.rs
@@ -59,7 +59,7 @@
 impl PartialSum {
     /// Adds another partial sum to this one.
     pub fn add(&mut self, other: &Self) {
-        self.vms += other.vms;
+        self.vms = self.vms.saturating_add(other.vms);
         for (server, work) in &other.server_work {
             let known = self.server_work.entry(*server).or_default();
             *known = known.plus(*work);
--- a/crates/quincevalve_forwarding/src/usage.rs
+++ b/crates/quincevalve_forwarding/src/usage.rs
@@ -134,7 +134,8 @@
         let mut sum = IndexMap::new();
         let sources = std::iter::once(&self.own).chain(self.peers.values());
         for (account, count) in sources.filter_map(|it| it.get(&window)).flatten() {
-            *sum.entry(account.clone()).or_default() += count;
+            let total = sum.entry(account.clone()).or_insert(0_u64);
+            *total = total.saturating_add(*count);
         }
         sum
     }
--- a/crates/quincevalve_forwarding/src/wall_clock.rs
+++ b/crates/quincevalve_forwarding/src/wall_clock.rs
@@ -30,6 +30,15 @@
     known.filter(|it| is_better(*it)).unwrap_or(new)
 }
 
+/// Latest wall-clock time that a source may state, in milliseconds since 1970: about the year 5000.
+const MAX_WALL_MS: i64 = 100_000_000_000_000;
+
+/// Returns the difference of a wall clock and this VM's clock, or `None` if the wall clock is beyond all times.
+fn offset_ms(wall_ms: i64, at: TimePoint) -> Option<i64> {
+    let is_time = (0..=MAX_WALL_MS).contains(&wall_ms);
+    is_time.then(|| wall_ms.saturating_sub((at.as_micros() / 1_000).cast_signed()))
+}
+
 impl<P> Default for WallClock<P> {
     fn default() -> Self {
         Self { offsets: HashMap::new(), estimated: None }
@@ -42,14 +51,16 @@
 {
     /// Records a source's system clock, in milliseconds since 1970, as read at `at` on this VM's monotonic clock.
     pub fn record(&mut self, source: P, wall_ms: i64, at: TimePoint) {
-        let new = (at, wall_ms - (at.as_micros() / 1_000).cast_signed());
+        let Some(offset) = offset_ms(wall_ms, at) else { return };
+        let new = (at, offset);
         let known = self.offsets.get(&source).copied();
         self.offsets.insert(source, fastest(known, new));
     }
 
     /// Records the wall-clock time, in milliseconds since 1970, that a VM with more sources estimated.
     pub fn record_estimate(&mut self, wall_ms: i64, at: TimePoint) {
-        let new = (at, wall_ms - (at.as_micros() / 1_000).cast_signed());
+        let Some(offset) = offset_ms(wall_ms, at) else { return };
+        let new = (at, offset);
         self.estimated = Some(fastest(self.estimated, new));
     }
 
--- a/crates/quincevalve_names/src/time_point.rs
+++ b/crates/quincevalve_names/src/time_point.rs
@@ -28,7 +28,7 @@
     /// assert_eq!(TimePoint::from_millis(2).as_micros(), 2_000);
     /// ```
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Returns the microseconds since the origin.
@@ -52,15 +52,21 @@
     /// ```
     #[must_use]
     pub const fn saturating_sub(self, duration: Duration) -> Self {
-        Self(self.0.saturating_sub(duration.as_micros() as u64))
+        Self(self.0.saturating_sub(micros(duration)))
     }
 }
 
+/// Returns the microseconds of a duration, or the largest number if there are more.
+const fn micros(duration: Duration) -> u64 {
+    let micros = duration.as_micros();
+    if micros > u64::MAX as u128 { u64::MAX } else { micros as u64 }
+}
+
 impl Add<Duration> for TimePoint {
     type Output = Self;
 
     fn add(self, delay: Duration) -> Self {
-        Self(self.0.saturating_add(delay.as_micros() as u64))
+        Self(self.0.saturating_add(micros(delay)))
     }
 }
 
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -2,8 +2,8 @@
 //!
 //! The holder is elected by a key of the store under a lease; its fencing number grows with each change of holder.
 
-mod orders;
-mod reports;
+pub(crate) mod orders;
+pub(crate) mod reports;
 mod rollouts;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -208,4 +208,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/quincevalve_node/src/duties/orders/tests.rs
+++ b/crates/quincevalve_node/src/duties/orders/tests.rs
@@ -6,7 +6,7 @@
 };
 use quincevalve_names::DataCentreName;
 
-use super::{count_ordered, count_present};
+use super::{FleetPlanner, count_ordered, count_present, expected_demand};
 use crate::{
     clock,
     node::Node,
@@ -69,3 +69,20 @@
         assert_eq!(count_ordered(&node, &"engines".into(), &order(3), 6), 3);
     });
 }
+
+/// Plans all services once, as the holder of the duties does.
+pub(crate) fn plan_once(node: &Node) {
+    let Some(config) = node.config() else { return };
+    for (name, service) in &config.services {
+        let Some(scaling) = &service.scaling else { continue };
+        let mut planner = FleetPlanner::new(node.started_at);
+        if let Some(measured) = node.measured_demand.borrow().get(name) {
+            planner.set_demand(measured.clone());
+        }
+        let present = count_present(node, name, scaling.prices.keys());
+        let (rate, quota_demand) = (node.total_demand(name), expected_demand(&config));
+        let reachable = node.peers.borrow().reachable_fraction();
+        let busy = planner.observe(rate, reachable, quota_demand, &present, clock::now());
+        let _ = planner.due_orders(scaling, busy, &present, clock::now());
+    }
+}
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -72,7 +72,7 @@
             continue;
         }
         let Some((revision, last)) = &known else {
-            match read_last_report(store).await {
+            match read_last_report(node, store).await {
                 Ok(found) => {
                     if let Some(report) = &found.1 {
                         inherit_demand(node, report);
@@ -90,7 +90,9 @@
             }
             continue;
         };
-        counts.write_if_due(node, store, last.as_ref().map_or(0, |it| it.window + 1)).await;
+        counts
+            .write_if_due(node, store, last.as_ref().map_or(0, |it| it.window.saturating_add(1)))
+            .await;
         let Some(window) = due_window(node, last.as_ref()) else { continue };
         if current_holder(node).is_none() {
             continue;
@@ -198,14 +200,25 @@
 }
 
 /// Reads the newest report and its revision.
-async fn read_last_report<S>(store: &S) -> Result<(StoreRevision, Option<Report>), StoreError>
+///
+/// A report that can't be read is replaced by the next one. Which windows were reported is unknown then, and one that is
+/// reported twice is worse than one that is missing.
+async fn read_last_report<S>(
+    node: &Node,
+    store: &S,
+) -> Result<(StoreRevision, Option<Report>), StoreError>
 where
     S: PlatformStore,
 {
     let Some(item) = store.get(REPORT_KEY).await? else { return Ok((StoreRevision::ABSENT, None)) };
-    let report = serde_json::from_slice(&item.value)
-        .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
-    Ok((item.revision, Some(report)))
+    match serde_json::from_slice(&item.value) {
+        Ok(report) => Ok((item.revision, Some(report))),
+        Err(error) => {
+            log::error!(key = REPORT_KEY, error:% = error; "report-unreadable");
+            assume_reported_if_unknown(node);
+            Ok((item.revision, None))
+        }
+    }
 }
 
 async fn write_report<S>(
@@ -225,7 +238,7 @@
 
 /// Returns the newest window of which the report may be due. Times are in milliseconds.
 fn newest_ended_window(now_ms: i64, length: i64) -> u64 {
-    ((now_ms - REPORT_DELAY_MS) / length - 1) as u64
+    u64::try_from((now_ms - REPORT_DELAY_MS) / length - 1).unwrap_or_default()
 }
 
 /// Assumes that all windows that have ended were reported, unless this VM knows which were.
@@ -251,8 +264,8 @@
     let length = node.settings.duties.usage_window.as_millis().max(1) as i64;
     let newest = newest_ended_window(now_ms, length);
     // If nothing was reported yet, the first window is the newest one that has ended.
-    let next = last.map_or(newest, |it| it.window + 1).max(newest.saturating_sub(2));
-    let next = next.max(node.usage.borrow().reported_upto() + 1);
+    let next = last.map_or(newest, |it| it.window.saturating_add(1)).max(newest.saturating_sub(2));
+    let next = next.max(node.usage.borrow().reported_upto().saturating_add(1));
     if next > newest {
         return None;
     }
@@ -284,4 +297,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/quincevalve_node/src/duties/reports/tests.rs
+++ b/crates/quincevalve_node/src/duties/reports/tests.rs
@@ -34,3 +34,20 @@
         assert_eq!(due_window(&node, None), None);
     });
 }
+
+/// Reads the values that holders of the duties store for each other, and asks what is due by them.
+pub(crate) fn read_stored(node: &Node, value: &[u8]) {
+    if let Ok(report) = serde_json::from_slice::<Report>(value) {
+        inherit_demand(node, &report);
+        let _ = due_window(node, Some(&report));
+    }
+    if let Ok(snapshot) = bincode::deserialize::<UsageSnapshot>(value) {
+        node.usage.borrow_mut().restore(snapshot, ("vm-1", 1));
+    }
+    if let Ok(term) = serde_json::from_slice::<quincevalve_forwarding::duty::Term>(value) {
+        let next = term.next("vm-1", 3);
+        let is_ours = term.number.0 < 1 << 62;
+        assert!(next.number > term.number || !is_ours, "{term:?}");
+    }
+    assume_reported_if_unknown(node);
+}
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod clock;
 mod duties;
+#[cfg(test)]
+mod hostile_tests;
 mod metrics;
 mod node;
 mod peers;
--- a/crates/quincevalve_node/src/metrics.rs
+++ b/crates/quincevalve_node/src/metrics.rs
@@ -286,7 +286,7 @@
     }
 
     /// Updates the gauges and encodes all metrics.
-    fn encode_text(&self, node: &Node) -> String {
+    pub(crate) fn encode_text(&self, node: &Node) -> String {
         let now = clock::now();
         let servers = node.servers.borrow();
         let usable = servers.all().filter(|(_, it)| servers.is_usable(it, now)).count();
--- a/crates/quincevalve_node/src/peers.rs
+++ b/crates/quincevalve_node/src/peers.rs
@@ -5,7 +5,7 @@
 
 mod datagram;
 pub(crate) mod quota;
-mod receive;
+pub(crate) mod receive;
 mod send;
 
 use std::{collections::HashMap, net::SocketAddr};
@@ -17,6 +17,8 @@
 };
 use quincevalve_names::{ServiceName, TimePoint};
 
+#[cfg(test)]
+pub(crate) use self::datagram::Datagram;
 pub(crate) use self::{
     datagram::encoding,
     receive::receive_datagrams,
--- a/crates/quincevalve_node/src/peers/datagram.rs
+++ b/crates/quincevalve_node/src/peers/datagram.rs
@@ -65,7 +65,7 @@
 
 /// The content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) enum Content {
+pub(crate) enum Content {
     /// The periodic load message.
     Digest {
         scope: Scope,
@@ -104,7 +104,7 @@
 
 /// A datagram between entry VMs.
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Datagram {
+pub(crate) struct Datagram {
     pub(super) from: VmDescriptor,
     pub(super) incarnation: u64,
     /// The sender's system clock, in milliseconds since 1970.
--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -219,8 +219,9 @@
 
 /// Returns the time `by` before `at`; `None` if that is before the clock's start.
 fn earlier(at: TimePoint, by: Duration) -> Option<TimePoint> {
-    at.as_micros().checked_sub(by.as_micros() as u64).map(TimePoint)
+    let by = u64::try_from(by.as_micros()).ok()?;
+    at.as_micros().checked_sub(by).map(TimePoint)
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/quincevalve_node/src/peers/receive/tests.rs
+++ b/crates/quincevalve_node/src/peers/receive/tests.rs
@@ -2,6 +2,7 @@
 
 use quincevalve_forwarding::{
     peer_table::VmDescriptor,
+    rollout::{partial_sum::RolloutPartialSum, record::OrderId},
     servers::{ServerEntry, ServerStart},
     store_contact::ContactSpan,
     sums::PartialSum,
@@ -259,3 +260,86 @@
         assert_eq!(node.usage.borrow().reported_upto(), 7);
     });
 }
+
+/// Returns a datagram of each kind, as another VM sends them.
+pub(crate) fn datagrams() -> Vec<Datagram> {
+    let peer = VmDescriptor {
+        name: "vm-2".to_owned(),
+        address: any_address(),
+        data_centre: "a".into(),
+        cpu: 250,
+    };
+    let sum = serde_json::from_str(
+        r#"{"vms":2,"server_work":{"7":{"requests":3,"prefill":900,"urgent_prefill":100,"memory":4000,
+            "recent_prefill":500}},"spending":{"desk":12.5},"demand":{"lm":1.5},"rollouts":{}}"#,
+    );
+    let mut sum: PartialSum = sum.expect("a partial sum");
+    sum.rollouts.insert(
+        "lm".into(),
+        RolloutPartialSum { order: OrderId(7), ..RolloutPartialSum::default() },
+    );
+    let changes = vec![(51, RelayedChange::Server("i-1".into(), server(false)))];
+    let second = Duration::from_secs(1);
+    let report = StoreReport { age: second, version: 5, after: 50, upto: 51, changes };
+    let contact = ReportedContact { age: second, uninterrupted: second, reported_window: 7 };
+    let digest = |scope| Content::Digest {
+        scope,
+        sum: Box::new(sum.clone()),
+        store_report: Some(StoreReport { changes: report.changes.clone(), ..report }),
+        store_contact: Some(contact),
+    };
+    // Messages of the cores, in the form in which they are read.
+    let read = |text: &str| serde_json::from_str::<Content>(text).expect("a content");
+    let texts = [
+        r#"{"Usage":{"counts":{"7":{"desk":3}}}}"#,
+        r#"{"ConfigRequest":{"above":0}}"#,
+        r#"{"ConfigChunk":{"version":6,"index":0,"count":2,"bytes":[1,2]}}"#,
+        r#"{"StateRequest":{"version":50,"chunks":[0,1]}}"#,
+        r#"{"StateRedirect":{"serves_others":true}}"#,
+        r#"{"StateChunk":{"age":{"secs":1,"nanos":5},"chunk":{"version":6,"index":0,"count":1,"bytes":[1,2]}}}"#,
+        r#"{"Signals":{"scope":"Own","servers":[["i-0",1,{"limit":2.5,"age":{"secs":1,"nanos":5},"leaving":false,
+            "brittle":3}]]}}"#,
+        r#"{"Poison":{"PartExited":{"part":7,"exit":{"server":8,"version":9,"stage":"Begun","request":3,"beside":[1]}}}}"#,
+        r#"{"Poison":{"PartQuarantined":{"part":7,"servers":[1,2],"findings":{"crashed":[9],"sound":[]}}}}"#,
+        r#"{"Poison":{"Quarantined":{"digest":7,"servers":[1,2,3]}}}"#,
+        r#"{"Quota":{"Ask":{"seq":1,"account":"desk","cost":12.5,"urgency":1}}}"#,
+        r#"{"Quota":{"Refund":{"seq":1,"account":"desk","cost":12.5}}}"#,
+        r#"{"Quota":{"Verdict":{"seq":1,"verdict":{"Refused":{"retry_after":{"secs":1,"nanos":5},"level":-2.5,
+            "peer_spending":7.5}}}}}"#,
+        r#"{"Streams":{"Began":[{"key":7,"tag":9,"ttl_ds":80}]}}"#,
+        r#"{"Streams":{"Ask":{"seq":1,"key":7,"service":"lm"}}}"#,
+    ];
+    let digests = [digest(Scope::Own), digest(Scope::Members), digest(Scope::Rest)];
+    let contents = digests.into_iter().chain(texts.map(read));
+    let datagram = |content| Datagram {
+        from: peer.clone(),
+        incarnation: 1,
+        wall_ms: clock::wall_ms(),
+        estimated_ms: Some(clock::wall_ms()),
+        sent: clock::now(),
+        echo: Some(Echo { incarnation: 1, sent: clock::now(), delay: second }),
+        revision: Some(50),
+        content,
+    };
+    contents.map(datagram).collect()
+}
+
+/// Handles a datagram, the same from another VM, and the usual ones of a third. Their echoes are of this start.
+pub(crate) fn handle(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
+    // One that is too large doesn't arrive.
+    let Ok(encoded) = encoding().serialize(datagram) else { return };
+    let again = || encoding().deserialize::<Datagram>(&encoded).expect("the same datagram");
+    let of = |vm: &str, mut datagram: Datagram| {
+        datagram.from.name = vm.to_owned();
+        if let Some(echo) = &mut datagram.echo {
+            echo.incarnation = node.incarnation;
+        }
+        datagram
+    };
+    for datagram in [of("vm-2", again()), of("vm-3", again())] {
+        handle_datagram(node, socket, datagram);
+    }
+    for usual in datagrams() {
+        handle_datagram(node, socket, of("vm-4", usual));
+    }
+}
--- a/crates/quincevalve_node/src/request/frontend.rs
+++ b/crates/quincevalve_node/src/request/frontend.rs
@@ -61,8 +61,9 @@
 
 async fn serve_caller(node: Rc<Node>, stream: TcpStream, closing: CloseSignal) {
     let limits = node.config().map(|it| it.limits);
-    let idle_timeout =
-        limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_timeout) + IDLE_TIMEOUT_MARGIN;
+    let idle_timeout = limits
+        .map_or(DEFAULT_IDLE_TIMEOUT, |it| it.idle_timeout)
+        .saturating_add(IDLE_TIMEOUT_MARGIN);
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |it| it.head_bytes).max(MIN_BUFFER_BYTES);
     let mut settings = connection_settings(idle_timeout);
     settings.max_buf_size(head_bytes);
--- a/crates/quincevalve_node/src/request/identify.rs
+++ b/crates/quincevalve_node/src/request/identify.rs
@@ -230,7 +230,8 @@
     let segments: Vec<_> = segments.split(',').filter_map(|it| it.trim().split_once(':')).collect();
     let (_, shared) = segments.split_last()?;
     let (id, _) = shared.last()?;
-    let tokens = shared.iter().filter_map(|(_, tokens)| tokens.parse::<u32>().ok()).sum();
+    let tokens = shared.iter().filter_map(|(_, tokens)| tokens.parse::<u32>().ok());
+    let tokens = tokens.fold(0, u32::saturating_add);
     Some((hash_text(id), tokens))
 }
 
