Disallow conversions and operations that can panic

A quota whose numbers are no numbers made the time to retry panic, by clamp and by from_secs_f64; a prediction from reports without bounds did so in the placement of a request.

--- a/crates/quincevalve_admission/src/admission.rs
+++ b/crates/quincevalve_admission/src/admission.rs
@@ -1,8 +1,13 @@
 //! Admission decisions of one entry VM, without I/O and without a clock.
 
+#![expect(
+    clippy::indexing_slicing,
+    reason = "indices are given out here, and accounts are never removed"
+)]
+
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{TimePoint, seconds};
 
 use crate::fair_queue::{FairQueue, QueuedRequest};
 
@@ -236,7 +241,7 @@
     /// Returns the mean time between two starts of the account's requests at its fair share.
     fn start_interval(&self, account: AccountIndex) -> Duration {
         let rate = self.fair_share(account) * f64::from(self.capacity) / self.mean_service_seconds;
-        Duration::from_secs_f64((1.0 / rate).min(MAX_START_INTERVAL_SECONDS))
+        seconds((1.0 / rate).min(MAX_START_INTERVAL_SECONDS))
     }
 
     /// Returns the predicted queueing time of an arrival.
--- a/crates/quincevalve_admission/src/fair_queue.rs
+++ b/crates/quincevalve_admission/src/fair_queue.rs
@@ -1,5 +1,10 @@
 //! Start-time fair queueing (SFQ) over client accounts, in order of urgency.
 
+#![expect(
+    clippy::indexing_slicing,
+    reason = "indices are given out here, and accounts are never removed"
+)]
+
 use std::collections::{BTreeMap, VecDeque};
 
 use quincevalve_names::TimePoint;
--- a/crates/quincevalve_admission/src/start_rate.rs
+++ b/crates/quincevalve_admission/src/start_rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{TimePoint, seconds};
 
 /// Time constant of the measurement. After a failure of servers, most of the old rate is forgotten within it, which is
 /// short compared with callers' deadlines.
@@ -47,7 +47,7 @@
         if ahead == 0 {
             return Duration::ZERO;
         }
-        let seconds = ahead as f64 * self.counted_seconds / self.starts;
-        Duration::from_secs_f64(seconds.min(MAX_WAIT_SECONDS))
+        let wait = ahead as f64 * self.counted_seconds / self.starts;
+        seconds(wait.min(MAX_WAIT_SECONDS))
     }
 }
--- a/crates/quincevalve_admission/src/waiting.rs
+++ b/crates/quincevalve_admission/src/waiting.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_names::TimePoint;
+use quincevalve_names::{TimePoint, seconds};
 use rand::{Rng, RngExt};
 
 use crate::{
@@ -306,9 +306,9 @@
     {
         let (min, max) = RETRY_AFTER_SECONDS;
         let drained = self.rate.wait_for(ahead).as_secs_f64();
-        let center = drained.clamp(min / (1.0 - RETRY_SPREAD), max / (1.0 + RETRY_SPREAD));
+        let center = drained.max(min / (1.0 - RETRY_SPREAD)).min(max / (1.0 + RETRY_SPREAD));
         let spread = rng.random_range(1.0 - RETRY_SPREAD..1.0 + RETRY_SPREAD);
-        let retry_after = Duration::from_secs_f64(center * spread);
+        let retry_after = seconds(center * spread);
         WaitRefusal { ticket: request.ticket, cause, retry_after }
     }
 
--- a/crates/quincevalve_forwarding/src/allowance.rs
+++ b/crates/quincevalve_forwarding/src/allowance.rs
@@ -1,5 +1,7 @@
 //! One VM's share of the requests that a rate-limited server accepts from all VMs together.
 
+#![expect(clippy::indexing_slicing, reason = "a slot is a remainder of the number of slots")]
+
 use quincevalve_names::mix;
 
 use crate::{server_signals::RequestRate, shared_limit::VmRank};
--- a/crates/quincevalve_forwarding/src/chunk_fetch.rs
+++ b/crates/quincevalve_forwarding/src/chunk_fetch.rs
@@ -6,9 +6,14 @@
 //! as chunks arrive from it. A source serves as many requesters at once as its link can carry and redirects the others;
 //! a VM that has the whole value is a source for them.
 
+#![expect(
+    clippy::indexing_slicing,
+    reason = "the source is one of the sources, of which there is one at least when it is used"
+)]
+
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{Scaled, TimePoint};
 use serde::{Deserialize, Serialize};
 
 use crate::chunks::{Assembly, Chunk};
@@ -197,7 +202,7 @@
     /// Returns whether a source with a link of `link` bytes per second serves `requester`, and reserves a slot if so.
     pub fn admit(&mut self, requester: &str, link: u64, now: TimePoint) -> bool {
         self.last_requests.retain(|_, at| now.since(*at) < SLOT_TTL);
-        let max_served = (link / BYTES_PER_SECOND_EACH).clamp(1, MAX_SERVED) as usize;
+        let max_served = (link / BYTES_PER_SECOND_EACH).max(1).min(MAX_SERVED) as usize;
         if !self.last_requests.contains_key(requester) && self.last_requests.len() >= max_served {
             return false;
         }
@@ -229,7 +234,7 @@
 /// assert!(fetch_timeout(base, 400) < Duration::from_secs(4));
 /// ```
 pub fn fetch_timeout(base: Duration, before: usize) -> Duration {
-    base + TIMEOUT_PER_VM.mul_f64(before as f64).min(MAX_TIMEOUT_EXTENSION)
+    base + TIMEOUT_PER_VM.scaled(before as f64).min(MAX_TIMEOUT_EXTENSION)
 }
 
 /// Returns the order in which a VM tries sources: `first`, which have the value soonest, then alternately one of
--- a/crates/quincevalve_forwarding/src/chunks.rs
+++ b/crates/quincevalve_forwarding/src/chunks.rs
@@ -63,7 +63,7 @@
             self.version = chunk.version;
             self.chunks = vec![None; chunk.count as usize];
         }
-        self.chunks[chunk.index as usize] = Some(chunk.bytes);
+        *self.chunks.get_mut(chunk.index as usize)? = Some(chunk.bytes);
         if self.chunks.iter().any(Option::is_none) {
             return None;
         }
--- a/crates/quincevalve_forwarding/src/digest_pace.rs
+++ b/crates/quincevalve_forwarding/src/digest_pace.rs
@@ -61,7 +61,7 @@
     /// Returns the number of periods from one digest to a member to its next, for a collector with `members` members.
     pub fn periods_between_digests(&self, members: usize, periods_per_second: f64) -> u32 {
         let bytes_per_second = members as f64 * self.mean_bytes * periods_per_second;
-        ((bytes_per_second / self.budget.max(1.0)).ceil() as u32).clamp(1, MAX_PERIODS)
+        ((bytes_per_second / self.budget.max(1.0)).ceil() as u32).max(1).min(MAX_PERIODS)
     }
 
     /// Returns whether the member with the index `member` gets a digest in period `period`.
--- a/crates/quincevalve_forwarding/src/duty.rs
+++ b/crates/quincevalve_forwarding/src/duty.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::{FencingNumber, TimePoint};
+use quincevalve_names::{FencingNumber, Scaled, TimePoint};
 use serde::{Deserialize, Serialize};
 
 /// A term of the duty, as stored: its holder and its fencing number.
@@ -115,7 +115,7 @@
     /// finds its lease too old before its next call.
     pub fn fencing_number(&self, now: TimePoint) -> Option<FencingNumber> {
         let held = self.held.as_ref()?;
-        let usable = held.ttl.mul_f64(USABLE_FRACTION);
+        let usable = held.ttl.scaled(USABLE_FRACTION);
         (now >= held.acts_from && now.since(held.renewal_sent_at) < usable).then_some(held.number)
     }
 }
--- a/crates/quincevalve_forwarding/src/fleet_size.rs
+++ b/crates/quincevalve_forwarding/src/fleet_size.rs
@@ -308,7 +308,7 @@
         let now_ordered: u32 = self.present.keys().map(ordered).sum();
         let is_idle = self.demand.has_no_observations();
         let mut wanted =
-            if is_idle { min_wanted } else { now_ordered.clamp(min_wanted, max_wanted) };
+            if is_idle { min_wanted } else { now_ordered.max(min_wanted).min(max_wanted) };
         let all_wanted = wanted;
         let mut cheapest: Vec<_> = self.present.keys().collect();
         cheapest.sort_by(|a, b| price(scaling, a).total_cmp(&price(scaling, b)));
--- a/crates/quincevalve_forwarding/src/freshness.rs
+++ b/crates/quincevalve_forwarding/src/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{Scaled, TimePoint};
 
 /// Fraction of a limit for which a confirmation is used; the rest covers the time that a request takes from its caller
 /// to this VM.
@@ -73,9 +73,9 @@
 
     /// Returns the state for a limit: nothing may be served later than `limit` after it was replaced.
     pub fn state(&self, limit: Duration, now: TimePoint) -> FreshnessState {
-        if self.is_within(limit.mul_f64(FRESH_FRACTION), now) {
+        if self.is_within(limit.scaled(FRESH_FRACTION), now) {
             FreshnessState::Fresh
-        } else if self.is_within(limit.mul_f64(USABLE_FRACTION), now) {
+        } else if self.is_within(limit.scaled(USABLE_FRACTION), now) {
             FreshnessState::Expiring
         } else {
             FreshnessState::Expired
--- a/crates/quincevalve_forwarding/src/lib.rs
+++ b/crates/quincevalve_forwarding/src/lib.rs
@@ -3,6 +3,19 @@
 //! All types are state machines without I/O and without a clock, so that tests can drive each decision in virtual time.
 //! `quincevalve_node` connects them to HTTP.
 
+// Values from outside must not end a task. An exception gives its reason at the place.
+#![warn(
+    clippy::disallowed_methods,
+    clippy::expect_used,
+    clippy::get_unwrap,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::todo,
+    clippy::unimplemented,
+    clippy::unreachable
+)]
+
 pub mod allowance;
 pub mod change_log;
 pub mod chunk_fetch;
--- a/crates/quincevalve_forwarding/src/load.rs
+++ b/crates/quincevalve_forwarding/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{TimePoint, seconds};
 use serde::{Deserialize, Serialize};
 
 /// The resources that a request needs on a server.
@@ -38,13 +38,13 @@
 
 /// Returns the time in which an engine processes a prompt of `tokens` that it doesn't have cached.
 pub fn recompute_time(tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / PREFILL_PER_MS / 1_000.0)
+    seconds(f64::from(tokens) / PREFILL_PER_MS / 1_000.0)
 }
 
 impl Work {
     /// Returns the seconds of engine time that the work takes when the engine's batch is full of such work.
     pub fn busy_seconds(self, slots: u32) -> f64 {
-        let batch = f64::from(slots.clamp(1, MAX_EFFECTIVE_BATCH));
+        let batch = f64::from(slots.max(1).min(MAX_EFFECTIVE_BATCH));
         let prefill_ms = f64::from(self.prefill) / PREFILL_PER_MS;
         let generation_ms = f64::from(self.output) * (STEP_MS / batch + STEP_MS_PER_REQUEST);
         (prefill_ms + generation_ms) / 1_000.0
@@ -306,7 +306,7 @@
     /// Records a first answer that came after `measured`, where `predicted` was expected.
     pub fn record_answer(&mut self, measured: Duration, predicted: Duration) {
         let ratio = measured.as_secs_f64() / predicted.as_secs_f64().max(0.001);
-        self.slowness += EWMA_WEIGHT * (ratio.clamp(0.2, 10.0) - self.slowness);
+        self.slowness += EWMA_WEIGHT * (ratio.max(0.2).min(10.0) - self.slowness);
         self.mean_answer_ms +=
             EWMA_WEIGHT * (measured.as_secs_f64() * 1_000.0 - self.mean_answer_ms);
         self.failure_rate -= EWMA_WEIGHT * self.failure_rate;
--- a/crates/quincevalve_forwarding/src/peer_forwarding.rs
+++ b/crates/quincevalve_forwarding/src/peer_forwarding.rs
@@ -139,8 +139,8 @@
         if candidates.is_empty() {
             return None;
         }
-        let mut draw = || candidates[rng.random_range(0..candidates.len())];
-        let (first, second) = (draw(), draw());
+        let mut draw = || candidates.get(rng.random_range(0..candidates.len())).copied();
+        let (first, second) = (draw()?, draw()?);
         Some(if self.load(first) <= self.load(second) { first } else { second })
     }
 
--- a/crates/quincevalve_forwarding/src/peer_table/ranking.rs
+++ b/crates/quincevalve_forwarding/src/peer_table/ranking.rs
@@ -29,6 +29,7 @@
 
 impl Ranking {
     /// Adds a VM that the ranking doesn't contain.
+    #[expect(clippy::disallowed_methods, reason = "a partition point is within the list")]
     pub(super) fn insert(&mut self, descriptor: &VmDescriptor, hash: u64) {
         let vms = self.centres.entry(descriptor.data_centre.clone()).or_default();
         let rank = Rank::new(descriptor, hash);
@@ -37,6 +38,7 @@
     }
 
     /// Removes a VM by the descriptor with which it was added.
+    #[expect(clippy::disallowed_methods, reason = "the position was just found")]
     pub(super) fn remove(&mut self, descriptor: &VmDescriptor, hash: u64) {
         let Some(vms) = self.centres.get_mut(&descriptor.data_centre) else { return };
         let rank = Rank::new(descriptor, hash);
--- a/crates/quincevalve_forwarding/src/placement.rs
+++ b/crates/quincevalve_forwarding/src/placement.rs
@@ -4,6 +4,7 @@
 
 use quincevalve_names::{
     BackendServerName, DataCentreName, ServerVersion, ServiceName, TimePoint, rendezvous_score,
+    seconds,
 };
 use rand::{Rng, RngExt};
 
@@ -160,7 +161,9 @@
 /// Maximum fraction of its time that an engine may spend on prefill, by urgency. Running requests generate tokens
 /// between prefill chunks: with more prefill, long answers miss their deadlines, and the memory and slots that they
 /// occupied are wasted.
-const MAX_PREFILL_UTILIZATION: [f64; 3] = [0.95, 0.8, 0.7];
+const MAX_PREFILL_UTILIZATION: [f64; 3] = [0.95, 0.8, LEAST_URGENT_PREFILL_UTILIZATION];
+/// The same for requests of any lower urgency.
+const LEAST_URGENT_PREFILL_UTILIZATION: f64 = 0.7;
 /// Prefill utilization up to which a server accepts a prompt of any size.
 const IDLE_PREFILL_UTILIZATION: f64 = 0.1;
 /// Cost of a server that is always busy with prefill, in milliseconds; scales with the square of the utilization.
@@ -256,7 +259,7 @@
     let mut best: Option<(f64, Placement)> = None;
     let mut min_predicted: Option<Duration> = None;
     for at in candidates {
-        let (name, server) = usable[*at];
+        let Some((name, server)) = usable.get(*at).copied() else { continue };
         if request.tried.contains(name) || (reachable && server.load.is_paused(now)) {
             continue;
         }
@@ -270,7 +273,7 @@
             prefill_utilization,
             slot_utilization,
         } = predict(request, server, affinity_rank, now);
-        let predicted = Duration::from_secs_f64(predicted_ms / 1_000.0);
+        let predicted = seconds(predicted_ms / 1_000.0);
         min_predicted = Some(min_predicted.map_or(predicted, |it| it.min(predicted)));
         if !fits || predicted > request.latency_budget {
             continue;
@@ -291,7 +294,7 @@
             let known_load = server.load.total_work(now);
             let peer_report_age = server.load.peer_report_age(now);
             let unlisted_for = server.unlisted_for(now);
-            let baseline = Duration::from_secs_f64(baseline_ms / 1_000.0);
+            let baseline = seconds(baseline_ms / 1_000.0);
             let placement = Placement {
                 server: name.clone(),
                 start: server.entry.start,
@@ -436,8 +439,8 @@
     let slot_utilization = f64::from(load.requests) / f64::from(engine.slots.max(1));
     let prefill_utilization = server.load.prefill_utilization(&load);
     let own_utilization = f64::from(prefill) / PREFILL_PER_MS / 1_000.0;
-    let max_utilization = MAX_PREFILL_UTILIZATION
-        [usize::from(request.urgency).min(MAX_PREFILL_UTILIZATION.len() - 1)];
+    let max_utilization = MAX_PREFILL_UTILIZATION.get(usize::from(request.urgency));
+    let max_utilization = *max_utilization.unwrap_or(&LEAST_URGENT_PREFILL_UTILIZATION);
     let fits = slot_utilization < MAX_SLOT_FRACTION
         && (f64::from(memory) <= memory_left || load.requests == 0)
         && (prefill_utilization + own_utilization <= max_utilization
--- a/crates/quincevalve_forwarding/src/poison/quarantine.rs
+++ b/crates/quincevalve_forwarding/src/poison/quarantine.rs
@@ -143,7 +143,8 @@
 }
 
 fn period_ms(periods: &[Duration], trials: u32) -> i64 {
-    periods[(trials as usize).min(periods.len() - 1)].as_millis() as i64
+    let period = periods.get(trials as usize).or(periods.last());
+    period.map_or(0, |it| it.as_millis() as i64)
 }
 
 /// Whether a request may be sent to a server.
--- a/crates/quincevalve_forwarding/src/quota.rs
+++ b/crates/quincevalve_forwarding/src/quota.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use quincevalve_names::{ClientAccountName, TimePoint};
+use quincevalve_names::{ClientAccountName, TimePoint, seconds};
 use serde::{Deserialize, Serialize};
 
 use self::reserve::{OWNER_TOLERANCE_FRACTION, RejectedRequests, reserve};
@@ -207,7 +207,7 @@
     fn apply_quota_change(&mut self, quota: &BucketParameters) {
         if quota.burst.total_cmp(&self.burst).is_ne() {
             self.burst = quota.burst;
-            self.level = self.level.clamp(0.0, quota.burst.max(0.0));
+            self.level = self.level.max(0.0).min(quota.burst.max(0.0));
         }
     }
 
@@ -353,8 +353,8 @@
         let (bottom, top) = request.ramp_bounds(quota);
         if level <= (bottom + draw * (top - bottom)) * reachable_fraction {
             let rate = quota.per_second * reachable_fraction;
-            let seconds = (top - level) / rate.max(1.0);
-            let retry_after = Duration::from_secs_f64(seconds.clamp(0.05, 10.0));
+            let wait = (top - level) / rate.max(1.0);
+            let retry_after = seconds(wait.max(0.05).min(10.0));
             return Err(OverQuota { retry_after, level, peer_spending: bucket.peer_spending });
         }
         bucket.spend(request.cost, now);
--- a/crates/quincevalve_forwarding/src/quota/reserve.rs
+++ b/crates/quincevalve_forwarding/src/quota/reserve.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{TimePoint, seconds};
 
 use super::{BucketParameters, QuotaRequest, SMALL_REQUEST_DEBT_FRACTION};
 use crate::rate::Rate;
@@ -62,11 +62,13 @@
     ) -> Duration {
         let urgency = usize::from(request.urgency).min(URGENCIES - 1);
         let waiting = |it: &Rate| it.per_second(now) * RETURN_TIME.as_secs_f64();
-        let ahead: f64 = self.by_urgency[..=urgency].iter().map(waiting).sum();
-        self.by_urgency[urgency].add(request.cost, now);
-        let seconds = (missing + ahead) / per_second.max(1.0);
+        let ahead: f64 = self.by_urgency.iter().take(urgency + 1).map(waiting).sum();
+        if let Some(rate) = self.by_urgency.get_mut(urgency) {
+            rate.add(request.cost, now);
+        }
+        let wait = (missing + ahead) / per_second.max(1.0);
         let jitter = 1.0 + RETRY_AFTER_JITTER * (2.0 * draw - 1.0);
         let (min, max) = RETRY_AFTER_RANGE;
-        Duration::from_secs_f64((seconds * jitter).clamp(min, max))
+        seconds((wait * jitter).max(min).min(max))
     }
 }
--- a/crates/quincevalve_forwarding/src/rollout/evidence.rs
+++ b/crates/quincevalve_forwarding/src/rollout/evidence.rs
@@ -37,7 +37,7 @@
 impl LogSum {
     /// Adds a ratio.
     pub fn add(&mut self, ratio: f64) {
-        let log = ratio.max(f64::MIN_POSITIVE).ln().clamp(MIN_LOG, MAX_LOG);
+        let log = ratio.max(f64::MIN_POSITIVE).ln().max(MIN_LOG).min(MAX_LOG);
         let hundredths = (log * STEPS_PER_UNIT).round() as i64;
         self.n += 1;
         self.sum += hundredths;
--- a/crates/quincevalve_forwarding/src/rollout/promotion.rs
+++ b/crates/quincevalve_forwarding/src/rollout/promotion.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use quincevalve_names::Scaled;
+
 /// Fraction of an order's duration that the promotion may take. A longer promotion lets more streams end at the servers
 /// where they run, but shortens the canary.
 const PROMOTION_FRACTION: f64 = 0.17;
@@ -50,13 +52,13 @@
     /// ```
     pub fn of(duration: Duration, has_engines: bool) -> Self {
         let (min, max) = if has_engines { ENGINE_PROMOTION_BOUNDS } else { PLAIN_PROMOTION_BOUNDS };
-        let total = duration.mul_f64(PROMOTION_FRACTION).clamp(min, max);
+        let total = duration.scaled(PROMOTION_FRACTION).max(min).min(max);
         let (min_reserve, max_reserve) = RESERVE_BOUNDS;
         Self {
             total,
-            ramp: total.mul_f64(RAMP_FRACTION),
-            old_servers_stay: total.mul_f64(OLD_SERVERS_STAY_FRACTION),
-            reserve: duration.mul_f64(RESERVE_FRACTION).clamp(min_reserve, max_reserve),
+            ramp: total.scaled(RAMP_FRACTION),
+            old_servers_stay: total.scaled(OLD_SERVERS_STAY_FRACTION),
+            reserve: duration.scaled(RESERVE_FRACTION).max(min_reserve).min(max_reserve),
         }
     }
 
@@ -67,6 +69,6 @@
 
     /// Returns how long before the deadline a promotion may begin at the latest.
     pub fn min_lead_time(&self) -> Duration {
-        self.total.mul_f64(MIN_PROMOTION_FRACTION)
+        self.total.scaled(MIN_PROMOTION_FRACTION)
     }
 }
--- a/crates/quincevalve_forwarding/src/rollout/table/attempts.rs
+++ b/crates/quincevalve_forwarding/src/rollout/table/attempts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_names::{ServerVersion, ServiceName, TimePoint};
+use quincevalve_names::{Scaled, ServerVersion, ServiceName, TimePoint};
 
 use crate::rollout::evidence::{RouteKey, VersionRole};
 
@@ -97,7 +97,7 @@
         for attempt in self.attempts.values_mut().filter(|it| it.service == *service) {
             let Some(expected) = attempt.expected else { continue };
             let waited = now.since(attempt.sent);
-            if waited > expected.mul_f64(OVERDUE_THRESHOLD) + OVERDUE_MARGIN {
+            if waited > expected.scaled(OVERDUE_THRESHOLD) + OVERDUE_MARGIN {
                 attempt.expected = None;
                 let ratio = ratio(waited, expected) * OVERDUE_FACTOR;
                 overdue.push((attempt.route, attempt.role, ratio));
--- a/crates/quincevalve_forwarding/src/rollout/table/state.rs
+++ b/crates/quincevalve_forwarding/src/rollout/table/state.rs
@@ -384,7 +384,7 @@
         let served = now.since(new_since).as_secs_f64();
         let left = self.time_to_canary_end(context, now).as_secs_f64();
         let progress = served / (served + left).max(f64::MIN_POSITIVE);
-        INITIAL_FRACTION + (1.0 - INITIAL_FRACTION) * progress.clamp(0.0, 1.0)
+        INITIAL_FRACTION + (1.0 - INITIAL_FRACTION) * progress.max(0.0).min(1.0)
     }
 
     /// Returns the time until the canary may end.
--- a/crates/quincevalve_forwarding/src/rollout/verdict.rs
+++ b/crates/quincevalve_forwarding/src/rollout/verdict.rs
@@ -340,7 +340,7 @@
 
 /// Estimates the failure rate from a possibly small number of answers.
 fn failure_rate(failed: u32, answers: u32) -> f64 {
-    ((f64::from(failed) + 0.5) / (f64::from(answers) + 1.0)).clamp(MIN_FAILURE_RATE, 0.9)
+    ((f64::from(failed) + 0.5) / (f64::from(answers) + 1.0)).max(MIN_FAILURE_RATE).min(0.9)
 }
 
 /// Returns the log-likelihood ratio of one route, from these fractions of its failures and successes.
--- a/crates/quincevalve_forwarding/src/servers/brittle.rs
+++ b/crates/quincevalve_forwarding/src/servers/brittle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_names::{BackendServerName, ServiceName, TimePoint};
+use quincevalve_names::{BackendServerName, ServiceName, TimePoint, seconds};
 
 use super::{Server, ServerStart, ServerTable};
 use crate::{config::Engine, load::Work};
@@ -135,7 +135,7 @@
         let slots = u64::from(server.entry.slots.max(1));
         let service = &server.entry.service;
         let in_memory = engine.map(|it| self.brittle_services.requests_in_memory(service, it));
-        let room = in_memory.map_or(slots, |it| it.clamp(1, slots));
+        let room = in_memory.map_or(slots, |it| it.max(1).min(slots));
         self.rank.share_of(room, server.hash)
     }
 
@@ -194,8 +194,8 @@
             return FULL_SERVER_PAUSE;
         };
         let senders = self.rank.vm_count.min(slots as usize) as f64;
-        let seconds = senders / (USED_REJECTIONS * f64::from(rejections.max(1)));
-        Duration::from_secs_f64(seconds).clamp(FULL_SERVER_PAUSE, MAX_BRITTLE_PAUSE)
+        let wait = senders / (USED_REJECTIONS * f64::from(rejections.max(1)));
+        seconds(wait).max(FULL_SERVER_PAUSE).min(MAX_BRITTLE_PAUSE)
     }
 
     /// Adds the work of a request that this VM sends to a server, if that start of it is known.
--- a/crates/quincevalve_forwarding/src/store_pacing.rs
+++ b/crates/quincevalve_forwarding/src/store_pacing.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use quincevalve_names::TimePoint;
+use quincevalve_names::{Scaled, TimePoint};
 
 /// A standby reads the store itself once its newest freshness confirmation is older than this fraction of the time in
 /// which a change must be in force: about a second, twice the longest time between two confirmations of a reachable
@@ -71,8 +71,8 @@
     pub fn max_confirmation_age(self, change_in_force: Duration) -> Duration {
         match self {
             Self::Reader => Duration::ZERO,
-            Self::Standby => change_in_force.mul_f64(STANDBY_MAX_AGE_FRACTION),
-            Self::Follower => change_in_force.mul_f64(FOLLOWER_MAX_AGE_FRACTION),
+            Self::Standby => change_in_force.scaled(STANDBY_MAX_AGE_FRACTION),
+            Self::Follower => change_in_force.scaled(FOLLOWER_MAX_AGE_FRACTION),
         }
     }
 
@@ -125,7 +125,7 @@
         match self {
             Self::Reader | Self::Standby => Duration::ZERO,
             Self::Follower => {
-                FOLLOWER_TAKEOVER_DELAY + TAKEOVER_SPREAD_PER_VM.mul_f64(vms as f64 * draw)
+                FOLLOWER_TAKEOVER_DELAY + TAKEOVER_SPREAD_PER_VM.scaled(vms as f64 * draw)
             }
         }
     }
@@ -186,7 +186,7 @@
             self.version = newest;
             self.stale_read_done = false;
         }
-        if now.since(self.since) >= change_in_force.mul_f64(PEER_RELAY_FRACTION) {
+        if now.since(self.since) >= change_in_force.scaled(PEER_RELAY_FRACTION) {
             self.since = now;
             return ConfigSource::ConsistentRead;
         }
--- a/crates/quincevalve_forwarding/src/stream_versions.rs
+++ b/crates/quincevalve_forwarding/src/stream_versions.rs
@@ -21,7 +21,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_names::{ClientAccountName, ServerVersion, ServiceName, TimePoint, hash_parts};
+use quincevalve_names::{
+    ClientAccountName, Scaled, ServerVersion, ServiceName, TimePoint, hash_parts,
+};
 use serde::{Deserialize, Serialize};
 
 pub use self::ask::{ASK_TIMEOUT, AskStep, VersionAsk};
@@ -131,7 +133,7 @@
     /// must be in force at all VMs.
     pub fn new(change_in_force: Duration) -> Self {
         Self {
-            rely_time: change_in_force.mul_f64(RELY_FRACTION),
+            rely_time: change_in_force.scaled(RELY_FRACTION),
             services: IndexMap::new(),
             own: StreamRecords::default(),
             kept: StreamRecords::default(),
--- a/crates/quincevalve_forwarding/src/stream_versions/ask.rs
+++ b/crates/quincevalve_forwarding/src/stream_versions/ask.rs
@@ -83,14 +83,15 @@
 
     /// Applies a VM's answer. Answers of VMs that weren't asked are ignored.
     pub fn receive(&mut self, from: &str, answer: KeeperAnswer) {
-        let Some(at) = self.keepers.get_index_of(from).filter(|it| *it < self.asked) else {
+        let Some((at, _, has_answered)) = self.keepers.get_full_mut(from) else { return };
+        if at >= self.asked {
             return;
-        };
+        }
         match answer {
             KeeperAnswer::Recorded(tag) | KeeperAnswer::Sole(tag) => {
                 self.version.get_or_insert_with(|| (tag, from.to_owned()));
             }
-            KeeperAnswer::Unknown => self.keepers[at] = true,
+            KeeperAnswer::Unknown => *has_answered = true,
         }
     }
 
--- a/crates/quincevalve_names/src/lib.rs
+++ b/crates/quincevalve_names/src/lib.rs
@@ -3,6 +3,20 @@
 //! The crate performs no I/O. Its newtypes keep a request id, a revision or a fencing number from being confused with
 //! other numbers.
 
+// Values from outside must not end a task. An exception gives its reason at the place.
+#![warn(
+    clippy::disallowed_methods,
+    clippy::expect_used,
+    clippy::get_unwrap,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::todo,
+    clippy::unimplemented,
+    clippy::unreachable
+)]
+
+mod durations;
 mod mix;
 mod numbers;
 mod outcome;
@@ -11,6 +25,7 @@
 mod time_point;
 
 pub use crate::{
+    durations::{Scaled, seconds},
     mix::{hash_parts, hash_text, mix, rendezvous_score},
     numbers::{FencingNumber, Incarnation, Revision, Sequence, TokenCount},
     outcome::Outcome,
--- a/crates/quincevalve_names/src/mix.rs
+++ b/crates/quincevalve_names/src/mix.rs
@@ -30,9 +30,8 @@
 }
 
 fn first_u64(digest: impl AsRef<[u8]>) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&digest.as_ref()[..8]);
-    u64::from_be_bytes(first)
+    let first = digest.as_ref().first_chunk().copied();
+    u64::from_be_bytes(first.unwrap_or_default())
 }
 
 /// Mixes two 64-bit values into one, each bit of which depends on both.
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use quincevalve_forwarding::{demand::MeasuredDemand, usage::UsageSnapshot};
-use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
+use quincevalve_names::{ClientAccountName, ServiceName, TimePoint, seconds};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -162,7 +162,7 @@
             Ok(value) => value,
             Err(error) => return log::error!(error:% = error; "counts-not-encoded"),
         };
-        let pause = Duration::from_secs_f64(value.len() as f64 / MAX_WRITE_BYTES_PER_SECOND);
+        let pause = seconds(value.len() as f64 / MAX_WRITE_BYTES_PER_SECOND);
         self.next_write = now + pause.max(MIN_WRITE_INTERVAL);
         let expected = vec![(COUNTS_KEY.to_owned(), revision)];
         let puts = vec![(COUNTS_KEY.to_owned(), value, None)];
--- a/crates/quincevalve_node/src/hostile_tests.rs
+++ b/crates/quincevalve_node/src/hostile_tests.rs
@@ -188,7 +188,7 @@
 }
 
 /// Applies the entry of a server, if it is one, as another VM relays it and as the whole state holds it.
-fn handle_server(text: &String) {
+fn handle_server(text: &str) {
     let Ok(entry) = serde_json::from_str(text) else { return };
     apply_relayed(vec![
         (51, RelayedChange::Server("i-1".into(), entry)),
@@ -197,7 +197,7 @@
     ]);
 }
 
-fn handle_order(text: &String) {
+fn handle_order(text: &str) {
     let Ok(order) = serde_json::from_str(text) else { return };
     apply_relayed(vec![(51, RelayedChange::RolloutOrder("lm".into(), Some(order)))]);
 }
@@ -237,7 +237,7 @@
     ]
 }
 
-fn handle_config(text: &String) {
+fn handle_config(text: &str) {
     if let Ok(mut config) = serde_json::from_str::<ForwardingConfig>(text) {
         config.run_copies = self::config().run_copies;
         handle_with(config, |_| {});
@@ -307,10 +307,10 @@
 }
 
 hostile_inputs! {
-    entries_of_servers => message(SERVER), handle_server;
-    roll_out_orders => message(ORDER), handle_order;
+    entries_of_servers => message(SERVER), |it: &String| handle_server(it);
+    roll_out_orders => message(ORDER), |it: &String| handle_order(it);
     items_of_the_system => item(), handle_item;
-    configurations => message(&config_text()), handle_config;
+    configurations => message(&config_text()), |it: &String| handle_config(it);
     headers_of_callers => caller_headers(), |it: &Vec<(&'static str, String)>| {
         handle(|node| ask_for_server(node, it));
     };
--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -3,6 +3,19 @@
 //! The process runs on one thread, because an entry VM has a fraction of a core and shared state then needs no locks.
 //! Decisions are made in `quincevalve_forwarding`; the traits in [`ports`] hide the platform's API.
 
+// Values from outside must not end a task. An exception gives its reason at the place.
+#![warn(
+    clippy::disallowed_methods,
+    clippy::expect_used,
+    clippy::get_unwrap,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::todo,
+    clippy::unimplemented,
+    clippy::unreachable
+)]
+
 mod clock;
 mod duties;
 #[cfg(test)]
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -30,7 +30,7 @@
     usage::Usage,
     wall_clock::WallClock,
 };
-use quincevalve_names::{ClientAccountName, ServiceName, TimePoint};
+use quincevalve_names::{ClientAccountName, Scaled, ServiceName, TimePoint};
 use quincevalve_recovery::RiskTable;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -253,7 +253,7 @@
 
     /// Returns whether an unknown name may be rejected: an addition can't have gone unnoticed for too long.
     pub(crate) fn absence_is_confirmed(&self) -> bool {
-        let limit = self.settings.bounds.change_in_force.mul_f64(FRESH_FRACTION);
+        let limit = self.settings.bounds.change_in_force.scaled(FRESH_FRACTION);
         self.freshness.get().is_within(limit, clock::now())
     }
 
--- a/crates/quincevalve_node/src/peers/receive.rs
+++ b/crates/quincevalve_node/src/peers/receive.rs
@@ -42,7 +42,7 @@
                 continue;
             }
         };
-        match encoding().deserialize::<Datagram>(&buf[..length]) {
+        match encoding().deserialize::<Datagram>(buf.get(..length).unwrap_or_default()) {
             Ok(datagram) => {
                 let handled = contain_panic(|| handle_datagram(&node, &socket, datagram));
                 if let Err(why) = handled {
--- a/crates/quincevalve_node/src/request/answer_buffer.rs
+++ b/crates/quincevalve_node/src/request/answer_buffer.rs
@@ -34,7 +34,7 @@
     /// Divides a VM's memory, in bytes.
     pub(crate) fn new(memory: u64) -> Self {
         let count = usize::try_from(memory / MEMORY_PER_LARGE_ANSWER).unwrap_or(1);
-        Self(Arc::new(Semaphore::new(count.clamp(1, Semaphore::MAX_PERMITS))))
+        Self(Arc::new(Semaphore::new(count.max(1).min(Semaphore::MAX_PERMITS))))
     }
 
     /// Waits for permission if `len` buffered bytes need one and `held` is none yet.
--- a/crates/quincevalve_node/src/request/copies.rs
+++ b/crates/quincevalve_node/src/request/copies.rs
@@ -1,6 +1,6 @@
 //! Copies of runs at other engines, and the records by which they are ordered.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use http::{HeaderName, HeaderValue};
 use quincevalve_forwarding::{
@@ -9,7 +9,7 @@
     placement::Placement,
     servers::{Server, ServerStart, ServerTable, start_hash},
 };
-use quincevalve_names::{BackendServerName, ServiceName, TimePoint};
+use quincevalve_names::{BackendServerName, ServiceName, TimePoint, seconds};
 use quincevalve_recovery::{
     CopyCandidate, EngineCondition, EngineId, RiskTable, RunAtRisk, choose_copy_target, is_copy_due,
 };
@@ -208,7 +208,7 @@
         slot_utilization: f64::from(load.requests) / f64::from(engine.slots.max(1)),
     };
     let generation_ms = f64::from(place.work.output) * step_ms(load.requests);
-    let duration = place.predicted + Duration::from_secs_f64(generation_ms / 1_000.0);
+    let duration = place.predicted + seconds(generation_ms / 1_000.0);
     Some(RunAtRisk {
         is_resumable: req.retry_safety().is_retryable(),
         recompute: recompute_time(prompt.input),
@@ -258,8 +258,8 @@
         .collect();
     let mut rng = node.rng.borrow_mut();
     let at = choose_copy_target(&candidates, source, &node.settings.data_centre, &mut *rng)?;
-    let (name, server) = usable[at];
-    Some((name.clone(), server.entry.start, server.entry.address))
+    let (name, server) = usable.get(at)?;
+    Some(((*name).clone(), server.entry.start, server.entry.address))
 }
 
 fn engine_id(place: &Placement) -> EngineId {
--- a/crates/quincevalve_node/src/request/copies/tests.rs
+++ b/crates/quincevalve_node/src/request/copies/tests.rs
@@ -1,7 +1,7 @@
 //! Guards against engines that look full of copies of runs that have ended, and against copies that can't be used because
 //! looking at them took a share of their engine's rate limit.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use quincevalve_forwarding::{
     load::WorkSum,
--- a/crates/quincevalve_node/src/request/relay.rs
+++ b/crates/quincevalve_node/src/request/relay.rs
@@ -349,7 +349,7 @@
         // What arrived before holds no end of an event, except that its last byte may be the first of one.
         let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(data);
-        let end = self.partial[searched..].windows(2).rposition(|it| it == b"\n\n")?;
+        let end = self.partial.get(searched..)?.windows(2).rposition(|it| it == b"\n\n")?;
         let end = searched + end + 2;
         let events = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&events) {
--- a/crates/quincevalve_node/src/request/relay/recovery.rs
+++ b/crates/quincevalve_node/src/request/relay/recovery.rs
@@ -71,7 +71,7 @@
         let has_ended =
             matches!(end, StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut);
         if has_ended {
-            return self.finish_without_migration(end, source, servers).await;
+            return self.finish_without_migration(end, source, servers);
         }
         let migrated = match migration {
             Some(migration) => migration.await.ok(),
@@ -174,7 +174,7 @@
                             StreamEnd::Completed | StreamEnd::CallerLeft | StreamEnd::TimedOut
                         );
                         if has_ended {
-                            return self.finish_without_migration(end, source, servers).await;
+                            return self.finish_without_migration(end, source, servers);
                         }
                         self.leave(&place, &mut Some(source));
                     }
@@ -405,8 +405,8 @@
     }
 
     /// Finishes a stream that ended before its migration.
-    async fn finish_without_migration(
-        &mut self,
+    fn finish_without_migration(
+        &self,
         end: StreamEnd,
         source: Source,
         servers: &[BackendServerName],
--- a/crates/quincevalve_node/src/request/server_selection.rs
+++ b/crates/quincevalve_node/src/request/server_selection.rs
@@ -9,7 +9,7 @@
     rollout::{scope::VersionScope, table::VersionChoice},
     servers::ServerStart,
 };
-use quincevalve_names::{BackendServerName, ServerVersion, ServiceName};
+use quincevalve_names::{BackendServerName, Scaled, ServerVersion, ServiceName};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -148,7 +148,7 @@
     req: &Rc<IdentifiedRequest>,
     tried: &[BackendServerName],
 ) -> Result<FoundServer, Refused> {
-    let wait_end = req.arrived + req.route.objective.mul_f64(MAX_WAIT_FRACTION);
+    let wait_end = req.arrived + req.route.objective.scaled(MAX_WAIT_FRACTION);
     let mut choice = if tried.is_empty() {
         rollouts::choose_versions(node, req)
     } else {
@@ -203,7 +203,7 @@
 
 /// Returns the maximum time until the first answer that a server is picked for.
 fn latency_budget(req: &IdentifiedRequest) -> Duration {
-    let objective = req.route.objective.mul_f64(MAX_PREDICTED_FRACTION);
+    let objective = req.route.objective.scaled(MAX_PREDICTED_FRACTION);
     objective.saturating_sub(req.arrived.elapsed()).max(objective / 4)
 }
 
@@ -215,7 +215,7 @@
     if req.prompt.is_some() {
         remaining(first_answer_deadline(req))
     } else {
-        req.route.objective.mul_f64(MAX_PREDICTED_FRACTION)
+        req.route.objective.scaled(MAX_PREDICTED_FRACTION)
     }
 }
 
@@ -386,7 +386,7 @@
         PlacementError::Resting { wait } => signalled_refusal(Refusal::Resting, wait),
         PlacementError::Busy { predicted } => {
             let excess = predicted.saturating_sub(request.latency_budget);
-            let after = excess.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+            let after = excess.max(RETRY_AFTER_RANGE.0).min(RETRY_AFTER_RANGE.1);
             Refused { refusal: Refusal::Busy, retry_after: Some(after) }
         }
     }
@@ -395,7 +395,7 @@
 /// Refuses a request because of the limits or rests that servers signalled. Another VM may have capacity left at these
 /// servers, so the maximum retry time is short.
 fn signalled_refusal(refusal: Refusal, wait: Duration) -> Refused {
-    Refused { refusal, retry_after: Some(wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)) }
+    Refused { refusal, retry_after: Some(wait.max(RETRY_AFTER_RANGE.0).min(RETRY_AFTER_RANGE.1)) }
 }
 
 #[cfg(test)]
--- a/crates/quincevalve_node/src/request/waiting.rs
+++ b/crates/quincevalve_node/src/request/waiting.rs
@@ -17,7 +17,9 @@
     placement::PlacementError,
     rollout::table::VersionChoice,
 };
-use quincevalve_names::{BackendServerName, ClientAccountName, ServiceName, TimePoint};
+use quincevalve_names::{
+    BackendServerName, ClientAccountName, Scaled, ServiceName, TimePoint, seconds,
+};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     sync::{Notify, oneshot},
@@ -280,10 +282,7 @@
 impl Queues {
     /// Returns the queue of a request's service, after a check whether it is enabled.
     fn of(&mut self, req: &IdentifiedRequest) -> &mut ServiceQueue {
-        if !self.services.contains_key(&req.service) {
-            self.services.insert(req.service.clone(), ServiceQueue::default());
-        }
-        let service = &mut self.services[&req.service];
+        let service = self.services.entry(req.service.clone()).or_default();
         let version = req.config.version;
         if service.is_enabled.is_none_or(|it| it.0 != version) {
             let is_enabled = has_queue(&req.config, &req.service);
@@ -375,10 +374,10 @@
 pub(super) fn first_answer_deadline(req: &IdentifiedRequest) -> Instant {
     let generation_time = req.prompt.zip(engine(req)).map(|(prompt, engine)| {
         let tokens = prompt.expected_work().output;
-        Duration::from_secs_f64(step_ms(engine.slots) * f64::from(tokens) / 1_000.0)
+        seconds(step_ms(engine.slots) * f64::from(tokens) / 1_000.0)
     });
     let max_time =
-        req.deadline.saturating_duration_since(req.arrived).mul_f64(MAX_GENERATION_FRACTION);
+        req.deadline.saturating_duration_since(req.arrived).scaled(MAX_GENERATION_FRACTION);
     req.deadline - generation_time.unwrap_or_default().min(max_time)
 }
 
--- a/crates/quincevalve_node/src/request/waiting/tests.rs
+++ b/crates/quincevalve_node/src/request/waiting/tests.rs
@@ -237,7 +237,7 @@
             req.deadline - first_answer_deadline(&req)
         };
         // Of the maximum number of tokens, half are expected.
-        let expected = Duration::from_secs_f64(step_ms(8) * 1_000.0 / 1_000.0);
+        let expected = seconds(step_ms(8) * 1_000.0 / 1_000.0);
         assert_eq!(left("100,2000"), expected);
         assert_eq!(left("none"), Duration::ZERO);
         assert_eq!(left("100,100000"), Duration::from_secs(10));
--- a/crates/quincevalve_node/src/rollouts.rs
+++ b/crates/quincevalve_node/src/rollouts.rs
@@ -15,7 +15,7 @@
     },
     servers::start_hash,
 };
-use quincevalve_names::ServiceName;
+use quincevalve_names::{Scaled, ServiceName};
 use rand::RngExt;
 
 use crate::{clock, node::Node, ports::SystemItem, request::identify::IdentifiedRequest};
@@ -118,7 +118,7 @@
 
 /// Returns whether this VM is fresh enough and reaches enough VMs to judge a new version.
 fn is_connected(node: &Node) -> bool {
-    let limit = node.settings.bounds.change_in_force.mul_f64(FRESH_FRACTION);
+    let limit = node.settings.bounds.change_in_force.scaled(FRESH_FRACTION);
     let is_fresh = node.freshness.get().is_within(limit, clock::now());
     is_fresh && node.peers.borrow().reachable_fraction() >= MIN_REACHABLE_FRACTION
 }
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -531,7 +531,7 @@
             }
         }
         RelayedChange::SystemItemRemoved(key) if key.starts_with(VERSION_KEY_PREFIX) => {
-            let service = key[VERSION_KEY_PREFIX.len()..].into();
+            let service = key.strip_prefix(VERSION_KEY_PREFIX).unwrap_or_default().into();
             node.streams.apply_history(service, Vec::new(), now);
         }
         RelayedChange::SystemItemRemoved(key) => {
--- a/crates/quincevalve_node/src/supervision/tests.rs
+++ b/crates/quincevalve_node/src/supervision/tests.rs
@@ -12,7 +12,7 @@
     let rt = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&rt.expect("a runtime"), async move {
         let node = Rc::new(test_node::node("vm-1"));
-        spawn_local(supervise(node.clone(), task, move || start()));
+        spawn_local(supervise(node.clone(), task, start));
         sleep(time).await;
         node.ended_tasks.describe()
     })
--- a/crates/quincevalve_ports/src/event_stream.rs
+++ b/crates/quincevalve_ports/src/event_stream.rs
@@ -63,7 +63,7 @@
 
     fn find_event_end(&mut self) -> Option<usize> {
         let from = self.searched.saturating_sub(1);
-        let found = self.bytes[from..].windows(2).position(|it| it == b"\n\n");
+        let found = self.bytes.get(from..)?.windows(2).position(|it| it == b"\n\n");
         self.searched = self.bytes.len();
         found.map(|at| from + at)
     }
--- a/crates/quincevalve_program/src/lib.rs
+++ b/crates/quincevalve_program/src/lib.rs
@@ -1,5 +1,18 @@
 //! Functions that all quincevalve programs share: command line, settings files, logs, metrics and panics.
 
+// Values from outside must not end a task. An exception gives its reason at the place.
+#![warn(
+    clippy::disallowed_methods,
+    clippy::expect_used,
+    clippy::get_unwrap,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::todo,
+    clippy::unimplemented,
+    clippy::unreachable
+)]
+
 mod arguments;
 mod bounded_stdout;
 mod launch;
--- a/crates/quincevalve_recovery/src/continuation.rs
+++ b/crates/quincevalve_recovery/src/continuation.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use quincevalve_names::seconds;
+
 /// A way to continue an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Continuation {
@@ -168,5 +170,5 @@
 pub fn migration_time(options: &ContinuationOptions, costs: &MigrationCosts) -> Duration {
     let own_tokens = options.prompt_tokens + options.answer_tokens;
     let context_tokens = f64::from(options.queued_migration_tokens + own_tokens);
-    costs.fixed_overhead + Duration::from_secs_f64(context_tokens / costs.tokens_per_s)
+    costs.fixed_overhead + seconds(context_tokens / costs.tokens_per_s)
 }
--- a/crates/quincevalve_recovery/src/copy_target.rs
+++ b/crates/quincevalve_recovery/src/copy_target.rs
@@ -63,8 +63,9 @@
         let other = rng.random_range(at..preferred.len());
         preferred.swap(at, other);
     }
-    let least_used = preferred[..drawn]
+    let least_used = preferred
         .iter()
+        .take(drawn)
         .min_by(|left, right| left.1.memory_fraction.total_cmp(&right.1.memory_fraction));
     least_used.map(|(at, _)| *at)
 }
--- a/crates/quincevalve_recovery/src/engine_risk.rs
+++ b/crates/quincevalve_recovery/src/engine_risk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use quincevalve_names::TimePoint;
+use quincevalve_names::{Scaled, TimePoint};
 
 /// One start of an engine, identified by a hash that is equal on all entry VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -250,5 +250,5 @@
     } else {
         run.loss_probability >= MIN_LOSS_PROBABILITY
     };
-    is_likely_lost && run.transfer <= run.duration.mul_f64(MAX_TRANSFER_FRACTION)
+    is_likely_lost && run.transfer <= run.duration.scaled(MAX_TRANSFER_FRACTION)
 }
--- a/crates/quincevalve_recovery/src/hand_over.rs
+++ b/crates/quincevalve_recovery/src/hand_over.rs
@@ -93,6 +93,7 @@
     }
 
     /// Processes the outcome of the last send and returns the next action.
+    #[expect(clippy::indexing_slicing, reason = "the outcome is that of a send to this target")]
     pub fn handle_send_outcome(&mut self, outcome: SendOutcome) -> HandOverAction {
         match outcome {
             SendOutcome::Taken => {
--- a/crates/quincevalve_recovery/src/lib.rs
+++ b/crates/quincevalve_recovery/src/lib.rs
@@ -1,5 +1,18 @@
 //! Complete answers despite failures: token order, continuation on another server, hand-over to another entry VM.
 
+// Values from outside must not end a task. An exception gives its reason at the place.
+#![warn(
+    clippy::disallowed_methods,
+    clippy::expect_used,
+    clippy::get_unwrap,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::todo,
+    clippy::unimplemented,
+    clippy::unreachable
+)]
+
 mod continuation;
 mod copy_target;
 mod engine_risk;
