--- a/crates/quincevalve_node/src/hostile_tests.rs
+++ b/crates/quincevalve_node/src/hostile_tests.rs
@@ -321,3 +321,61 @@
         if let Ok(datagram) = peers::encoding().deserialize(it) { handle_received(&datagram); }
     };
 }
+
+/// Defines a test for each input that once was the smallest of a failing property.
+macro_rules! kept_inputs {
+    ($($name:ident => $handle:expr;)+) => {
+        $(#[test] fn $name() { $handle; })+
+    };
+}
+
+/// Handles a datagram of another VM after `edit` has changed its JSON.
+fn handle_edited(edit: impl Fn(&mut serde_json::Value)) {
+    for datagram in peer::datagrams() {
+        let mut json = serde_json::to_value(&datagram).expect("a datagram");
+        edit(&mut json);
+        handle_received(&serde_json::from_value(json).expect("a datagram"));
+    }
+}
+
+/// Returns the configuration after a field of its service's scaling was replaced.
+fn config_with_scaling(field: &str, value: serde_json::Value) -> ForwardingConfig {
+    let mut json = serde_json::to_value(config()).expect("a configuration");
+    json["services"]["lm"]["scaling"][field] = value;
+    serde_json::from_value(json).expect("a configuration")
+}
+
+kept_inputs! {
+    a_wall_clock_before_all_times => handle_edited(|it| it["wall_ms"] = i64::MIN.into());
+    an_estimate_after_all_times => handle_edited(|it| it["estimated_ms"] = i64::MAX.into());
+    sums_of_the_largest_numbers_of_requests => handle_edited(|it| {
+        if let Some(work) = it.pointer_mut("/content/Digest/sum/server_work/7") {
+            work["requests"] = u32::MAX.into();
+            work["memory"] = u64::MAX.into();
+        }
+    });
+    the_longest_age_of_a_report => handle_edited(|it| {
+        if let Some(age) = it.pointer_mut("/content/Digest/store_report/age/secs") {
+            *age = u64::MAX.into();
+        }
+    });
+    shared_parts_of_the_largest_size => {
+        let parts = [("x-parts", "a:4294967295,b:4294967295,c:1")];
+        handle(|node| ask_for_server(node, &parts));
+    };
+    the_largest_fencing_number => {
+        let term = TERM.replace("\"number\":3", "\"number\":18446744073709551615");
+        handle_item(&("duty/term", term.into_bytes()));
+    };
+    the_last_window_of_usage => {
+        let report = REPORT.replace("357778273", "18446744073709551615");
+        handle_item(&("duty/usage", report.into_bytes()));
+    };
+    servers_that_never_start => {
+        let forever = serde_json::json!({"secs": u64::MAX, "nanos": 0});
+        handle_with(config_with_scaling("boot_time", forever), |_| {});
+    };
+    fewer_servers_at_most_than_at_least => {
+        handle_with(config_with_scaling("min", 255.into()), |_| {});
+    };
+}
