--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -1,15 +1,16 @@
 //! This VM's view of the platform's store, built from its own reads and from changes that other VMs relay.
 
+mod apply_change;
 mod differences;
+mod relayed_change;
 
-use std::{net::Ipv4Addr, slice};
+use std::slice;
 
-use bincode::Options;
 use quincevalve_forwarding::{
     change_log::{ChangeBatch, ChangeLog},
     config::ForwardingConfig,
     peer_table::VmDescriptor,
-    poison::{PartEntry, QuarantineEntry, Suspect},
+    poison::{PartEntry, QuarantineEntry},
     prompt_parts::PartDigest,
     request_digest::RequestDigest,
     rollout::record::{RolloutOrder, RolloutRecord},
@@ -19,18 +20,19 @@
 use quincevalve_program::contain_panic;
 use serde::{Deserialize, Serialize};
 
-use self::differences::differences;
+pub(crate) use self::relayed_change::{MAX_BATCH_BYTES, RelayedChange};
+use self::{
+    apply_change::{apply_contained, has_server_address},
+    differences::differences,
+};
 use crate::{
     clock,
     node::Node,
-    peers::{encoding, update_rank},
+    peers::update_rank,
     ports::{Change, Changes, LeaseId, Snapshot, StoreRevision, SystemItem},
-    quarantine::{
-        QUARANTINE_KEY_PREFIX, Quarantined, QuarantinedItems, parse_entry, restore_lost_entries,
-        suspect_of,
-    },
-    rollouts::{self, ROLLOUT_KEY_PREFIX},
-    store::version_history::{VERSION_KEY_PREFIX, parse_versions},
+    quarantine::{QuarantinedItems, restore_lost_entries},
+    rollouts,
+    store::version_history::parse_versions,
 };
 
 /// Prefix of the keys of entry VMs. The rest of a key is the data centre and the VM's name; the value is its
@@ -49,76 +51,6 @@
     peer_key_prefix(&descriptor.data_centre) + &descriptor.name
 }
 
-/// A store change as it is relayed to other VMs. Configurations are too large to relay, so only their versions are.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum RelayedChange {
-    Server(BackendServerName, ServerEntry),
-    ServerRemoved(BackendServerName),
-    /// The value under the server's key can't be decoded.
-    ServerUnreadable(BackendServerName),
-    /// A value under one of the system's own keys.
-    SystemItem {
-        key: String,
-        value: Vec<u8>,
-    },
-    SystemItemRemoved(String),
-    /// The operators' roll-out order for a service; `None` if it was removed.
-    RolloutOrder(ServiceName, Option<RolloutOrder>),
-    /// A configuration of this version exists.
-    ///
-    /// A VM that can't read the new configuration still relays later changes. Without the version among them, receivers
-    /// would look up to date and serve by the old configuration.
-    Config(u64),
-}
-
-/// Maximum number of bytes of changes in one datagram. Holds the changes of a hundred servers that leave together; with
-/// the work at a hundred servers beside them, a datagram stays below half of the largest.
-pub(crate) const MAX_BATCH_BYTES: usize = 20 << 10;
-/// Maximum encoded size of a change's revision, in bytes.
-const MAX_REVISION_BYTES: usize = 9;
-
-impl RelayedChange {
-    /// Returns the name under which the changed item is found.
-    fn key(&self) -> &str {
-        match self {
-            Self::Server(name, _) | Self::ServerRemoved(name) | Self::ServerUnreadable(name) => {
-                name.as_str()
-            }
-            Self::SystemItem { key, .. } | Self::SystemItemRemoved(key) => key,
-            Self::RolloutOrder(service, _) => service.as_str(),
-            Self::Config(_) => "configuration",
-        }
-    }
-
-    /// Returns an upper bound of the change's size in a datagram, in bytes.
-    fn max_encoded_bytes(&self) -> usize {
-        let size = encoding().serialized_size(self).unwrap_or(u64::MAX);
-        MAX_REVISION_BYTES + usize::try_from(size).unwrap_or(usize::MAX)
-    }
-
-    /// Returns whether other VMs need the change.
-    ///
-    /// The holder of the duties stores thousands of bytes of counts each second. If these were relayed to all VMs,
-    /// datagrams would exceed 60 KB and be truncated: no VM would learn of a leaving server, and all VMs would read the
-    /// store themselves. The VM that takes over the duties reads these keys itself; the other VMs only need the entries
-    /// of VMs, the holder, quarantines and roll-outs.
-    fn is_needed_by_peers(&self) -> bool {
-        match self {
-            Self::SystemItem { key, .. } | Self::SystemItemRemoved(key) => {
-                key == HOLDER_KEY
-                    || [PEER_KEYS, QUARANTINE_KEY_PREFIX, ROLLOUT_KEY_PREFIX, VERSION_KEY_PREFIX]
-                        .iter()
-                        .any(|it| key.starts_with(it))
-            }
-            Self::Server(..)
-            | Self::ServerRemoved(_)
-            | Self::ServerUnreadable(_)
-            | Self::RolloutOrder(..)
-            | Self::Config(_) => true,
-        }
-    }
-}
-
 /// The store revision that this VM has reached, and the log of changes up to it.
 #[derive(Debug, Default)]
 pub(crate) struct StoreView {
@@ -428,122 +360,6 @@
     }
 }
 
-/// Applies one change, or leaves it out if that panics: one change must not keep a VM from all later ones. Other VMs may
-/// be able to apply it.
-fn apply_contained(node: &Node, change: &RelayedChange) -> bool {
-    contain_panic(|| apply_change(node, change)).unwrap_or_else(|why| {
-        log::error!(key = change.key(), why; "change-panicked");
-        true
-    })
-}
-
-/// Returns whether a server can be at the address of an entry, and logs if none can.
-///
-/// An entry of another writer may name any address. Requests for a server at one of the VMs' own would come back as
-/// callers' requests, and go out again until their deadline.
-fn has_server_address(node: &Node, name: &BackendServerName, entry: &ServerEntry) -> bool {
-    let (ip, port) = (entry.address.ip(), entry.address.port());
-    let settings = &node.settings;
-    let own = [settings.front.port(), settings.ready.port(), settings.metrics.port()];
-    let is_own_port = port != 0 && (own.contains(&port) || port == settings.peer_port);
-    let is_of_vm = || {
-        let peers = node.peers.borrow();
-        ip == settings.ip || peers.table.listed_descriptors().any(|it| it.address.ip() == ip)
-    };
-    let is_no_host = ip.is_unspecified() || ip.is_multicast() || ip == Ipv4Addr::BROADCAST;
-    if is_no_host || (is_own_port && is_of_vm()) {
-        log::error!(name = name.as_str(), address:% = entry.address; "server-address-invalid");
-        return false;
-    }
-    true
-}
-
-/// Applies one change. Returns `false` if it is a server entry that changes nothing.
-fn apply_change(node: &Node, change: &RelayedChange) -> bool {
-    let now = clock::now();
-    match change {
-        RelayedChange::Server(name, entry) if !has_server_address(node, name, entry) => {
-            node.servers.borrow_mut().mark_unreadable(name);
-        }
-        RelayedChange::Server(name, entry) => {
-            let mut servers = node.servers.borrow_mut();
-            let known = servers.get(name).map(|it| it.entry.clone());
-            let logged_fields = |it: &ServerEntry| (it.start, it.draining);
-            if known.as_ref().map(logged_fields) != Some(logged_fields(entry)) {
-                log::info!(
-                    server = name.as_str(), start = entry.start.0, draining = entry.draining,
-                    reclaimable = entry.reclaimable;
-                    "server-listed"
-                );
-            }
-            let is_new =
-                servers.apply_entry(name, entry.clone(), now) || known.as_ref() != Some(entry);
-            return is_new;
-        }
-        RelayedChange::ServerRemoved(name) => {
-            log_removal(name, node.servers.borrow_mut().remove_entry(name, now));
-        }
-        RelayedChange::ServerUnreadable(name) => node.servers.borrow_mut().mark_unreadable(name),
-        RelayedChange::SystemItem { key, value } if key == HOLDER_KEY => {
-            node.peers.borrow_mut().set_holder(Some(holder_name(value)));
-        }
-        RelayedChange::RolloutOrder(service, order) => {
-            rollouts::apply_order(node, service, order.clone());
-        }
-        RelayedChange::SystemItem { key, value } if key.starts_with(ROLLOUT_KEY_PREFIX) => {
-            if let Some((service, record)) = rollouts::parse_record(key, value) {
-                rollouts::apply_record(node, &service, record);
-            }
-        }
-        RelayedChange::SystemItem { key, value } if key.starts_with(QUARANTINE_KEY_PREFIX) => {
-            let mut poison = node.poison.borrow_mut();
-            match parse_entry(key, value) {
-                Some((Suspect::Request(digest), Quarantined::Request(entry))) => {
-                    poison.apply_entry(digest, entry);
-                }
-                Some((Suspect::Part(part), Quarantined::Part(entry))) => {
-                    poison.apply_part_entry(part, entry, now);
-                }
-                _ => {}
-            }
-        }
-        RelayedChange::SystemItem { key, value } if key.starts_with(VERSION_KEY_PREFIX) => {
-            if let Some((service, versions)) = parse_versions(key, value) {
-                node.streams.apply_history(service, versions, now);
-            }
-        }
-        RelayedChange::SystemItem { key, value } => {
-            if let Some(descriptor) = parse_descriptor(key, value)
-                && node.peers.borrow_mut().table.apply_entry(descriptor)
-            {
-                log::info!(peer = key; "peer-found");
-            }
-        }
-        RelayedChange::Config(version) => {
-            node.reported_config_version.set(node.reported_config_version.get().max(*version));
-        }
-        RelayedChange::SystemItemRemoved(key) if key == HOLDER_KEY => {
-            node.peers.borrow_mut().set_holder(None);
-        }
-        RelayedChange::SystemItemRemoved(key) if key.starts_with(QUARANTINE_KEY_PREFIX) => {
-            if let Some(suspect) = suspect_of(key) {
-                node.poison.borrow_mut().remove_entry(suspect, now);
-            }
-        }
-        RelayedChange::SystemItemRemoved(key) if key.starts_with(VERSION_KEY_PREFIX) => {
-            let service = key.strip_prefix(VERSION_KEY_PREFIX).unwrap_or_default().into();
-            node.streams.apply_history(service, Vec::new(), now);
-        }
-        RelayedChange::SystemItemRemoved(key) => {
-            let centre_and_name = key.strip_prefix(PEER_KEYS);
-            if let Some((_, name)) = centre_and_name.and_then(|it| it.split_once('/')) {
-                node.peers.borrow_mut().table.mark_unlisted(name);
-            }
-        }
-    }
-    true
-}
-
 /// Logs how a removal was interpreted, which explains requests that reach the server afterwards.
 fn log_removal(name: &BackendServerName, removal: Option<Removal>) {
     let taken_for = match removal {
--- a/crates/quincevalve_node/src/store/view/tests.rs
+++ b/crates/quincevalve_node/src/store/view/tests.rs
@@ -1,7 +1,10 @@
 use quincevalve_forwarding::{servers::ServerStart, store_contact::ContactSpan};
 
+use bincode::Options;
+
 use super::*;
 use crate::{
+    peers::encoding,
     store::sync::record_store_contact,
     test_node::{node, run},
 };
