--- a/crates/quincevalve_forwarding/src/rollout/exposure.rs
+++ b/crates/quincevalve_forwarding/src/rollout/exposure.rs
@@ -56,7 +56,7 @@
         let allowed = USED_FRACTION * fraction * (limit.ratio_share(self.requests) + slack);
         let rounded =
             (allowed + (vm_rank.rank as f64 + 0.5) / vm_rank.vm_count.max(1) as f64).floor();
-        (self.sent + 1) as f64 <= rounded
+        self.sent.saturating_add(1) as f64 <= rounded
     }
 
     /// Returns the number of requests that this VM sent to the new version.
--- a/crates/quincevalve_node/src/hostile_tests.rs
+++ b/crates/quincevalve_node/src/hostile_tests.rs
@@ -354,6 +354,11 @@
             work["memory"] = u64::MAX.into();
         }
     });
+    the_largest_number_of_vms => handle_edited(|it| {
+        if let Some(vms) = it.pointer_mut("/content/Digest/sum/vms") {
+            *vms = u32::MAX.into();
+        }
+    });
     the_longest_age_of_a_report => handle_edited(|it| {
         if let Some(age) = it.pointer_mut("/content/Digest/store_report/age/secs") {
             *age = u64::MAX.into();
--- a/crates/quincevalve_node/src/peers/send.rs
+++ b/crates/quincevalve_node/src/peers/send.rs
@@ -105,7 +105,8 @@
 /// use.
 fn apply_peer_sums(node: &Node, now: TimePoint) {
     let peer_sum = node.peers.borrow().peer_sum(now);
-    let reachable_fraction = (f64::from(peer_sum.vms + 1) / node.vm_count() as f64).min(1.0);
+    let reachable = f64::from(peer_sum.vms) + 1.0;
+    let reachable_fraction = (reachable / node.vm_count() as f64).min(1.0);
     {
         let mut peers = node.peers.borrow_mut();
         peers.peer_demand.clone_from(&peer_sum.demand);
--- a/crates/quincevalve_node/src/request/forwarded.rs
+++ b/crates/quincevalve_node/src/request/forwarded.rs
@@ -9,6 +9,9 @@
 /// Header of a peer's own answer to a forwarded request, with the name of the refusal.
 const REFUSED: HeaderName = HeaderName::from_static("quincevalve-refused");
 
+/// More servers than any route allows. A larger number would overflow with those that follow.
+const MAX_RUNS: u32 = 1_000;
+
 /// What a VM states about a request that it forwards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Forwarded {
@@ -35,7 +38,7 @@
         let mut fields = value.to_str().ok()?.split(',');
         let forwarded = Self {
             config_version: fields.next()?.parse().ok()?,
-            runs: fields.next()?.parse().ok()?,
+            runs: fields.next()?.parse::<u32>().ok()?.min(MAX_RUNS),
             is_counted: fields.next()? == "1",
         };
         fields.next().is_none().then_some(forwarded)
--- a/crates/quincevalve_node/src/rollouts.rs
+++ b/crates/quincevalve_node/src/rollouts.rs
@@ -180,7 +180,7 @@
 
     /// Records the mean time in milliseconds between two events of the stream.
     pub(crate) fn record_pace(&self, between_ms: f64) {
-        self.add_sample(Sample::Pace(between_ms / step_ms(self.known_requests + 1)));
+        self.add_sample(Sample::Pace(between_ms / step_ms(self.known_requests.saturating_add(1))));
     }
 
     fn add_sample(&self, sample: Sample) {
