Measure the memory of answers without end one test at a time

The tests of memory measure the whole process; beside each other they could exceed the bound together.

--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Runs whole processes of the node on loopback, with scripted callers, scripted servers and a fake store.
 #![allow(dead_code, unreachable_pub, reason = "each test file uses only some of these helpers")]
 
+pub mod endless;
 pub mod link;
 pub mod quarantine;
 
