--- a/crates/quincevalve_hostile/src/lib.rs
+++ b/crates/quincevalve_hostile/src/lib.rs
@@ -86,9 +86,12 @@
 ///
 /// ```
 /// use proptest::{prelude::*, strategy::ValueTree, test_runner::TestRunner};
+/// let valid = r#"{"Slots":4,"State":"ready"}"#;
+/// let messages = quincevalve_hostile::message(valid);
 /// let mut runner = TestRunner::deterministic();
-/// let message = quincevalve_hostile::message(r#"{"Slots":4}"#).new_tree(&mut runner);
-/// assert!(message.is_ok_and(|it| it.current() != r#"{"Slots":4}"#));
+/// let mut draw = || messages.new_tree(&mut runner).expect("a message").current();
+/// let changed = (0..20).filter(|_| draw() != valid).count();
+/// assert!(changed > 10);
 /// ```
 pub fn message(valid: &str) -> impl Strategy<Value = String> + use<> {
     let valid: Value = serde_json::from_str(valid).unwrap_or_default();
@@ -117,7 +120,10 @@
         Edit::Lengthen(at, len) => (at, format!("\"{}\"", "x".repeat(*len))),
         Edit::Nest(at, depth) => (at, format!("{}{}", "[".repeat(*depth), "]".repeat(*depth))),
         Edit::Remove(at) => {
-            remove(message, at.get::<Vec<String>>(&paths));
+            // The whole message, which comes first, stays.
+            if let Some(fields) = paths.get(1..).filter(|it| !it.is_empty()) {
+                remove(message, at.get::<Vec<String>>(fields));
+            }
             return;
         }
         Edit::Repeat(at, with) => {
