--- a/review/standins-2/src/bin/case-5.rs
+++ b/review/standins-2/src/bin/case-5.rs
@@ -106,7 +106,7 @@
 
 fn run() -> io::Result<Verdict> {
     let folder = Folder::create()?;
-    let record = Arc::new(Record::create(Path::new("review/4/record.txt"))?);
+    let record = Arc::new(Record::create(Path::new("review/5/record.txt"))?);
     record.line(format!("trouble: {}", has_trouble()));
     let store = Store::start()?;
     let cloud = Cloud::start(record.clone())?;
