Review case 6: a holder of old acts on after the store returned from a copy

The holder of the duties freezes for 4 s, another machine takes over, and the store comes back from a copy 2 s old. The woken machine renews its lease, which exists again, and reports usage with the lower fencing token from then on.

The stand-ins are formatted.

--- a/review/standins-2/src/bin/case-5.rs
+++ b/review/standins-2/src/bin/case-5.rs
@@ -201,7 +201,8 @@
     let text = String::from_utf8_lossy(&answer.body).into_owned();
     let got: Vec<&str> = text.split_inclusive("\n\n").collect();
     let wanted: Vec<String> = (1..=EVENTS).map(|it| event(&id, it)).collect();
-    let is_prefix = got.len() <= wanted.len() && got.iter().zip(&wanted).all(|(it, other)| it == other);
+    let is_prefix =
+        got.len() <= wanted.len() && got.iter().zip(&wanted).all(|(it, other)| it == other);
     record.line(format!(
         "client: {id} got {} and {} of {EVENTS} events in order: {is_prefix}, ends as complete: {} {}",
         answer.status,
@@ -286,7 +287,10 @@
     let number = engines.moves.fetch_add(1, Ordering::SeqCst);
     engines.unframed_moves.fetch_add(u64::from(run.is_unframed), Ordering::SeqCst);
     let handle = format!("h{number}");
-    record.line(format!("worker {}: stops {id} after {made} events and copies it to {to}", worker.id));
+    record.line(format!(
+        "worker {}: stops {id} after {made} events and copies it to {to}",
+        worker.id
+    ));
     let copy = Copy { id, to, is_used: false };
     let key = format!("{}/{handle}", worker.address);
     engines.copies.lock().expect("no panic under the lock").insert(key, copy);
@@ -315,7 +319,8 @@
     let id = head.get("x-quincevalve-attempt-id").unwrap_or_default().to_owned();
     let from = head.get("kv-from");
     if from.is_some_and(|it| !take_copy(engines, worker, &id, it)) {
-        let headers = [("X-Quincevalve-Not-Executed", "1"), ("X-Quincevalve-Attempt-Id", id.as_str())];
+        let headers =
+            [("X-Quincevalve-Not-Executed", "1"), ("X-Quincevalve-Attempt-Id", id.as_str())];
         respond(stream, 503, &headers, b"")?;
         return Ok(true);
     }
@@ -347,8 +352,7 @@
     run: &Run,
     stream: &mut TcpStream,
 ) -> io::Result<()> {
-    let framing =
-        if run.is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+    let framing = if run.is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
          X-Quincevalve-Attempt-Id: {id}\r\nX-Quincevalve-Response-Seal: {}\r\n\r\n",
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -1,12 +1,6 @@
 //! The record of what was sent, answered and run.
 
-use std::{
-    fs::File,
-    io::Write,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
 
 /// Writes lines with the time since the start of the case.
 pub struct Record {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -123,12 +123,14 @@
         self.changed.notify_all();
     }
 
-    /// Returns from the copy: what was written since is gone, leases too.
+    /// Returns from the copy: what was written since is gone, leases too. Leases that the copy holds run anew.
     pub fn return_from_copy(&self) {
         let mut inner = self.lock();
         let mut state = inner.copy.clone().expect("a copy");
         let now = Instant::now();
         state.leases.values_mut().for_each(|it| it.until = now + it.ttl);
+        // The pages say that revisions are given out again, and don't say it of leases.
+        state.last_lease = inner.state.last_lease;
         inner.state = state;
         inner.era += 1;
         inner.is_away = false;
@@ -141,8 +143,13 @@
             return;
         }
         let now = Instant::now();
-        let expired: Vec<u64> =
-            inner.state.leases.iter().filter(|(_, it)| it.until <= now).map(|(id, _)| *id).collect();
+        let expired: Vec<u64> = inner
+            .state
+            .leases
+            .iter()
+            .filter(|(_, it)| it.until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in expired {
             inner.state.end_lease(id);
             self.changed.notify_all();
@@ -157,10 +164,8 @@
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let (status, answer) = match (head.method(), head.path()) {
             ("GET", "/kv-key") => self.key(&head.query("Key").unwrap_or_default()),
-            ("GET", "/kv-range") => self.range(
-                &head.query("Prefix").unwrap_or_default(),
-                head.query("After").as_deref(),
-            ),
+            ("GET", "/kv-range") => self
+                .range(&head.query("Prefix").unwrap_or_default(), head.query("After").as_deref()),
             ("GET", "/kv-watch") => self.watch(head),
             ("POST", "/kv-txn") => self.transaction(&body),
             ("POST", "/kv-lease") => self.grant(&body),
@@ -258,7 +263,7 @@
     }
 
     fn grant(&self, body: &Value) -> (u16, Value) {
-        let ttl_ms = body["TtlMs"].as_u64().unwrap_or_default().clamp(1_000, 600_000);
+        let ttl_ms = body["TtlMs"].as_u64().unwrap_or_default().max(1_000).min(600_000);
         let ttl = Duration::from_millis(ttl_ms);
         let state = &mut self.lock().state;
         state.last_lease += 1;
@@ -302,8 +307,12 @@
         if self.leases.remove(&id).is_none() {
             return;
         }
-        let keys: Vec<String> =
-            self.items.iter().filter(|(_, it)| it.lease == id).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, it)| it.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in keys {
             self.begin_change().write(&key, None, 0);
         }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -110,8 +110,10 @@
         }
         let attempt = head.get("x-quincevalve-attempt-id").unwrap_or_default();
         if head.get("x-quincevalve-expect-worker").is_some_and(|it| it != self.id) {
-            let headers =
-                [("X-Quincevalve-Worker-Id", self.id.as_str()), ("X-Quincevalve-Attempt-Id", attempt)];
+            let headers = [
+                ("X-Quincevalve-Worker-Id", self.id.as_str()),
+                ("X-Quincevalve-Attempt-Id", attempt),
+            ];
             respond(stream, 421, &headers, b"")?;
             return Ok(true);
         }
