Review case 7: large configurations in quick succession stop all machines

Versions of 0.85 of ValueBytes, 80 ms apart, exceed 2 MiB in one answer of a watch; all machines stop following the store until its history is gone, act by the old version and refuse all requests with keys.

--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -1,11 +1,14 @@
-//! SIGTERM of the machine that passes long answers on, over a link of 10 Mbit/s.
+//! Large configurations in quick succession, more than 2 MiB of them between two reads of the store.
 
 use std::{
-    io::{self, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io,
+    net::SocketAddr,
     path::Path,
     process::exit,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -21,24 +24,29 @@
     worker::{Worker, seal},
 };
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 
-/// Bandwidth of the machine's link, in Mbit/s: the least that the users' pages name.
-const LINK_MBPS: u32 = 10;
-const LINK_BYTES_PER_MS: usize = LINK_MBPS as usize * 125;
-/// Window and segment size of the link's connections, in bytes.
-const WINDOW: usize = 32 << 10;
-const SEGMENT: u32 = 1_448;
-/// Size of an answer, in bytes, and the number of clients that fetch one at the same time. All of them take 5.6 s.
-const ANSWER: usize = 4_000_000;
-const CLIENTS: usize = 2;
-/// Time that clients wait, and the route's timeout, in milliseconds.
-const DEADLINE_MS: u64 = 15_000;
-const TIMEOUT_MS: u64 = 12_000;
-/// Time from the first request to SIGTERM.
-const STOP_AFTER: Duration = Duration::from_millis(600);
-/// GraceS, after which the platform kills a process.
-const GRACE: Duration = Duration::from_secs(8);
+/// Number of entry machines.
+const NODES: u8 = 3;
+/// Routes that the configuration holds besides those that are used: `big_config`. With them it has 0.85 of `ValueBytes`.
+const ROUTES: usize = 1_920;
+/// Last part of the prefixes of these routes.
+const PREFIX_PART: &str = "vehicle-records/history-checks/of-dealers-and-private-buyers/in-scotland-and-the-north-of-england/\
+    with-finance-and-write-offs/by-registration-plate-and-date-of-the-first-registration/and-by-the-number-of-the-chassis/";
+/// Limit of a value in the store, `ValueBytes`.
+const VALUE_BYTES: usize = 1_048_576;
+/// Time between two versions, and the number of versions: `config_storm` with `gap_s` = 0.08 and `for_s` = 2.0.
+const GAP: Duration = Duration::from_millis(80);
+const VERSIONS: u64 = 25;
+/// The first version of the quick succession.
+const FIRST_VERSION: u64 = 20;
+/// `ConfigApplyMs` of the settings.
+const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+/// Time for which requests are judged, and the time between two of them at each machine.
+const JUDGED: Duration = Duration::from_secs(24);
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// When a version was acknowledged that moved the route, and which service runs which request.
+type Runs = Arc<Mutex<Vec<(String, String)>>>;
 
 fn main() {
     let verdict = run().unwrap_or_else(|error| {
@@ -48,18 +56,29 @@
     exit(verdict.code());
 }
 
-fn config() -> Value {
+fn config(version: u64, service: &str) -> Value {
+    let route = |name: String, prefix: String, service: &str, anonymous: bool| {
+        json!({
+            "Name": name, "Host": "ficu95.example", "Prefix": prefix, "RouteType": "idempotent",
+            "TimeoutMs": 1200, "TargetLatencyMs": 150, "Priority": 2, "Service": service,
+            "MaxAttempts": 2, "Anonymous": anonymous, "SessionAffinity": false,
+            "StreamResumption": false
+        })
+    };
+    let mut routes = vec![
+        route("r-open".to_owned(), "/open/".to_owned(), service, true),
+        route("r-held".to_owned(), "/held/".to_owned(), service, false),
+    ];
+    let more = (0..ROUTES).map(|at| {
+        route(format!("r-6tta{at:04}"), format!("/lohu{at:04}/{PREFIX_PART}"), "wuno96a", false)
+    });
+    routes.extend(more);
     json!({
-        "Version": 7,
-        "Routes": [{
-            "Name": "r-sheet", "Host": "ficu95.example", "Prefix": "/sheet/",
-            "RouteType": "idempotent", "TimeoutMs": TIMEOUT_MS, "TargetLatencyMs": 1000,
-            "Priority": 2, "Service": "sheets", "MaxAttempts": 2, "Anonymous": false
-        }],
-        "Services": [{
-            "Name": "sheets", "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1",
-            "TlsEnabled": false
-        }],
+        "Version": version, "Routes": routes,
+        "Services": [
+            {"Name": "wuno96a", "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "TlsEnabled": false},
+            {"Name": "wuno96b", "HealthPath": "/healthz", "MaxConnections": 110, "Protocol": "h1", "TlsEnabled": false}
+        ],
         "Limits": {
             "MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000
@@ -74,96 +93,103 @@
     record.line(format!("trouble: {}", has_trouble()));
     let store = Store::start()?;
     let cloud = Cloud::start(record.clone())?;
-    store.put("op/config", &config());
-    let _workers = [start_worker(0, &store, &record)?, start_worker(1, &store, &record)?];
+    store.put("op/config", &config(7, "wuno96a"));
+    let runs = Runs::default();
+    let _workers = [
+        start_worker("i-7f3a91c0", "wuno96a", &store, &runs)?,
+        start_worker("i-7f3a91c1", "wuno96b", &store, &runs)?,
+    ];
     let mut nodes = Vec::new();
-    for at in 0..2 {
-        let zone = ["erding", "freising"][usize::from(at)].to_owned();
-        let figures = Figures { zone, link_mbps: LINK_MBPS, ..Figures::default() };
-        let mut node = Node::new(&folder.0, at, store.address, cloud.address, &figures)?;
+    for at in 0..NODES {
+        let mut node = Node::new(&folder.0, at, store.address, cloud.address, &Figures::default())?;
         node.start()?;
         nodes.push(node);
     }
     if !nodes.iter().all(|it| it.await_ready(Duration::from_secs(20))) {
         return Ok(Verdict::CouldNotRun);
     }
-    thread::sleep(Duration::from_secs(2));
-    let entry = start_link(nodes[0].frontend())?;
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|at| {
-            let record = record.clone();
-            thread::spawn(move || fetch(at, entry, &record))
-        })
-        .collect();
-    thread::sleep(STOP_AFTER);
-    if has_trouble() {
-        record.line(format!("machine {}: SIGTERM", nodes[0].name));
-        nodes[0].signal(libc::SIGTERM);
-        let since = Instant::now();
-        while !nodes[0].has_ended() && since.elapsed() < GRACE {
-            thread::sleep(Duration::from_millis(5));
+    thread::sleep(Duration::from_secs(4));
+    let fronts: Vec<_> = nodes.iter().map(Node::frontend).collect();
+    let before = ask_all(&fronts, &runs, &record);
+    if before.iter().any(|it| it.service.as_deref() != Some("wuno96a") || it.held != 200) {
+        return Ok(Verdict::CouldNotRun);
+    }
+    let size = config(0, "wuno96a").to_string().len();
+    record.line(format!("operator: a configuration has {size} bytes"));
+    if size > VALUE_BYTES {
+        return Ok(Verdict::CouldNotRun);
+    }
+    let versions = if has_trouble() { VERSIONS } else { 1 };
+    for number in 0..versions {
+        let version = FIRST_VERSION + number;
+        // Only the newest version moves the routes to the other service.
+        let service = if number + 1 == versions { "wuno96b" } else { "wuno96a" };
+        store.put("op/config", &config(version, service));
+        record
+            .line(format!("operator: version {version} is acknowledged, /open/ goes to {service}"));
+        if number + 1 < versions {
+            thread::sleep(GAP);
+        }
+    }
+    thread::sleep(CONFIG_APPLY + Duration::from_millis(50));
+    let since = Instant::now();
+    let (mut judged, mut old, mut refused) = (0, 0, 0);
+    while since.elapsed() < JUDGED {
+        for answer in ask_all(&fronts, &runs, &record) {
+            judged += 1;
+            old += usize::from(answer.service.as_deref() == Some("wuno96a"));
+            refused += usize::from(answer.held == 503);
         }
-        record.line(format!(
-            "machine {}: ended {:?} after SIGTERM",
-            nodes[0].name,
-            since.elapsed()
-        ));
-        nodes[0].signal(libc::SIGKILL);
+        thread::sleep(INTERVAL);
     }
-    let answers: Vec<_> = clients.into_iter().map(|it| it.join().expect("no panic")).collect();
-    let whole = answers.iter().filter(|it| **it == Fetched::Whole).count();
-    let cut = answers.iter().filter(|it| **it == Fetched::Cut).count();
-    record.line(format!("{whole} of {CLIENTS} answers whole, {cut} cut off"));
-    if cut > 0 {
+    record.line(format!(
+        "{judged} requests sent later than ConfigApplyMs after the newest version: {old} run by the old service; \
+         {refused} of as many requests with a key answered 503"
+    ));
+    if old > 0 {
         return Ok(Verdict::Broken);
     }
-    Ok(if whole == CLIENTS { Verdict::Held } else { Verdict::CouldNotRun })
+    Ok(if judged > 0 { Verdict::Held } else { Verdict::CouldNotRun })
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fetched {
-    Whole,
-    /// The connection ended without a complete answer, before the client's deadline and the route's timeout.
-    Cut,
-    Other,
+/// What a machine did with a request on each of the two routes.
+struct Asked {
+    /// The service that ran the request without a key.
+    service: Option<String>,
+    /// The status of the one with a key.
+    held: u16,
 }
 
-fn fetch(at: usize, entry: SocketAddr, record: &Record) -> Fetched {
-    let id = format!("{:016x}", 0x9c41_d07b_e2a3_0000_u64 + at as u64);
-    let request = format!(
-        "GET /sheet/{at} HTTP/1.1\r\nHost: ficu95.example\r\nX-Quincevalve-Attempt-Id: {id}\r\n\
-         X-Quincevalve-Deadline-Ms: {DEADLINE_MS}\r\n\
-         X-Quincevalve-Credential: i9n73hh2b9wu3fexd9dn\r\n\r\n"
-    );
-    record.line(format!("client: sends {id}"));
-    let answer = client::send(entry, request.as_bytes(), Duration::from_millis(DEADLINE_MS));
-    record.line(format!(
-        "client: {id} got {} and {} of {ANSWER} bytes, complete: {}, after {:?} {}",
-        answer.status,
-        answer.body.len(),
-        answer.is_complete,
-        answer.took,
-        answer.error.clone().unwrap_or_default()
-    ));
-    if answer.status == 200 && answer.is_complete && answer.body == body(&id) {
-        Fetched::Whole
-    } else if !answer.is_complete && answer.took < Duration::from_millis(TIMEOUT_MS) {
-        Fetched::Cut
-    } else {
-        Fetched::Other
-    }
+fn ask_all(fronts: &[SocketAddr], runs: &Runs, record: &Record) -> Vec<Asked> {
+    fronts.iter().map(|it| ask(*it, runs, record)).collect()
 }
 
-fn body(id: &str) -> Vec<u8> {
-    id.bytes().cycle().take(ANSWER).collect()
+fn ask(front: SocketAddr, runs: &Runs, record: &Record) -> Asked {
+    static NUMBER: AtomicU64 = AtomicU64::new(0);
+    let send = |prefix: &str| {
+        let id = format!("9c41d07b{:08x}", NUMBER.fetch_add(1, Ordering::SeqCst));
+        let request = format!(
+            "GET /{prefix}/1 HTTP/1.1\r\nHost: ficu95.example\r\nX-Quincevalve-Attempt-Id: {id}\r\n\
+             X-Quincevalve-Deadline-Ms: 2500\r\nX-Quincevalve-Credential: i9n73hh2b9wu3fexd9dn\r\n\r\n"
+        );
+        (id, client::send(front, request.as_bytes(), Duration::from_millis(2_500)).status)
+    };
+    let (id, open) = send("open");
+    let (_, held) = send("held");
+    let runs = runs.lock().expect("no panic under the lock");
+    let service = runs.iter().rev().find(|(it, _)| *it == id).map(|(_, service)| service.clone());
+    record.line(format!(
+        "client: {} /open/ {open}, run by {}; /held/ {held}",
+        front.ip(),
+        service.as_deref().unwrap_or("none")
+    ));
+    Asked { service, held }
 }
 
-fn start_worker(at: usize, store: &Store, record: &Arc<Record>) -> io::Result<Arc<Worker>> {
+fn start_worker(id: &str, service: &str, store: &Store, runs: &Runs) -> io::Result<Arc<Worker>> {
     let listener = http::bind("127.0.0.1".parse().expect("an address"))?;
-    let id = format!("i-7f3a91c{at}");
-    let zone = ["erding", "freising"][at];
-    let worker = Worker::register(&id, "sheets", zone, 6, listener.local_addr()?, store);
-    let (record, this) = (record.clone(), worker.clone());
+    let worker = Worker::register(id, service, "erding", 6, listener.local_addr()?, store);
+    let (this, runs) = (worker.clone(), runs.clone());
     http::serve(
         listener,
         Arc::new(move |head, _, stream| {
@@ -171,59 +197,16 @@
                 return Ok(true);
             }
             let attempt = head.get("x-quincevalve-attempt-id").unwrap_or_default();
-            record.line(format!("worker {}: runs {attempt}", this.id));
-            thread::sleep(Duration::from_millis(30));
+            let run = (attempt.to_owned(), this.service.clone());
+            runs.lock().expect("no panic under the lock").push(run);
             let seal = seal(attempt, &this.id);
             let headers = [
                 ("X-Quincevalve-Attempt-Id", attempt),
                 ("X-Quincevalve-Response-Seal", seal.as_str()),
             ];
-            respond(stream, 200, &headers, &body(attempt))?;
-            record.line(format!("worker {}: has answered {attempt}", this.id));
+            respond(stream, 200, &headers, b"ok")?;
             Ok(true)
         }),
     );
     Ok(worker)
 }
-
-/// Starts a proxy that stands for a machine's link: all answers together pass at its bandwidth.
-fn start_link(node: SocketAddr) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    let free_at = Arc::new(Mutex::new(Instant::now()));
-    thread::spawn(move || {
-        for client in listener.incoming().flatten() {
-            let free_at = free_at.clone();
-            thread::spawn(move || {
-                // Connections end with errors when one end resets them.
-                let _ = pass_on(client, node, &free_at);
-            });
-        }
-    });
-    Ok(address)
-}
-
-fn pass_on(mut client: TcpStream, node: SocketAddr, free_at: &Mutex<Instant>) -> io::Result<()> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_recv_buffer_size(WINDOW)?;
-    socket.set_tcp_mss(SEGMENT)?;
-    socket.connect(&node.into())?;
-    let mut up: TcpStream = socket.into();
-    let (mut from_client, mut to_node) = (client.try_clone()?, up.try_clone()?);
-    thread::spawn(move || io::copy(&mut from_client, &mut to_node));
-    let mut buf = [0; SEGMENT as usize];
-    loop {
-        let count = up.read(&mut buf)?;
-        if count == 0 {
-            return client.shutdown(std::net::Shutdown::Both);
-        }
-        let until = {
-            let mut free_at = free_at.lock().expect("no panic under the lock");
-            let time = Duration::from_micros((count * 1_000 / LINK_BYTES_PER_MS) as u64);
-            *free_at = (*free_at).max(Instant::now()) + time;
-            *free_at
-        };
-        thread::sleep(until.saturating_duration_since(Instant::now()));
-        client.write_all(&buf[..count])?;
-    }
-}
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -1,7 +1,7 @@
 //! The platform's metadata store.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io,
     net::{SocketAddr, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
@@ -16,6 +16,8 @@
 
 /// Maximum number of items of a page.
 const PAGE: usize = 500;
+/// Time for which changes can be watched: `HistoryS`.
+const HISTORY: Duration = Duration::from_secs(20);
 
 #[derive(Clone)]
 struct Item {
@@ -29,6 +31,7 @@
 struct Event {
     key: String,
     revision: u64,
+    at: Instant,
     /// The item as it was written; `None` if it was removed.
     item: Option<Item>,
 }
@@ -44,7 +47,9 @@
 struct State {
     revision: u64,
     items: BTreeMap<String, Item>,
-    events: Vec<Event>,
+    events: VecDeque<Event>,
+    /// The newest change that can no longer be watched.
+    forgotten: u64,
     leases: BTreeMap<u64, Lease>,
     last_lease: u64,
 }
@@ -214,7 +219,7 @@
             if inner.is_away || inner.era != era {
                 return (503, Value::Null);
             }
-            if after > inner.state.revision {
+            if after > inner.state.revision || after < inner.state.forgotten {
                 return (410, Value::Null);
             }
             let events = inner.state.events.iter();
@@ -300,7 +305,10 @@
             None if self.items.remove(key).is_none() => return,
             None => {}
         }
-        self.events.push(Event { key: key.to_owned(), revision, item });
+        self.events.push_back(Event { key: key.to_owned(), revision, at: Instant::now(), item });
+        while self.events.front().is_some_and(|it| it.at.elapsed() > HISTORY) {
+            self.forgotten = self.events.pop_front().map_or(self.forgotten, |it| it.revision);
+        }
     }
 
     fn end_lease(&mut self, id: u64) {
