--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -1,4 +1,6 @@
 //! The holder of the duties freezes, another machine takes over, and the store comes back from a copy.
+//!
+//! `TROUBLE=freeze` and `TROUBLE=drill` leave one of the two disruptions out.
 
 use std::{
     io,
@@ -87,7 +89,12 @@
         return Ok(Verdict::CouldNotRun);
     };
     record.line(format!("the holder is {} with token {}", first.holder, first.token));
-    if has_trouble() {
+    let trouble = std::env::var("TROUBLE").unwrap_or_default();
+    if trouble == "drill" {
+        store.take_copy();
+        thread::sleep(Duration::from_secs(2));
+        return_from_copy(&store, &worker, &record);
+    } else if has_trouble() {
         let frozen_at = Instant::now();
         record.line(format!("machine {} freezes", holder.name));
         holder.signal(libc::SIGSTOP);
@@ -98,14 +105,9 @@
         if let Some(next) = &next {
             record.line(format!("{} has taken over with token {}", next.holder, next.token));
             thread::sleep(AWAY_AFTER);
-            record.line("store: is away");
-            store.go_away();
-            thread::sleep(AWAY);
-            store.return_from_copy();
-            // The operator and the workers write again what the copy lacks.
-            store.put("op/config", &config());
-            worker.write_entry();
-            record.line("store: is back from the copy");
+            if trouble != "freeze" {
+                return_from_copy(&store, &worker, &record);
+            }
         }
         thread::sleep((frozen_at + FREEZE).saturating_duration_since(Instant::now()));
         holder.signal(libc::SIGCONT);
@@ -139,6 +141,18 @@
     Ok(if stale.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
+/// Lets the store be away and come back from its copy.
+fn return_from_copy(store: &Store, worker: &Worker, record: &Record) {
+    record.line("store: is away");
+    store.go_away();
+    thread::sleep(AWAY);
+    store.return_from_copy();
+    // The operator and the workers write again what the copy lacks.
+    store.put("op/config", &config());
+    worker.write_entry();
+    record.line("store: is back from the copy");
+}
+
 /// Waits until a call is there that fits.
 fn await_call(cloud: &Cloud, until: Instant, fits: impl Fn(&Call) -> bool) -> Option<Call> {
     while Instant::now() < until {
