--- a/review/standins-2/src/nodes.rs
+++ b/review/standins-2/src/nodes.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File},
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -15,7 +15,13 @@
 /// Ports as in the users' examples.
 const FRONTEND_PORT: u16 = 8221;
 const READY_PORT: u16 = 8224;
-const METRICS_PORT: &str = "9464";
+const PEER_PORT: u16 = 7600;
+const INTERNAL_PORT: u16 = 7615;
+/// The port in the command of the deploy file.
+const METRICS_PORT: u16 = 9464;
+/// Number of addresses that are tried for a machine, and the distance between them.
+const MAX_ADDRESSES: u32 = 20;
+const ADDRESS_STEP: u32 = 7_919;
 
 /// Figures of a deployment's settings that differ between cases.
 #[derive(Clone, Debug)]
@@ -31,6 +37,21 @@
     }
 }
 
+/// Returns a loopback address at which all ports of a machine are free.
+fn free_address(index: u8) -> io::Result<IpAddr> {
+    let run = std::process::id();
+    for attempt in 0..MAX_ADDRESSES {
+        let at = run.wrapping_add(attempt * ADDRESS_STEP);
+        let ip = Ipv4Addr::new(127, 60 + (at % 120) as u8, (at / 120 % 250) as u8, 10 + index);
+        let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
+        let tcp = [FRONTEND_PORT, READY_PORT, PEER_PORT, INTERNAL_PORT, METRICS_PORT];
+        if tcp.into_iter().all(is_free) && UdpSocket::bind((ip, PEER_PORT)).is_ok() {
+            return Ok(IpAddr::V4(ip));
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// One machine with its process.
 pub struct Node {
     pub name: String,
@@ -49,9 +70,7 @@
         cloud: SocketAddr,
         figures: &Figures,
     ) -> io::Result<Self> {
-        let run = std::process::id();
-        let ip = Ipv4Addr::new(127, 60 + (run % 120) as u8, (run / 120 % 250) as u8, 10 + index);
-        let ip = IpAddr::V4(ip);
+        let ip = free_address(index)?;
         let name = format!("edge-{}-{index}", figures.zone);
         let Figures { zone, memory_mb, link_mbps } = figures;
         let text = format!(
@@ -62,7 +81,7 @@
 Ip = "{ip}"
 Zone = "{zone}"
 Region = "obb"
-InternalPorts = [7600,7615]
+InternalPorts = [{PEER_PORT},{INTERNAL_PORT}]
 SeedNodes = []
 Bootstrap = true
 InTolerance = false
@@ -149,7 +168,7 @@
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new("target/release/quincevalve-node")
-            .args(["--metrics-port", METRICS_PORT])
+            .args(["--metrics-port", &METRICS_PORT.to_string()])
             .env("QUINCEVALVE_CONFIG", &self.settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
