State the store's era of refusals too, and log renewals that come late

A refusal of the store lost its headers, so that a VM didn't learn of a later era from a 404 or 412.

--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -170,7 +170,16 @@
     loop {
         sleep(period).await;
         let requested_at = clock::now();
-        match store.renew(lease).await {
+        let (is_over, era) = (!node.duty.borrow().is_held(requested_at), store.era());
+        let renewed = store.renew(lease).await;
+        if is_over || store.era() != era {
+            log::info!(
+                is_over, sent_era = era, era = store.era(), took_ms = clock::now().since(requested_at).as_millis() as u64,
+                is_renewed = renewed.is_ok();
+                "duty-renewed-late"
+            );
+        }
+        match renewed {
             Ok(()) => node.duty.borrow_mut().record_renewal(requested_at),
             Err(StoreError::LeaseEnded) => return,
             Err(error) => log::debug!(error:% = error; "duty-not-renewed"),
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -209,6 +209,9 @@
 
 /// The platform's key-value store.
 pub trait PlatformStore: Clone + 'static {
+    /// Returns the newest era that an answer to any call of this process has stated, also a refusal; 0 if none has.
+    fn era(&self) -> u64;
+
     /// Reads everything that the process uses. A result that may be old is the state at the revision that it names.
     fn snapshot(
         &self,
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -309,6 +309,10 @@
 }
 
 impl PlatformStore for FakeStore {
+    fn era(&self) -> u64 {
+        0
+    }
+
     async fn snapshot(&self, _: ReadConsistency) -> Result<Snapshot, StoreError> {
         self.admit_call().await?;
         self.vm.snapshot_reads.set(self.vm.snapshot_reads.get() + 1);
--- a/crates/quincevalve_ports/src/http_client.rs
+++ b/crates/quincevalve_ports/src/http_client.rs
@@ -246,6 +246,25 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<(Bytes, HeaderMap), CallError> {
+        let response = self.call_for_response(method, address, path, headers, body, limit).await?;
+        let (head, body) = response.into_parts();
+        if head.status.is_success() {
+            Ok((body, head.headers))
+        } else {
+            Err(CallError::Status { address, status: head.status, body })
+        }
+    }
+
+    /// Sends a request with headers and a body and returns the whole response, whatever its status, within `limit`.
+    pub async fn call_for_response(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
         let mut req = build_request(method, address, path, body)?;
         req.headers_mut().extend(headers);
         let exchange = async {
@@ -285,16 +304,11 @@
 async fn collect(
     address: SocketAddr,
     response: Response<Incoming>,
-) -> Result<(Bytes, HeaderMap), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let (head, body) = response.into_parts();
-    let status = head.status;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|_| CallError::Answer { address })?.to_bytes();
-    if status.is_success() {
-        Ok((body, head.headers))
-    } else {
-        Err(CallError::Status { address, status, body })
-    }
+    Ok(Response::from_parts(head, body))
 }
 
 fn build_client(
