Decide in one core whether a VM holds a term of the duties

Cause: whether a term is held was decided where each answer arrived. A renewal was sent after the term's end and revived it, and one that was answered in a later era extended it although the number may be that of another client's lease by then. Takeovers, revokes and the check before a call had the same gap, and a holder of more than one term before acted again within a lease.

DutyLease now says what to send next, whether to act and under which number. A term that is over by this VM's clock stays over. After a return of the store the holder reads its claim, a key of its own for each term under the lease, and goes on if the copy has it; who has missed an era gives up. Writes of the holder expect the claim; its removal replaces the revoke, which could end another client's lease. Fencing numbers come from the revision at which the term was read, so that a takeover that is carried out late can't lead to a number twice. A VM's calls are a lease apart if others have acted since, also over several terms; who can't act yet lets others take over. Calls are dropped when the term ends.

--- /dev/null
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -0,0 +1,351 @@
+//! Decides whether this VM holds the duty, and what it may send.
+
+use std::time::Duration;
+
+use quincevalve_names::{FencingNumber, Scaled, TimePoint};
+
+use super::term::{Term, era_of};
+
+/// Fraction of a lease during which the holder may act; the rest covers calls that are in flight when it ends.
+const USABLE_FRACTION: f64 = 0.8;
+
+/// An attempt to take the duty over.
+#[derive(Clone, Debug)]
+pub struct Takeover {
+    /// The term that begins.
+    pub term: Term,
+    /// Whether the store may have lost terms that came before.
+    pub may_have_lost_terms: bool,
+    era: u64,
+    requested_at: TimePoint,
+    acts_from: TimePoint,
+}
+
+/// Why the duty can't be taken over now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotNow {
+    /// The term was read in an earlier era than the newest.
+    EarlierEra,
+    /// This VM can't act before this time, and others may be able to.
+    Before(TimePoint),
+}
+
+/// What to send next to keep the term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read the term's claim: its revision is unknown, or the store has returned from an older copy since.
+    ReadClaim,
+    /// Renew the lease with this number.
+    Renew(u64),
+    /// Nothing: the term is over.
+    Over(TermEnd),
+}
+
+/// Why a term is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TermEnd {
+    /// A whole lease passed by this VM's clock since the newest answered renewal was sent.
+    Expired,
+    /// The store answered that the lease has ended.
+    LeaseEnded,
+    /// The store doesn't have the claim, or has it under another lease.
+    ClaimLost,
+    /// The store has returned from an older copy more than once since it last confirmed the term.
+    ErasMissed,
+    /// This VM gave the term up.
+    GivenUp,
+}
+
+/// A claim as read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimRead {
+    /// The claim's revision, with the era of the answer.
+    pub revision: u64,
+    /// The lease that the claim is attached to.
+    pub lease: u64,
+}
+
+/// A term that this VM holds.
+#[derive(Clone, Debug)]
+struct HeldTerm {
+    number: FencingNumber,
+    lease: u64,
+    /// The newest era in which the store has confirmed the term.
+    era: u64,
+    /// Time at which the newest answered renewal was sent.
+    renewal_sent_at: TimePoint,
+    /// Earliest time to act: before it, the holder of a lost term may still act.
+    acts_from: TimePoint,
+    /// Revision of the claim, once read.
+    claim: Option<u64>,
+}
+
+/// This VM's part in the duty: the term that it holds, if any, and what a next one depends on.
+///
+/// Times are those of a clock that counts time spent suspended. Answers that this VM gets are recorded with
+/// [`Self::record_era`] first.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use quincevalve_forwarding::duty::{DutyLease, LeaseStep, Term, TermEnd};
+/// use quincevalve_names::TimePoint;
+///
+/// let ms = TimePoint::from_millis;
+/// let mut duty = DutyLease::new("vm-1", Duration::from_secs(3), ms(0), true);
+/// let takeover = duty.begin_takeover(&Term::default(), 0, ms(1_000)).expect("no other era is known");
+/// assert!(duty.complete_takeover(takeover, 7, ms(1_010)));
+/// assert!(duty.begin_call(ms(1_020)).is_some());
+/// // The VM stands still for four seconds: no answer brings the term back.
+/// assert_eq!(duty.next_step(ms(5_000)), LeaseStep::Over(TermEnd::Expired));
+/// duty.record_renewal(ms(4_990), ms(5_000));
+/// assert_eq!(duty.begin_call(ms(5_000)), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct DutyLease {
+    me: String,
+    ttl: Duration,
+    started_at: TimePoint,
+    /// Whether the whole system starts for the first time.
+    is_first_start: bool,
+    /// The store's first known era, if any, the newest, and when that was first known.
+    first_era: Option<u64>,
+    era: u64,
+    era_known_at: TimePoint,
+    /// The term of the takeover that is under way.
+    taking: Option<FencingNumber>,
+    held: Option<HeldTerm>,
+    ended: TermEnd,
+    /// The newest number with which this process made calls, and when the newest of them began or ended.
+    last_call: Option<(FencingNumber, TimePoint)>,
+}
+
+impl DutyLease {
+    /// Creates the state of a VM whose process started at `started_at`. `ttl` is the duration of a lease.
+    pub fn new(me: &str, ttl: Duration, started_at: TimePoint, is_first_start: bool) -> Self {
+        Self {
+            me: me.to_owned(),
+            ttl,
+            started_at,
+            is_first_start,
+            first_era: None,
+            era: 0,
+            era_known_at: started_at,
+            taking: None,
+            held: None,
+            ended: TermEnd::GivenUp,
+            last_call: None,
+        }
+    }
+
+    /// Records an era that an answer of the store or another VM stated.
+    pub fn record_era(&mut self, era: u64, now: TimePoint) {
+        self.first_era.get_or_insert(era);
+        if era > self.era {
+            self.era = era;
+            self.era_known_at = now;
+        }
+    }
+
+    /// Returns the newest known era of the store.
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Begins to take the duty over from the term `before`, which was read at the revision `read_at`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that was read in an earlier era than the newest, or if this VM's calls would look like delayed
+    /// ones of an earlier term.
+    pub fn begin_takeover(
+        &mut self,
+        before: &Term,
+        read_at: u64,
+        now: TimePoint,
+    ) -> Result<Takeover, NotNow> {
+        self.taking = None;
+        if era_of(read_at) < self.era {
+            return Err(NotNow::EarlierEra);
+        }
+        let distinguishable_from = self.calls_distinguishable_from(before);
+        if now < distinguishable_from {
+            return Err(NotNow::Before(distinguishable_from));
+        }
+        // A holder of a lost term renewed it last before the store returned, and acts until that lease would have ended.
+        let lost_terms_end = self.era_known_at + self.ttl;
+        let must_wait = self.era > before.era();
+        let term = before.next(&self.me, read_at);
+        self.taking = Some(term.number);
+        Ok(Takeover {
+            term,
+            may_have_lost_terms: self.may_have_lost_terms(before),
+            era: self.era,
+            requested_at: now,
+            acts_from: if must_wait { now.max(lost_terms_end) } else { now },
+        })
+    }
+
+    /// Returns whether the store may have lost terms that followed `before`.
+    fn may_have_lost_terms(&self, before: &Term) -> bool {
+        let is_first_term = *before == Term::default()
+            && self.is_first_start
+            && self.first_era.is_none_or(|it| it == self.era);
+        self.era > before.era() && !is_first_term
+    }
+
+    /// Returns from when on the platform can tell this VM's calls from delayed ones of an earlier term.
+    ///
+    /// If others have acted since this VM did, its calls are a lease apart. A process that has just started doesn't know
+    /// when its VM acted last.
+    fn calls_distinguishable_from(&self, before: &Term) -> TimePoint {
+        let acted_at = if let Some((number, at)) = self.last_call {
+            (before.number != number).then_some(at)
+        } else {
+            let may_have_acted = before.may_have_been_held_before(&self.me);
+            (before.holder != self.me && may_have_acted).then_some(self.started_at)
+        };
+        acted_at.map_or(TimePoint::ZERO, |it| it + self.ttl)
+    }
+
+    /// Abandons the takeover that is under way, if any: an answer that comes later doesn't complete it.
+    pub const fn abandon_takeover(&mut self) {
+        self.taking = None;
+    }
+
+    /// Completes a takeover whose commit the store has acknowledged. Returns whether this VM holds the term.
+    ///
+    /// It doesn't if the store has returned from an older copy meanwhile, which may lack the lease or the commit, or if
+    /// the lease may be over already.
+    pub fn complete_takeover(&mut self, takeover: Takeover, lease: u64, now: TimePoint) -> bool {
+        let Takeover { term, era, requested_at, acts_from, .. } = takeover;
+        let is_under_way = self.taking.take() == Some(term.number);
+        if !is_under_way || era != self.era || now.since(requested_at) >= self.ttl {
+            return false;
+        }
+        self.held = Some(HeldTerm {
+            number: term.number,
+            lease,
+            era,
+            renewal_sent_at: requested_at,
+            acts_from,
+            claim: None,
+        });
+        true
+    }
+
+    /// Returns what to send next to keep the term. A term that is over stays over.
+    pub fn next_step(&mut self, now: TimePoint) -> LeaseStep {
+        if self.held.is_some() && !self.is_held(now) {
+            self.end(TermEnd::Expired);
+        }
+        self.end_if_eras_missed();
+        match &self.held {
+            None => LeaseStep::Over(self.ended),
+            Some(held) if held.claim.is_none() || held.era != self.era => LeaseStep::ReadClaim,
+            Some(held) => LeaseStep::Renew(held.lease),
+        }
+    }
+
+    /// Ends a term that wasn't confirmed in each era. In one between, another VM may have taken over, and it acts on
+    /// although the next copy names this VM.
+    fn end_if_eras_missed(&mut self) {
+        if self.held.as_ref().is_some_and(|it| self.era > it.era + 1) {
+            self.end(TermEnd::ErasMissed);
+        }
+    }
+
+    /// Records the answer to a read of the claim; `None` if the store doesn't have it.
+    pub fn record_claim(&mut self, read: Option<ClaimRead>) {
+        self.end_if_eras_missed();
+        let Some(held) = &mut self.held else { return };
+        match read.filter(|it| it.lease == held.lease) {
+            Some(read) => {
+                held.era = held.era.max(era_of(read.revision));
+                held.claim = held.claim.max(Some(read.revision));
+            }
+            None => self.end(TermEnd::ClaimLost),
+        }
+    }
+
+    /// Records an answered renewal that was sent at `sent_at`. One in a later era than the term's may be that of another
+    /// lease with the same number.
+    pub fn record_renewal(&mut self, sent_at: TimePoint, now: TimePoint) {
+        if !self.is_held(now) {
+            return;
+        }
+        if let Some(held) = self.held.as_mut().filter(|it| it.era == self.era) {
+            held.renewal_sent_at = held.renewal_sent_at.max(sent_at);
+        }
+    }
+
+    /// Ends the term.
+    pub fn end(&mut self, why: TermEnd) {
+        if self.held.take().is_some() {
+            self.ended = why;
+        }
+    }
+
+    /// Returns the number of the term that this VM holds, also while it may not act.
+    pub fn held_number(&self) -> Option<FencingNumber> {
+        self.held.as_ref().map(|it| it.number)
+    }
+
+    /// Returns whether this VM holds a term whose lease hasn't expired.
+    pub fn is_held(&self, now: TimePoint) -> bool {
+        self.held.as_ref().is_some_and(|it| now.since(it.renewal_sent_at) < self.ttl)
+    }
+
+    /// Returns the fencing number to act with, or `None` if this VM may not act.
+    ///
+    /// A renewal counts from when it was sent. After a loss the term is used up to its end without confirmation: whoever
+    /// takes over in the new era waits for a whole lease.
+    pub fn fencing_number(&self, now: TimePoint) -> Option<FencingNumber> {
+        let held = self.held.as_ref()?;
+        let usable = self.ttl.scaled(USABLE_FRACTION);
+        (now >= held.acts_from && now.since(held.renewal_sent_at) < usable).then_some(held.number)
+    }
+
+    /// Begins a call that only the holder may make. It must be dropped as soon as [`Self::fencing_number`] is no longer
+    /// the returned one, and [`Self::end_call`] follows it.
+    pub fn begin_call(&mut self, now: TimePoint) -> Option<FencingNumber> {
+        let number = self.fencing_number(now)?;
+        self.last_call = Some((number, now));
+        Some(number)
+    }
+
+    /// Records that a call has ended, or was dropped.
+    pub fn end_call(&mut self, now: TimePoint) {
+        if let Some((_, at)) = &mut self.last_call {
+            *at = now.max(*at);
+        }
+    }
+
+    /// Returns the number and the revision of the claim that writes of the holder must expect, if they are known.
+    pub fn claim(&self, now: TimePoint) -> Option<(FencingNumber, u64)> {
+        let held = self.held.as_ref().filter(|_| self.is_held(now))?;
+        let claim = held.claim.filter(|it| era_of(*it) == self.era)?;
+        Some((held.number, claim))
+    }
+
+    /// Gives the term up. Returns the claim to remove so that another VM can take over at once, if it may.
+    ///
+    /// A holder that waits before it acts leaves its lease to expire: the next one doesn't know of the wait.
+    pub fn give_up(&mut self, now: TimePoint) -> Option<(FencingNumber, u64)> {
+        let claim = self.claim(now);
+        let waits = self.held.as_ref().is_some_and(|it| now < it.acts_from);
+        self.end(TermEnd::GivenUp);
+        claim.filter(|_| !waits)
+    }
+
+    /// Returns whether the keys of a term that names this VM, although it holds none, may be removed.
+    ///
+    /// They usually end with their lease; after a loss, their lease's number may be one that another client keeps. They
+    /// aren't removed within a lease after this VM's calls, nor after the store returned: the next holder doesn't wait.
+    pub fn may_remove_own_keys(&self, now: TimePoint) -> bool {
+        let last_call = self.last_call.map_or(TimePoint::ZERO, |(_, at)| at);
+        let since = self.started_at.max(self.era_known_at).max(last_call);
+        self.held.is_none() && self.taking.is_none() && now.since(since) >= self.ttl
+    }
+}
--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -1,23 +1,57 @@
-//! Tests when the holder of the duty may act.
+//! Tests when the holder of the duty may act. `duty_histories` searches for orders of events that these don't name.
 
 mod support;
 
-use quincevalve_forwarding::duty::{DutyLease, Term};
+use std::time::Duration;
+
+use quincevalve_forwarding::duty::{ClaimRead, DutyLease, LeaseStep, NotNow, Term, TermEnd};
 use quincevalve_names::FencingNumber;
-use support::{millis, ms};
+use support::ms;
+
+const TTL: Duration = Duration::from_secs(3);
+const LEASE: u64 = 7;
 
-const TTL: std::time::Duration = std::time::Duration::from_secs(3);
+const fn in_era(era: u64, revision: u64) -> u64 {
+    era << 44 | revision
+}
 
-fn term(number: u64, holder: &str, previous: &str) -> Term {
-    Term { number: FencingNumber(number), holder: holder.to_owned(), previous: previous.to_owned() }
+fn vm(name: &str) -> DutyLease {
+    DutyLease::new(name, TTL, ms(0), false)
 }
 
-fn acquired(before: &Term, requested_ms: u64) -> DutyLease {
-    let mut duty = DutyLease::default();
-    duty.record_acquired("vm-a", before, &before.next("vm-a", 0), TTL, ms(requested_ms), false);
+/// Takes over from `before`, read at `read_at`, and returns the term.
+fn take_over(
+    duty: &mut DutyLease,
+    before: &Term,
+    read_at: u64,
+    at_ms: u64,
+) -> Result<Term, NotNow> {
+    let takeover = duty.begin_takeover(before, read_at, ms(at_ms))?;
+    let term = takeover.term.clone();
+    assert!(duty.complete_takeover(takeover, LEASE, ms(at_ms + 5)));
+    duty.record_claim(Some(ClaimRead { revision: read_at + 1, lease: LEASE }));
+    Ok(term)
+}
+
+fn holder(requested_ms: u64) -> DutyLease {
+    let mut duty = vm("vm-a");
+    take_over(&mut duty, &Term::default(), 0, requested_ms).expect("a takeover");
     duty
 }
 
+/// Returns the term after each of these VMs has taken over in turn.
+fn term_of(holders: &[&str]) -> Term {
+    let mut term = Term::default();
+    for (at, holder) in holders.iter().enumerate() {
+        term = term.next(holder, in_era(0, 10 * at as u64));
+    }
+    term
+}
+
+fn may_act(duty: &DutyLease, at_ms: u64) -> bool {
+    duty.fencing_number(ms(at_ms)).is_some()
+}
+
 #[test]
 fn each_change_of_holder_has_a_higher_number() {
     let first = Term::default().next("vm-a", 0);
@@ -27,84 +61,152 @@
 }
 
 #[test]
-fn a_vm_that_never_acquired_the_duty_may_not_act() {
-    assert_eq!(DutyLease::default().fencing_number(ms(0)), None);
+fn a_vm_that_never_took_the_duty_over_may_not_act() {
+    assert!(!may_act(&vm("vm-a"), 0));
 }
 
 // A holder that was paused between two renewals would send orders to the platform after another VM took over. A renewal
 // counts from when it was sent, on a clock that includes the pause.
 #[test]
 fn a_holder_whose_lease_expired_during_a_pause_may_not_act() {
-    let duty = acquired(&Term::default(), 0);
+    let mut duty = holder(0);
     assert_eq!(duty.fencing_number(ms(1_000)), Some(FencingNumber(1)));
-    assert_eq!(duty.fencing_number(ms(2_400)), None);
+    assert!(!may_act(&duty, 2_400));
     assert!(duty.is_held(ms(2_999)));
     assert!(!duty.is_held(ms(3_000)));
+    // The store may have the lease again, from an older copy: nothing is sent for the term any more.
+    duty.record_renewal(ms(2_900), ms(3_000));
+    assert_eq!(duty.next_step(ms(3_000)), LeaseStep::Over(TermEnd::Expired));
+    duty.record_renewal(ms(3_000), ms(3_001));
+    duty.record_claim(Some(ClaimRead { revision: 1, lease: LEASE }));
+    assert!(!may_act(&duty, 3_001));
 }
 
 #[test]
 fn a_renewal_counts_from_when_it_was_sent() {
-    let mut duty = acquired(&Term::default(), 0);
-    duty.record_renewal(ms(1_000));
-    assert_eq!(duty.fencing_number(ms(3_300)), Some(FencingNumber(1)));
-    assert_eq!(duty.fencing_number(ms(3_401)), None);
-    duty.record_renewal(ms(500));
-    assert_eq!(duty.fencing_number(ms(3_300)), Some(FencingNumber(1)));
+    let mut duty = holder(0);
+    duty.record_renewal(ms(1_000), ms(1_900));
+    assert!(may_act(&duty, 3_300));
+    assert!(!may_act(&duty, 3_401));
+    duty.record_renewal(ms(500), ms(2_000));
+    assert!(may_act(&duty, 3_300));
 }
 
-// If the duty passes from A to B and back to A within a lease, the platform can't distinguish A's new orders from
-// delayed old ones. A waits for a whole lease before it acts again.
+// The lease has the number of one that another client got after the store returned from a copy without it, so that its
+// renewals are answered for good.
 #[test]
-fn a_holder_that_returns_after_another_waits_for_a_lease() {
-    let mut duty = acquired(&term(6, "vm-b", "vm-a"), 10_000);
-    for at in [10_500, 11_000, 12_000, 12_900] {
-        duty.record_renewal(ms(at));
-        assert_eq!(duty.fencing_number(ms(at)), None);
-    }
-    duty.record_renewal(ms(13_000));
-    assert_eq!(duty.fencing_number(ms(13_000)), Some(FencingNumber(7)));
+fn a_renewal_in_a_later_era_does_not_extend_the_term() {
+    let mut duty = holder(0);
+    duty.record_era(1, ms(1_000));
+    duty.record_renewal(ms(1_000), ms(1_010));
+    assert!(!may_act(&duty, 2_400));
+    assert_eq!(duty.next_step(ms(1_010)), LeaseStep::ReadClaim);
 }
 
-fn acts_at_once(holder: &str, previous: &str) {
-    let duty = acquired(&term(6, holder, previous), 0);
-    assert_eq!(duty.fencing_number(ms(1)), Some(FencingNumber(7)));
+fn claim_in_a_later_era(eras: u64, read: Option<ClaimRead>, next: LeaseStep) {
+    let mut duty = holder(0);
+    duty.record_era(eras, ms(1_000));
+    duty.record_claim(read);
+    assert_eq!(duty.next_step(ms(1_010)), next);
+    duty.record_renewal(ms(1_010), ms(1_020));
+    assert_eq!(may_act(&duty, 3_300), next == LeaseStep::Renew(LEASE));
 }
 
-cases! { acts_at_once:
-    a_holder_that_follows_itself_acts_at_once => "vm-a", "vm-b";
-    a_holder_that_follows_a_third_vm_acts_at_once => "vm-b", "vm-c";
+cases! { claim_in_a_later_era:
+    a_holder_goes_on_if_the_copy_has_its_claim => 1, Some(ClaimRead { revision: in_era(1, 1), lease: LEASE }), LeaseStep::Renew(LEASE);
+    a_holder_ends_if_the_copy_lacks_its_claim => 1, None, LeaseStep::Over(TermEnd::ClaimLost);
+    a_holder_ends_if_its_claim_has_another_lease => 1, Some(ClaimRead { revision: in_era(1, 1), lease: 9 }), LeaseStep::Over(TermEnd::ClaimLost);
+    a_late_answer_of_the_era_before_confirms_nothing => 1, Some(ClaimRead { revision: in_era(0, 1), lease: LEASE }), LeaseStep::ReadClaim;
+    a_holder_ends_if_it_has_missed_an_era => 2, Some(ClaimRead { revision: in_era(2, 1), lease: LEASE }), LeaseStep::Over(TermEnd::ErasMissed);
 }
 
 #[test]
-fn a_vm_that_lost_the_duty_may_not_act() {
-    let mut duty = acquired(&Term::default(), 0);
-    duty.record_lost();
-    assert_eq!(duty.fencing_number(ms(1)), None);
-    assert!(!duty.is_held(ms(1)));
-    assert!(millis(1) < TTL);
+fn a_term_that_the_store_ended_stays_over() {
+    let mut duty = holder(0);
+    duty.end(TermEnd::LeaseEnded);
+    duty.record_renewal(ms(10), ms(20));
+    assert!(!may_act(&duty, 20));
+    assert_eq!(duty.next_step(ms(20)), LeaseStep::Over(TermEnd::LeaseEnded));
+}
+
+// If the duty passes from A to B and back to A within a lease, the platform can't distinguish A's new orders from
+// delayed old ones. A, which acted at 1,000, takes over again a lease later.
+fn returns_after(holders: &[&str], may_return_at: u64) {
+    let mut duty = holder(0);
+    duty.begin_call(ms(900)).expect("a call");
+    duty.end_call(ms(1_000));
+    duty.end(TermEnd::LeaseEnded);
+    let before = term_of(holders);
+    let taken = take_over(&mut duty, &before, 90, 1_500).map(|it| it.number > before.number);
+    let expected =
+        if may_return_at > 1_500 { Err(NotNow::Before(ms(may_return_at))) } else { Ok(true) };
+    assert_eq!(taken, expected);
+    let taken = take_over(&mut duty, &before, 90, 4_000);
+    assert!(taken.is_ok() && may_act(&duty, 4_000));
+}
+
+cases! { returns_after:
+    a_holder_that_follows_itself_acts_at_once => &["vm-a"], 0;
+    a_holder_returns_a_lease_after_its_calls => &["vm-a", "vm-b"], 4_000;
+    a_holder_returns_a_lease_after_its_calls_also_after_two_others => &["vm-a", "vm-b", "vm-c"], 4_000;
+    a_holder_returns_a_lease_after_its_calls_also_after_two_terms_of_another => &["vm-a", "vm-b", "vm-b"], 4_000;
+}
+
+// A process that has just started doesn't know when its VM acted last.
+fn starts_after(holders: &[&str], may_act_at: u64) {
+    let mut duty = DutyLease::new("vm-a", TTL, ms(1_000), false);
+    let taken = take_over(&mut duty, &term_of(holders), 90, 1_500);
+    let expected = if may_act_at > 1_500 { Some(NotNow::Before(ms(may_act_at))) } else { None };
+    assert_eq!(taken.err(), expected);
+}
+
+cases! { starts_after:
+    a_new_process_follows_its_vm_at_once => &["vm-b", "vm-a"], 0;
+    a_new_process_follows_others_at_once_if_its_vm_did_not_act => &["vm-c", "vm-b"], 0;
+    a_new_process_waits_if_its_vm_acted_before => &["vm-a", "vm-b"], 4_000;
+    a_new_process_waits_if_its_vm_acted_some_terms_before => &["vm-a", "vm-b", "vm-c", "vm-b"], 4_000;
 }
 
 // The store returns from an older copy that lacks the newest terms, and the next holder would act under the number of a
 // holder that the copy doesn't know.
 #[test]
 fn a_term_that_the_store_lost_keeps_its_number() {
-    let known = Term::default().next("vm-a", 1);
-    let lost = known.next("vm-b", 1).next("vm-c", 1);
-    let next = known.next("vm-d", 2);
+    let known = Term::default().next("vm-a", in_era(1, 0));
+    let lost = known.next("vm-b", in_era(1, 20)).next("vm-c", in_era(1, 40));
+    let next = known.next("vm-d", in_era(2, 8));
     assert!(next.number > lost.number);
     assert_eq!((known.era(), next.era()), (1, 2));
-    assert!(next.next("vm-e", 2).number > next.number);
+    assert!(next.next("vm-e", in_era(2, 9)).number > next.number);
 }
 
 // The holder of a lost term doesn't know yet that its lease is lost. If the next holder acted at once, the platform would
-// get calls of both in turn.
+// get calls of both in turn. If it handed over before, the next one would.
 #[test]
 fn a_holder_waits_for_a_lease_if_the_store_may_have_lost_terms() {
-    let before = Term::default().next("vm-a", 1);
-    let mut duty = DutyLease::default();
-    duty.record_acquired("vm-b", &before, &before.next("vm-b", 2), TTL, ms(1_000), true);
-    assert_eq!(duty.fencing_number(ms(2_000)), None);
-    duty.record_renewal(ms(3_500));
-    assert_eq!(duty.fencing_number(ms(3_999)), None);
-    assert!(duty.fencing_number(ms(4_000)).is_some());
+    let before = Term::default().next("vm-a", in_era(1, 0));
+    let mut duty = vm("vm-b");
+    duty.record_era(2, ms(11_000));
+    take_over(&mut duty, &before, in_era(2, 4), 11_500).expect("a takeover");
+    assert!(!may_act(&duty, 12_000));
+    duty.record_renewal(ms(13_500), ms(13_510));
+    assert!(!may_act(&duty, 13_999));
+    assert!(may_act(&duty, 14_000));
+    assert_eq!(duty.clone().give_up(ms(13_999)), None);
+    assert!(duty.give_up(ms(14_000)).is_some());
+}
+
+// The commit, or the lease that it names, may belong to an era that has ended, or the lease may be over.
+#[test]
+fn a_takeover_that_spans_eras_or_a_lease_holds_nothing() {
+    for (era, done_ms) in [(1, 20), (0, 3_010), (0, 20)] {
+        let mut duty = vm("vm-a");
+        let takeover = duty.begin_takeover(&Term::default(), 0, ms(10)).expect("a takeover");
+        duty.record_era(era, ms(done_ms));
+        let is_held = duty.complete_takeover(takeover, LEASE, ms(done_ms));
+        assert_eq!((is_held, may_act(&duty, done_ms)), (era == 0 && done_ms == 20, is_held));
+    }
+    let mut duty = vm("vm-a");
+    duty.record_era(2, ms(0));
+    let read = duty.begin_takeover(&Term::default(), in_era(1, 9), ms(10));
+    assert_eq!(read.err(), Some(NotNow::EarlierEra));
 }
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -13,7 +13,7 @@
 use quincevalve_names::{DataCentreName, ServiceName};
 use tokio::time::{Instant, sleep};
 
-use super::current_holder;
+use super::{call_as_holder, may_act};
 use crate::{
     clock,
     node::Node,
@@ -183,25 +183,32 @@
 where
     C: CloudApi,
 {
-    let holder = current_holder(node)?;
+    if !may_act(node) {
+        return None;
+    }
     let wanted = ServerOrder {
         service: service.clone(),
         data_centre: order.data_centre.clone(),
         count: count_ordered(node, service, order, max_servers),
         reclaimable: order.kind == ServerKind::Reclaimable,
     };
-    let result = cloud.order(&holder, &wanted).await;
+    let mut number = 0;
+    let result = call_as_holder(node, async |holder| {
+        number = holder.fencing_number.0;
+        cloud.order(holder, &wanted).await
+    });
+    let result = result.await?;
     let outcome = match &result {
         Ok(()) => OrderOutcome::Taken,
         Err(CloudError::NoneAvailable) => OrderOutcome::NoneAvailable,
-        Err(CloudError::Call { .. }) => OrderOutcome::Unknown,
+        Err(CloudError::Call { .. } | CloudError::TermOver) => OrderOutcome::Unknown,
     };
     log::info!(
         service = service.as_str(), centre = order.data_centre.as_str(), kind:? = order.kind,
-        count = wanted.count, busy, number = holder.fencing_number.0, outcome:? = outcome;
+        count = wanted.count, busy, number, outcome:? = outcome;
         "servers-ordered"
     );
-    if let Err(error @ CloudError::Call { .. }) = result {
+    if let (Err(error), OrderOutcome::Unknown) = (&result, outcome) {
         log::warn!(error:% = error; "order-unanswered");
     }
     Some(outcome)
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::{POLL_INTERVAL, current_holder};
+use super::{POLL_INTERVAL, call_as_holder, may_act, term::claim_to_expect};
 use crate::{
     clock,
     node::Node,
-    ports::{CloudApi, Commit, DutyHolder, PlatformStore, StoreError, StoreRevision},
+    ports::{CloudApi, Commit, PlatformStore, StoreError, StoreRevision},
 };
 
 /// Store key of the newest usage report, which is written before the report is sent.
@@ -78,8 +78,8 @@
                         inherit_demand(node, report);
                     }
                     is_inherited.set(true);
-                    if let (Some(report), Some(holder)) = (&found.1, current_holder(node)) {
-                        send_report(node, cloud, &holder, report).await;
+                    if let Some(report) = &found.1 {
+                        send_report(node, cloud, report).await;
                     }
                     known = Some(found);
                 }
@@ -94,16 +94,12 @@
             .write_if_due(node, store, last.as_ref().map_or(0, |it| it.window.saturating_add(1)))
             .await;
         let Some(window) = due_window(node, last.as_ref()) else { continue };
-        if current_holder(node).is_none() {
-            continue;
-        }
+        let Some(claim) = claim_to_expect(node) else { continue };
         let busy = measured_demand(node);
         let report = Report { window, counts: node.usage.borrow().total(window), busy };
-        match write_report(store, *revision, &report).await {
+        match write_report(store, claim, *revision, &report).await {
             Ok(revision) => {
-                if let Some(holder) = current_holder(node) {
-                    send_report(node, cloud, &holder, &report).await;
-                }
+                send_report(node, cloud, &report).await;
                 known = Some((revision, Some(report)));
             }
             Err(error) => {
@@ -154,9 +150,7 @@
     {
         let now = clock::now();
         let Some(revision) = self.revision.filter(|_| now >= self.next_write) else { return };
-        if current_holder(node).is_none() {
-            return;
-        }
+        let Some(claim) = claim_to_expect(node) else { return };
         let snapshot = node.usage.borrow().snapshot(identity(node), since);
         let value = match bincode::serialize(&snapshot) {
             Ok(value) => value,
@@ -164,7 +158,7 @@
         };
         let pause = seconds(value.len() as f64 / MAX_WRITE_BYTES_PER_SECOND);
         self.next_write = now + pause.max(MIN_WRITE_INTERVAL);
-        let expected = vec![(COUNTS_KEY.to_owned(), revision)];
+        let expected = vec![claim, (COUNTS_KEY.to_owned(), revision)];
         let puts = vec![(COUNTS_KEY.to_owned(), value, None)];
         self.revision = match store.commit(&Commit { expected, puts, ..Commit::default() }).await {
             Ok(revision) => Some(revision),
@@ -223,6 +217,7 @@
 
 async fn write_report<S>(
     store: &S,
+    claim: (String, StoreRevision),
     expected: StoreRevision,
     report: &Report,
 ) -> Result<StoreRevision, StoreError>
@@ -231,7 +226,7 @@
 {
     let value = serde_json::to_vec(report)
         .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
-    let expected = vec![(REPORT_KEY.to_owned(), expected)];
+    let expected = vec![claim, (REPORT_KEY.to_owned(), expected)];
     let puts = vec![(REPORT_KEY.to_owned(), value, None)];
     store.commit(&Commit { expected, puts, ..Commit::default() }).await
 }
@@ -282,17 +277,27 @@
     (complete || since_end_ms >= MAX_REPORT_DELAY_MS).then_some(next)
 }
 
-async fn send_report<C>(node: &Node, cloud: &C, holder: &DutyHolder, report: &Report)
+/// Sends a report, if this VM may act.
+async fn send_report<C>(node: &Node, cloud: &C, report: &Report)
 where
     C: CloudApi,
 {
+    if !may_act(node) {
+        return;
+    }
     node.usage.borrow_mut().record_reported(report.window);
-    match cloud.report_usage(holder, report.window, &report.counts).await {
-        Ok(()) => {
+    let window = report.window;
+    let result = call_as_holder(node, async |holder| {
+        cloud.report_usage(holder, window, &report.counts).await?;
+        Ok(holder.fencing_number.0)
+    });
+    match result.await {
+        Some(Ok(number)) => {
             let requests: u64 = report.counts.values().sum();
-            log::info!(window = report.window, requests, number = holder.fencing_number.0; "usage-reported");
+            log::info!(window, requests, number; "usage-reported");
         }
-        Err(error) => log::warn!(window = report.window, error:% = error; "usage-not-reported"),
+        Some(Err(error)) => log::warn!(window, error:% = error; "usage-not-reported"),
+        None => {}
     }
 }
 
--- a/crates/quincevalve_node/src/duties/reports/tests.rs
+++ b/crates/quincevalve_node/src/duties/reports/tests.rs
@@ -45,7 +45,7 @@
         node.usage.borrow_mut().restore(snapshot, ("vm-1", 1));
     }
     if let Ok(term) = serde_json::from_slice::<quincevalve_forwarding::duty::Term>(value) {
-        let next = term.next("vm-1", 3);
+        let next = term.next("vm-1", StoreRevision::in_era(3, 7).0);
         let is_ours = term.number.0 < 1 << 62;
         assert!(next.number > term.number || !is_ours, "{term:?}");
     }
--- a/crates/quincevalve_node/src/duties/rollouts.rs
+++ b/crates/quincevalve_node/src/duties/rollouts.rs
@@ -15,13 +15,12 @@
 use quincevalve_names::{ServiceName, TimePoint};
 use tokio::time::sleep;
 
-use super::current_holder;
+use super::{may_act, term::claim_to_expect};
 use crate::{
     clock,
     node::Node,
     ports::{Commit, PlatformStore, RolloutState, RolloutStatus, StoreError, StoreRevision},
     rollouts::{apply_record, parse_record, rollout_key},
-    store::view::HOLDER_KEY,
 };
 
 /// Interval between two evaluations of the roll-outs.
@@ -44,18 +43,13 @@
 where
     S: PlatformStore,
 {
-    let mut leader = RolloutLeader {
-        node,
-        store,
-        holder_revision: None,
-        stored: HashMap::new(),
-        last_logged: HashMap::new(),
-    };
+    let mut leader =
+        RolloutLeader { node, store, stored: HashMap::new(), last_logged: HashMap::new() };
     loop {
         sleep(EVALUATION_INTERVAL).await;
         let services: Vec<_> = node.rollouts.borrow().services().cloned().collect();
         for service in services {
-            if current_holder(node).is_none() {
+            if !may_act(node) {
                 continue;
             }
             if let Err(error) = leader.advance(&service).await {
@@ -69,9 +63,6 @@
 struct RolloutLeader<'a, S> {
     node: &'a Node,
     store: &'a S,
-    /// Revision of the store entry that names this VM as the holder, once read. A write that expects this revision
-    /// fails as soon as another VM holds the duties.
-    holder_revision: Option<StoreRevision>,
     /// The stored record by service; a service is missing while its stored record is unknown.
     stored: HashMap<ServiceName, StoredRecord>,
     /// When the evidence of a service was last logged.
@@ -84,7 +75,6 @@
 {
     /// Writes the next record of a service's roll-out, if one is due.
     async fn advance(&mut self, service: &ServiceName) -> Result<(), StoreError> {
-        let Some(holder_revision) = self.read_holder_revision().await? else { return Ok(()) };
         let (revision, known) = self.stored_record(service).await?;
         // An incomplete list of servers would give wrong counts of both versions.
         if self.node.servers.borrow().may_be_incomplete(clock::now()) {
@@ -92,9 +82,10 @@
         }
         self.log_evidence(service, known.as_ref());
         let Some(next) = self.next_record(service, known.as_ref()) else { return Ok(()) };
+        let Some(claim) = claim_to_expect(self.node) else { return Ok(()) };
         // A failed write may have taken effect, so the record is forgotten first and read again after a failure.
         self.stored.remove(service);
-        let revision = self.write_record(service, holder_revision, revision, &next).await?;
+        let revision = self.write_record(service, claim, revision, &next).await?;
         self.log_step(service, &next);
         self.stored.insert(service.clone(), (revision, Some(next.clone())));
         apply_record(self.node, service, next);
@@ -102,16 +93,6 @@
         Ok(())
     }
 
-    /// Returns the revision of the store entry that names this VM as the holder; `None` if another VM is named.
-    async fn read_holder_revision(&mut self) -> Result<Option<StoreRevision>, StoreError> {
-        if self.holder_revision.is_none() {
-            let me = self.node.settings.name.as_str().as_bytes();
-            let holder = self.store.get(HOLDER_KEY).await?;
-            self.holder_revision = holder.filter(|it| it.value == me).map(|it| it.revision);
-        }
-        Ok(self.holder_revision)
-    }
-
     async fn stored_record(&mut self, service: &ServiceName) -> Result<StoredRecord, StoreError> {
         if let Some(stored) = self.stored.get(service) {
             return Ok(stored.clone());
@@ -178,7 +159,7 @@
     async fn write_record(
         &self,
         service: &ServiceName,
-        holder_revision: StoreRevision,
+        claim: (String, StoreRevision),
         expected: StoreRevision,
         next: &RolloutRecord,
     ) -> Result<StoreRevision, StoreError> {
@@ -186,7 +167,7 @@
             .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
         let key = rollout_key(service);
         let commit = Commit {
-            expected: vec![(key.clone(), expected), (HOLDER_KEY.to_owned(), holder_revision)],
+            expected: vec![(key.clone(), expected), claim],
             puts: vec![(key, value, None)],
             ..Commit::default()
         };
--- a/crates/quincevalve_node/src/node.rs
+++ b/crates/quincevalve_node/src/node.rs
@@ -141,6 +141,11 @@
     pub(crate) ended_tasks: EndedTasks,
 }
 
+fn duty_lease(settings: &NodeSettings) -> DutyLease {
+    let name = settings.name.as_str();
+    DutyLease::new(name, settings.duties.lease, clock::now(), settings.is_first_start)
+}
+
 impl Node {
     pub(crate) fn new(
         settings: NodeSettings,
@@ -160,7 +165,7 @@
             retries: RefCell::default(),
             usage: RefCell::default(),
             wall_clock: RefCell::default(),
-            duty: RefCell::default(),
+            duty: RefCell::new(duty_lease(&settings)),
             peers: RefCell::new(Peers::new(descriptor(&settings), settings.link)),
             demand: RefCell::default(),
             measured_demand: RefCell::default(),
--- a/crates/quincevalve_node/src/ports.rs
+++ b/crates/quincevalve_node/src/ports.rs
@@ -255,9 +255,6 @@
 
     /// Renews a lease.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
-
-    /// Revokes a lease and removes its keys.
-    fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
 }
 
 /// The holder of the duties, which identifies itself in calls that only the holder may make.
@@ -295,6 +292,9 @@
         /// Why.
         source: CallError,
     },
+    /// The caller may no longer act as the holder of the duties. The call may have taken effect.
+    #[snafu(display("cloud: the holder's term was over before the answer"))]
+    TermOver,
 }
 
 /// The platform's cloud API.
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -60,8 +60,6 @@
     full_read_upto: StoreRevision,
     /// The lease of the entry that the previous start of this VM left in the store.
     previous_lease: Option<LeaseId>,
-    /// The store's era when this VM first had its state.
-    first_era: Option<u64>,
 }
 
 impl StoreView {
@@ -80,11 +78,6 @@
         StoreRevision(self.log.upto()).era()
     }
 
-    /// Returns whether the store has returned from an older copy since this VM first had its state.
-    pub(crate) fn has_era_changed(&self) -> bool {
-        self.first_era.is_some_and(|it| it != self.era())
-    }
-
     /// Returns whether the whole store was read at any time, also if the view has been invalidated since.
     pub(crate) fn was_ever_read(&self) -> bool {
         self.log.upto() > 0
@@ -227,8 +220,6 @@
     update_rank(node, now);
     let mut view = node.store_view.borrow_mut();
     view.log.reset(state.at);
-    let era = view.era();
-    view.first_era.get_or_insert(era);
     view.full_read_upto = StoreRevision(state.newest);
     view.complete = true;
     true
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -82,6 +82,8 @@
     are_changes_paused: Cell<bool>,
     /// Number of requests for changes that still panic.
     panics: Cell<usize>,
+    /// The newest era that answers state; revisions are always of the first one.
+    era: Cell<u64>,
     /// Maximum number of changes in one answer.
     max_changes: Cell<Option<usize>>,
     changed: Notify,
@@ -209,6 +211,17 @@
         self.shared.items.borrow_mut().extend((0..count).map(item));
     }
 
+    /// Begins an era without the descriptor of a VM. Its lease's number is that of another client, which keeps it.
+    pub fn lose_vm(&self, name: &str) {
+        self.remove_vm(name);
+        self.shared.era.update(|it| it + 1);
+    }
+
+    /// Returns whether the descriptor of a VM is there.
+    pub fn lists_vm(&self, name: &str) -> bool {
+        !self.items_with_prefix(&format!("peers/a/{name}")).is_empty()
+    }
+
     /// Removes the descriptor of a VM.
     pub fn remove_vm(&self, name: &str) {
         self.shared.items.borrow_mut().retain(|it| it.key != format!("peers/a/{name}"));
@@ -310,7 +323,7 @@
 
 impl PlatformStore for FakeStore {
     fn era(&self) -> u64 {
-        0
+        self.shared.era.get()
     }
 
     async fn snapshot(&self, _: ReadConsistency) -> Result<Snapshot, StoreError> {
@@ -454,10 +467,6 @@
     async fn renew(&self, _: LeaseId) -> Result<(), StoreError> {
         self.admit_call().await
     }
-
-    async fn revoke(&self, _: LeaseId) -> Result<(), StoreError> {
-        Ok(())
-    }
 }
 
 #[derive(Clone)]
