Write a VM's entry again that the store lost with its lease's number

The other VMs didn't count a VM whose entry the store had lost, for as long as another client kept a lease with the same number: the renewals were answered. After a return of the store the entry is looked up under its lease, one read, and written anew if it isn't there.

a_vm_whose_entry_the_store_lost_writes_it_again failed before (no entry within 9 s) and holds now.

--- a/crates/quincevalve_node/src/store/sync.rs
+++ b/crates/quincevalve_node/src/store/sync.rs
@@ -234,29 +234,63 @@
     node.freshness.set(freshness);
 }
 
+/// The lease of this VM's entry, and the store's era in which the entry was last seen under it.
+#[derive(Clone, Copy, Debug)]
+struct EntryLease {
+    lease: LeaseId,
+    era: u64,
+}
+
 /// Writes this VM's entry to the store and renews it for as long as the process runs.
 pub(crate) async fn maintain_entry<S>(node: Rc<Node>, store: S)
 where
     S: PlatformStore,
 {
-    let mut lease = await_previous_lease(&node).await;
+    let previous = await_previous_lease(&node).await;
+    let era = node.store_view.borrow().era();
+    let mut entry = previous.map(|lease| EntryLease { lease, era });
     loop {
-        let renewed = match lease {
-            Some(lease) => store.renew(lease).await.map(|()| lease),
-            None => register(&node, &store).await,
+        let kept = match entry {
+            Some(entry) if entry.era == store.era() => {
+                store.renew(entry.lease).await.map(|()| Some(entry))
+            }
+            Some(entry) => find_entry(&node, &store, entry.lease).await,
+            None => register(&node, &store).await.map(Some),
         };
-        match renewed {
-            Ok(renewed) => lease = Some(renewed),
-            Err(StoreError::LeaseEnded) => {
-                lease = None;
+        match kept {
+            // The lease may be that of another client by now, with the same number.
+            Ok(Some(kept)) if kept.era != store.era() => {
+                entry = Some(kept);
+                continue;
+            }
+            Ok(Some(kept)) => entry = Some(kept),
+            Ok(None) | Err(StoreError::LeaseEnded) => {
+                entry = None;
                 continue;
             }
             Err(error) => log::debug!(error:% = error; "entry-not-kept"),
         }
-        sleep(if lease.is_some() { ENTRY_RENEWAL_INTERVAL } else { ENTRY_RETRY_INTERVAL }).await;
+        sleep(if entry.is_some() { ENTRY_RENEWAL_INTERVAL } else { ENTRY_RETRY_INTERVAL }).await;
     }
 }
 
+/// Returns this VM's entry if a store that has returned from an older copy has it under its lease.
+async fn find_entry<S>(
+    node: &Node,
+    store: &S,
+    lease: LeaseId,
+) -> Result<Option<EntryLease>, StoreError>
+where
+    S: PlatformStore,
+{
+    let (key, descriptor) = own_entry(node)?;
+    let found = store.get(&key).await?;
+    let found = found.filter(|it| it.lease == Some(lease) && it.value == descriptor);
+    let found = found.map(|it| EntryLease { lease, era: it.revision.era() });
+    log::info!(is_found = found.is_some(), era = store.era(); "entry-looked-up");
+    Ok(found)
+}
+
 /// Waits for the first read of the store, up to a timeout, and returns the lease of the entry that the previous start
 /// of this VM left.
 ///
@@ -274,20 +308,29 @@
 }
 
 /// Writes this VM's entry under a new lease.
-async fn register<S>(node: &Node, store: &S) -> Result<LeaseId, StoreError>
+async fn register<S>(node: &Node, store: &S) -> Result<EntryLease, StoreError>
 where
     S: PlatformStore,
 {
     let lease = store.grant(ENTRY_TTL).await?;
-    let put = {
-        let peers = node.peers.borrow();
-        let me = peers.table.me();
-        let descriptor = serde_json::to_vec(me)
-            .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
-        (peer_key(me), descriptor, Some(lease))
-    };
-    store.commit(&Commit { puts: vec![put], ..Commit::default() }).await?;
-    Ok(lease)
+    let era = store.era();
+    let (key, descriptor) = own_entry(node)?;
+    let puts = vec![(key, descriptor, Some(lease))];
+    store.commit(&Commit { puts, ..Commit::default() }).await?;
+    if store.era() != era {
+        // The entry may be under the lease of another client, which got the number again.
+        return Err(StoreError::Conflict);
+    }
+    Ok(EntryLease { lease, era })
+}
+
+/// Returns the key and the value of this VM's entry.
+fn own_entry(node: &Node) -> Result<(String, Vec<u8>), StoreError> {
+    let peers = node.peers.borrow();
+    let me = peers.table.me();
+    let descriptor = serde_json::to_vec(me)
+        .map_err(|error| StoreError::Unreadable { what: error.to_string() })?;
+    Ok((peer_key(me), descriptor))
 }
 
 #[cfg(test)]
--- a/crates/quincevalve_node/tests/old_copy.rs
+++ b/crates/quincevalve_node/tests/old_copy.rs
@@ -1,14 +1,16 @@
-//! A VM that starts from a stale read of the store.
+//! A stale read of the store, and a store that returns from an older copy.
 
 mod support;
 
 use std::time::Duration;
 
 use support::{Arrival, Reply, Vm, World, exchange, get, metric, request, run, sealed};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time within which a VM writes its lost entry again: two renewals and a margin.
+const REWRITE_TIME: Duration = Duration::from_secs(9);
 /// Number of requests. If two idle servers shared them, one would get none by chance with a probability of 1 in
 /// 500,000.
 const REQUESTS: usize = 20;
@@ -50,3 +52,22 @@
         assert!(arrivals.iter().all(|it| it.server == 0), "a request reached the server that left");
     });
 }
+
+// The store returns from a copy that lacks a VM's entry, and its lease has the number of one that another client keeps.
+// The renewals are answered for good, and without the entry the other VMs don't count this one.
+#[test]
+fn a_vm_whose_entry_the_store_lost_writes_it_again() {
+    run(async {
+        let script = |_, it: &Arrival| Reply::Send(sealed(it, "200 OK", "done"));
+        let world = World::start(1, script).await;
+        let _vm = Vm::start("vm-2", world.store.for_another_vm()).await;
+        assert!(world.store.lists_vm("vm-2"));
+        world.store.lose_vm("vm-2");
+        let rewritten = async {
+            while !world.store.lists_vm("vm-2") {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        assert!(timeout(REWRITE_TIME, rewritten).await.is_ok(), "the entry isn't written again");
+    });
+}
