Let calls of the holder finish until the end of its lease

A call that began shortly before the usable part of the lease was over was cut off at that time, although the rest of the lease covers it, and a window of usage could go unreported. It may now take until the lease ends. A read of the store that is answered late, in an era before the known one, no longer counts as a return of the store.

--- a/crates/quincevalve_forwarding/src/duty/lease.rs
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -307,14 +307,19 @@
         (now >= held.acts_from && now.since(held.renewal_sent_at) < usable).then_some(held.number)
     }
 
-    /// Begins a call that only the holder may make. It must be dropped as soon as [`Self::fencing_number`] is no longer
-    /// the returned one, and [`Self::end_call`] follows it.
+    /// Begins a call that only the holder may make. It must be dropped as soon as [`Self::may_finish_call`] is false, and
+    /// [`Self::end_call`] follows it.
     pub fn begin_call(&mut self, now: TimePoint) -> Option<FencingNumber> {
         let number = self.fencing_number(now)?;
         self.last_call = Some((number, now));
         Some(number)
     }
 
+    /// Returns whether a call under a number may still be under way.
+    pub fn may_finish_call(&self, number: FencingNumber, now: TimePoint) -> bool {
+        self.is_held(now) && self.held_number() == Some(number)
+    }
+
     /// Records that a call has ended, or was dropped.
     pub fn end_call(&mut self, now: TimePoint) {
         if let Some((_, at)) = &mut self.last_call {
--- a/crates/quincevalve_forwarding/tests/duty_histories.rs
+++ b/crates/quincevalve_forwarding/tests/duty_histories.rs
@@ -10,6 +10,8 @@
 
 /// Duration of a lease in units of time; a holder may act in the first eight tenths of it.
 const TTL: u64 = 10;
+/// Longest time that a call takes, in units.
+const CALL_TIME: u64 = 2;
 /// Number of VMs.
 const VMS: usize = 3;
 /// Times that may pass between two events: within the usable part of a lease, and to its end.
@@ -125,6 +127,8 @@
     is_frozen: bool,
     /// A takeover whose lease was granted, with the term's revision.
     begun: Option<(Takeover, u64, u64)>,
+    /// The newest call to the platform, and when it began.
+    call: Option<(FencingNumber, u64)>,
     starts: u32,
 }
 
@@ -236,6 +240,7 @@
             duty: DutyLease::new(&name(vm), UNIT * TTL as u32, at(0), true),
             is_frozen: false,
             begun: None,
+            call: None,
             starts: 0,
         };
         Self {
@@ -403,7 +408,7 @@
     fn restart(&mut self, vm: usize) {
         let starts = self.vms[vm].starts + 1;
         let duty = DutyLease::new(&name(vm), UNIT * TTL as u32, at(self.now), false);
-        self.vms[vm] = Vm { duty, is_frozen: false, begun: None, starts };
+        self.vms[vm] = Vm { duty, is_frozen: false, begun: None, call: None, starts };
     }
 
     fn send(&mut self, vm: usize, call: Call, delivery: Delivery) {
@@ -434,14 +439,22 @@
         }
     }
 
-    /// Lets all VMs that run act, and judges their calls.
+    /// Lets all VMs that run act, and judges their calls, also those that began earlier and arrive now.
     fn act(&mut self) {
         for vm in 0..VMS {
             if self.vms[vm].is_frozen {
                 continue;
             }
-            let Some(number) = self.vms[vm].duty.begin_call(at(self.now)) else { continue };
-            self.vms[vm].duty.end_call(at(self.now));
+            let now = at(self.now);
+            let Vm { duty, call, .. } = &mut self.vms[vm];
+            if let Some(number) = duty.begin_call(now) {
+                *call = Some((number, self.now));
+            }
+            let is_under_way = |(number, began): &(FencingNumber, u64)| {
+                self.now <= began + CALL_TIME && duty.may_finish_call(*number, now)
+            };
+            let Some((number, _)) = call.filter(is_under_way) else { continue };
+            duty.end_call(now);
             self.judge(vm, number.0);
             self.platform.push((self.now, vm, number.0));
         }
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -31,7 +31,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum random delay in milliseconds added to each poll, so that VMs don't attempt the takeover at once.
 const MAX_JITTER_MS: u64 = 300;
-/// Interval at which the holder checks during a call whether it may still act.
+/// Interval at which the holder checks during a call whether its term is over.
 ///
 /// Timers don't count the time for which a VM is suspended, so a call could be sent long after its check.
 const CALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -140,7 +140,7 @@
 
 /// Makes a call to the cloud as the holder; returns `None` if this VM may not act.
 ///
-/// The call is dropped when the VM may no longer act, and its outcome is unknown then.
+/// The call is dropped when the term ends, and its outcome is unknown then.
 async fn call_as_holder<T>(
     node: &Node,
     call: impl AsyncFnOnce(&DutyHolder) -> Result<T, CloudError>,
@@ -156,9 +156,9 @@
     Some(result)
 }
 
-/// Returns when this VM may no longer act under a number.
+/// Returns when the term with this number is over.
 async fn until_over(node: &Node, number: FencingNumber) {
-    while node.duty.borrow().fencing_number(clock::now()) == Some(number) {
+    while node.duty.borrow().may_finish_call(number, clock::now()) {
         sleep(CALL_CHECK_INTERVAL).await;
     }
 }
--- a/crates/quincevalve_node/src/store/view.rs
+++ b/crates/quincevalve_node/src/store/view.rs
@@ -131,7 +131,7 @@
 /// Applies a snapshot of the whole store that this VM read.
 pub(crate) fn apply_snapshot(node: &Node, mut snapshot: Snapshot) {
     let known = StoreRevision(node.store_view.borrow().log.upto());
-    let is_copy = known != StoreRevision::ABSENT && known.era() != snapshot.at.era();
+    let is_copy = known != StoreRevision::ABSENT && known.era() < snapshot.at.era();
     if is_copy {
         log::warn!(era = snapshot.at.era(), known = known.era(); "store-copy-returned");
         // The copy lists servers that have left since; a server that is there writes its entry again.
