Write a final status of a roll-out again that the store lost

Cause: the holder decided from the record in the copy, although VMs know the later one; a holder that stayed didn't read the record again at all. It now reads the records again in a later era, and writes the final record that it knows, with its status, if the copy has an earlier one of the same order.

a_final_status_is_written_again_after_the_store_lost_it failed before (rolled back after completed).

The stand-in store of the node's tests has eras now. The test of a former holder writes what a takeover writes: the other VM's key, and no claim of the former one, which ends with its lease. The claim can't stand beside another holder's key.

--- a/crates/quincevalve_node/src/duties/rollouts.rs
+++ b/crates/quincevalve_node/src/duties/rollouts.rs
@@ -43,10 +43,16 @@
 where
     S: PlatformStore,
 {
-    let mut leader =
-        RolloutLeader { node, store, stored: HashMap::new(), last_logged: HashMap::new() };
+    let mut leader = RolloutLeader {
+        node,
+        store,
+        stored: HashMap::new(),
+        era: node.duty.borrow().era(),
+        last_logged: HashMap::new(),
+    };
     loop {
         sleep(EVALUATION_INTERVAL).await;
+        leader.forget_lost_records();
         let services: Vec<_> = node.rollouts.borrow().services().cloned().collect();
         for service in services {
             if !may_act(node) {
@@ -65,6 +71,8 @@
     store: &'a S,
     /// The stored record by service; a service is missing while its stored record is unknown.
     stored: HashMap<ServiceName, StoredRecord>,
+    /// The store's era in which the records were read.
+    era: u64,
     /// When the evidence of a service was last logged.
     last_logged: HashMap<ServiceName, TimePoint>,
 }
@@ -73,6 +81,14 @@
 where
     S: PlatformStore,
 {
+    /// Forgets the stored records if the store has returned from an older copy since they were read.
+    fn forget_lost_records(&mut self) {
+        let era = self.node.duty.borrow().era();
+        if std::mem::replace(&mut self.era, era) != era {
+            self.stored.clear();
+        }
+    }
+
     /// Writes the next record of a service's roll-out, if one is due.
     async fn advance(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let (revision, known) = self.stored_record(service).await?;
@@ -81,7 +97,9 @@
             return Ok(());
         }
         self.log_evidence(service, known.as_ref());
-        let Some(next) = self.next_record(service, known.as_ref()) else { return Ok(()) };
+        let lost = self.lost_final_record(service, known.as_ref());
+        let next = lost.or_else(|| self.next_record(service, known.as_ref()));
+        let Some(next) = next else { return Ok(()) };
         let Some(claim) = claim_to_expect(self.node) else { return Ok(()) };
         // A failed write may have taken effect, so the record is forgotten first and read again after a failure.
         self.stored.remove(service);
@@ -114,6 +132,21 @@
         Ok((item.revision, known))
     }
 
+    /// Returns the final record that this VM knows, if the store returned from a copy that has an older one or none.
+    ///
+    /// Operators act on a final status, so it must not be followed by another one.
+    fn lost_final_record(
+        &self,
+        service: &ServiceName,
+        stored: Option<&RolloutRecord>,
+    ) -> Option<RolloutRecord> {
+        let rollouts = self.node.rollouts.borrow();
+        let (_, known) = rollouts.records().find(|(it, _)| *it == service)?;
+        let is_lost = stored.is_none_or(|it| it.order == known.order && !it.phase.is_final());
+        let is_ordered = rollouts.order_id(service) == known.order;
+        (known.phase.is_final() && is_lost && is_ordered).then(|| known.clone())
+    }
+
     fn next_record(
         &self,
         service: &ServiceName,
--- a/crates/quincevalve_node/src/duties/term.rs
+++ b/crates/quincevalve_node/src/duties/term.rs
@@ -147,7 +147,10 @@
     let mut duty = node.duty.borrow_mut();
     duty.record_claim(read);
     log::info!(number = number.0, era = duty.era(), is_found = read.is_some(); "duty-claim-read");
-    Duration::ZERO
+    match duty.next_step(clock::now()) {
+        LeaseStep::ReadClaim => CLAIM_RETRY_INTERVAL,
+        LeaseStep::Renew(_) | LeaseStep::Over(_) => Duration::ZERO,
+    }
 }
 
 /// Renews the lease, and returns the time until the next step.
--- a/crates/quincevalve_node/src/store/sync.rs
+++ b/crates/quincevalve_node/src/store/sync.rs
@@ -258,11 +258,6 @@
             None => register(&node, &store).await.map(Some),
         };
         match kept {
-            // The lease may be that of another client by now, with the same number.
-            Ok(Some(kept)) if kept.era != store.era() => {
-                entry = Some(kept);
-                continue;
-            }
             Ok(Some(kept)) => entry = Some(kept),
             Ok(None) | Err(StoreError::LeaseEnded) => {
                 entry = None;
@@ -270,7 +265,9 @@
             }
             Err(error) => log::debug!(error:% = error; "entry-not-kept"),
         }
-        sleep(if entry.is_some() { ENTRY_RENEWAL_INTERVAL } else { ENTRY_RETRY_INTERVAL }).await;
+        // In a later era the lease may be that of another client, with the same number.
+        let is_certain = entry.is_some_and(|it| it.era == store.era());
+        sleep(if is_certain { ENTRY_RENEWAL_INTERVAL } else { ENTRY_RETRY_INTERVAL }).await;
     }
 }
 
--- a/crates/quincevalve_node/tests/old_copy.rs
+++ b/crates/quincevalve_node/tests/old_copy.rs
@@ -62,7 +62,7 @@
         let world = World::start(1, script).await;
         let _vm = Vm::start("vm-2", world.store.for_another_vm()).await;
         assert!(world.store.lists_vm("vm-2"));
-        world.store.lose_vm("vm-2");
+        world.store.return_from_copy(|items| items.retain(|it| it.key != "peers/a/vm-2"));
         let rewritten = async {
             while !world.store.lists_vm("vm-2") {
                 sleep(POLL_INTERVAL).await;
--- a/crates/quincevalve_node/tests/rollout.rs
+++ b/crates/quincevalve_node/tests/rollout.rs
@@ -281,8 +281,7 @@
 #[test]
 fn a_former_duty_holder_commits_no_status() {
     run(async {
-        let states =
-            states_after_write(|store| store.put_item("duty/holder", b"another".to_vec())).await;
+        let states = states_after_write(|store| store.take_duties_over("another")).await;
         assert_eq!(states, []);
     });
 }
@@ -309,3 +308,27 @@
         assert!(!states.contains(&RolloutState::Active), "{states:?}");
     });
 }
+
+// The store returns from a copy in which the roll-out hasn't ended yet: its status would be active again for good, or
+// the roll-out would begin again.
+#[test]
+fn a_final_status_is_written_again_after_the_store_lost_it() {
+    run(async {
+        let mut world = World::start(2 * SERVERS_PER_VERSION, reply_with_success).await;
+        start_rollout(&world, 4);
+        let front = world.front;
+        send_until(&mut world, &[front], RolloutState::Completed).await;
+        let known = world.store.statuses().len();
+        let first =
+            RolloutRecord::first(&world.store.rollout_order("engines").expect("an order"), 0);
+        let first = serde_json::to_vec(&first).expect("a record");
+        world.store.return_from_copy(|items| {
+            let record = items.iter_mut().find(|it| it.key == "rollout/engines");
+            record.expect("a record").value = first;
+        });
+        wait_until(|| world.store.statuses().len() > known).await;
+        sleep(REPORT_DELAY).await;
+        let states: Vec<_> = world.store.statuses().iter().skip(known).map(|it| it.state).collect();
+        assert_eq!(states, [RolloutState::Completed]);
+    });
+}
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -82,7 +82,7 @@
     are_changes_paused: Cell<bool>,
     /// Number of requests for changes that still panic.
     panics: Cell<usize>,
-    /// The newest era that answers state; revisions are always of the first one.
+    /// The era that answers state.
     era: Cell<u64>,
     /// Maximum number of changes in one answer.
     max_changes: Cell<Option<usize>>,
@@ -211,10 +211,25 @@
         self.shared.items.borrow_mut().extend((0..count).map(item));
     }
 
-    /// Begins an era without the descriptor of a VM. Its lease's number is that of another client, which keeps it.
-    pub fn lose_vm(&self, name: &str) {
-        self.remove_vm(name);
+    /// Returns from a copy that differs from the present by `edit`, and begins an era. Each lease is that of another client
+    /// now, which keeps it.
+    pub fn return_from_copy(&self, edit: impl FnOnce(&mut Vec<SystemItem>)) {
         self.shared.era.update(|it| it + 1);
+        let mut items = self.shared.items.borrow_mut();
+        edit(&mut items);
+        items.iter_mut().for_each(|it| it.revision = self.revision(it.revision.number()));
+        drop(items);
+        self.shared.changed.notify_waiters();
+    }
+
+    fn revision(&self, number: u64) -> StoreRevision {
+        StoreRevision::in_era(self.shared.era.get(), number)
+    }
+
+    /// Takes the duties over in the name of another VM: the keys of the holder are gone with its lease.
+    pub fn take_duties_over(&self, name: &str) {
+        self.shared.items.borrow_mut().retain(|it| !it.key.starts_with("duty/claim/"));
+        self.put_item("duty/holder", name.into());
     }
 
     /// Returns whether the descriptor of a VM is there.
@@ -244,7 +259,7 @@
 
     fn add(&self, change: FakeChange) -> StoreRevision {
         let mut changes = self.shared.changes.borrow_mut();
-        let at = StoreRevision(100 + changes.len() as u64 + 1);
+        let at = self.revision(100 + changes.len() as u64 + 1);
         changes.push((at, change));
         self.shared.changed.notify_waiters();
         at
@@ -298,7 +313,7 @@
     pub fn put_item_unannounced(&self, key: &str, value: Vec<u8>) {
         let mut items = self.shared.items.borrow_mut();
         items.retain(|it| it.key != key);
-        let (key, revision) = (key.to_owned(), StoreRevision(100));
+        let (key, revision) = (key.to_owned(), self.revision(100));
         items.push(SystemItem { key, value, revision, lease: None });
     }
 
@@ -347,8 +362,8 @@
                 .map(|(name, it)| (name.clone(), self.vm.linked(it.clone())))
                 .collect(),
             system_items: self.shared.items.borrow().clone(),
-            at: StoreRevision(100),
-            newest: StoreRevision(100),
+            at: self.revision(100),
+            newest: self.revision(100),
         })
     }
 
@@ -382,6 +397,9 @@
                 () = sleep(wait) => {}
             }
         }
+        if after.era() != self.shared.era.get() {
+            return Err(StoreError::HistoryGone);
+        }
         self.admit_call().await?;
         self.vm.answered_change_requests.set(self.vm.answered_change_requests.get() + 1);
         let mut changes = newer_changes();
@@ -419,7 +437,7 @@
         if !commit.expected.iter().all(is_expected) {
             return Err(StoreError::Conflict);
         }
-        let mut newest = StoreRevision(100);
+        let mut newest = self.revision(100);
         for (key, value, lease) in &commit.puts {
             newest = self.add(FakeChange::Item(key.clone(), Some(value.clone())));
             let mut items = self.shared.items.borrow_mut();
