--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -108,6 +108,8 @@
     duty.record_era(eras, ms(1_000));
     duty.record_claim(read);
     assert_eq!(duty.next_step(ms(1_010)), next);
+    // Writes expect a claim only as it was read in the newest era.
+    assert_eq!(duty.claim(ms(1_010)).is_some(), next == LeaseStep::Renew(LEASE));
     duty.record_renewal(ms(1_010), ms(1_020));
     assert_eq!(may_act(&duty, 3_300), next == LeaseStep::Renew(LEASE));
 }
@@ -201,6 +203,8 @@
     for (era, done_ms) in [(1, 20), (0, 3_010), (0, 20)] {
         let mut duty = vm("vm-a");
         let takeover = duty.begin_takeover(&Term::default(), 0, ms(10)).expect("a takeover");
+        // The keys of the takeover that is under way aren't left from another term.
+        assert!(!duty.may_remove_own_keys(ms(10_000)));
         duty.record_era(era, ms(done_ms));
         let is_held = duty.complete_takeover(takeover, LEASE, ms(done_ms));
         assert_eq!((is_held, may_act(&duty, done_ms)), (era == 0 && done_ms == 20, is_held));
