--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -214,3 +214,22 @@
     let read = duty.begin_takeover(&Term::default(), in_era(1, 9), ms(10));
     assert_eq!(read.err(), Some(NotNow::EarlierEra));
 }
+
+// Calls of the VM's earlier process, of a holder whose term was lost, or its own could come after those of the holder
+// that takes over once the keys are gone.
+#[test]
+fn own_keys_stay_for_a_lease_after_the_start_the_return_and_the_calls() {
+    let mut duty = DutyLease::new("vm-a", TTL, ms(1_000), false);
+    let removes_from = |duty: &DutyLease, at_ms| {
+        !duty.may_remove_own_keys(ms(at_ms - 1)) && duty.may_remove_own_keys(ms(at_ms))
+    };
+    assert!(removes_from(&duty, 4_000));
+    duty.record_era(1, ms(5_000));
+    assert!(removes_from(&duty, 8_000));
+    take_over(&mut duty, &Term::default(), in_era(1, 0), 8_000).expect("a takeover");
+    assert!(!duty.may_remove_own_keys(ms(20_000)));
+    duty.begin_call(ms(8_500)).expect("a call");
+    duty.end_call(ms(9_000));
+    duty.end(TermEnd::LeaseEnded);
+    assert!(removes_from(&duty, 12_000));
+}
