Test that a call ends with the term, and that the era of a refusal is known

Without the mends the first test doesn't end, since the call is never dropped, and the second fails: the era of a 404 stays unknown.

--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -162,3 +162,6 @@
         sleep(CALL_CHECK_INTERVAL).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
