--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -74,6 +74,8 @@
     assert!(!may_act(&duty, 2_400));
     assert!(duty.is_held(ms(2_999)));
     assert!(!duty.is_held(ms(3_000)));
+    assert!(duty.may_finish_call(FencingNumber(1), ms(2_999)));
+    assert!(!duty.may_finish_call(FencingNumber(1), ms(3_000)));
     // The store may have the lease again, from an older copy: nothing is sent for the term any more.
     duty.record_renewal(ms(2_900), ms(3_000));
     assert_eq!(duty.next_step(ms(3_000)), LeaseStep::Over(TermEnd::Expired));
@@ -181,6 +183,16 @@
     assert!(next.next("vm-e", in_era(2, 9)).number > next.number);
 }
 
+// A takeover of an earlier era is carried out after the store returned, over a term of the new era whose revision has
+// the expected number, and leaves a number of the earlier era behind.
+#[test]
+fn a_takeover_that_is_carried_out_late_leads_to_no_number_twice() {
+    let known = Term::default().next("vm-a", in_era(1, 0));
+    let used = known.next("vm-b", in_era(2, 8));
+    let late = known.next("vm-c", in_era(1, 20));
+    assert!(late.next("vm-d", in_era(2, 21)).number > used.number);
+}
+
 // The holder of a lost term doesn't know yet that its lease is lost. If the next holder acted at once, the platform would
 // get calls of both in turn. If it handed over before, the next one would.
 #[test]
