End a term of the duties with its era, and confirm it before each call

A holder that stood still reports each window under a lower fencing number than the next holder's.

Cause: whether a VM acts was decided by its own clock. Where the clock doesn't count a stop, a term that is over seems to be held, and a copy of the store that has its claim confirmed it for good.

A term ends with each later era that its VM learns of, whatever claim, lease or clock say. Each call to the cloud needs a confirmation that was asked for it: a renewal, and then a read of the claim. From the renewal on nobody can take over for a lease, so that the call ends before, without a clock that counts suspensions. A renewal that lies in the clock's future ends the term. The types keep a call without a confirmation from being written. A report that isn't confirmed is read and sent again.

--- a/crates/quincevalve_forwarding/src/duty/lease.rs
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -33,10 +33,10 @@
 /// What to send next to keep the term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
-    /// Read the term's claim: its revision is unknown, or the store has returned from an older copy since.
+    /// Read the term's claim, whose revision is unknown.
     ReadClaim,
-    /// Renew the lease with this number.
-    Renew(u64),
+    /// Renew the lease.
+    Renew,
     /// Nothing: the term is over.
     Over(TermEnd),
 }
@@ -50,8 +50,8 @@
     LeaseEnded,
     /// The store doesn't have the claim, or has it under another lease.
     ClaimLost,
-    /// The store has returned from an older copy more than once since it last confirmed the term.
-    ErasMissed,
+    /// The store has returned from an older copy.
+    StoreReturned,
     /// This VM gave the term up.
     GivenUp,
 }
@@ -65,13 +65,22 @@
     pub lease: u64,
 }
 
-/// A term that this VM holds.
+/// A renewal that the store answered, of the term with this number.
+#[derive(Debug)]
+pub struct Renewal(FencingNumber);
+
+/// The store's confirmation that this VM holds the term with this number: a renewal, and then a read of its claim.
+///
+/// It is for one call. A VM that is suspended can't tell how old a confirmation is, so each call needs one that was asked
+/// for it. From the renewal on no other VM can take over for the duration of a lease, and the call ends sooner.
+#[derive(Debug)]
+pub struct Confirmation(FencingNumber);
+
+/// A term that this VM holds, of the newest known era.
 #[derive(Clone, Debug)]
 struct HeldTerm {
     number: FencingNumber,
     lease: u64,
-    /// The newest era in which the store has confirmed the term.
-    era: u64,
     /// Time at which the newest answered renewal was sent.
     renewal_sent_at: TimePoint,
     /// Earliest time to act: before it, the holder of a lost term may still act.
@@ -82,25 +91,29 @@
 
 /// This VM's part in the duty: the term that it holds, if any, and what a next one depends on.
 ///
-/// Times are those of a clock that counts time spent suspended. Answers that this VM gets are recorded with
-/// [`Self::record_era`] first.
+/// Answers that this VM gets are recorded with [`Self::record_era`] first. Times are those of a clock that counts time
+/// spent suspended. If it doesn't, waits last longer, and a term that is over seems to be held; no call is made for it,
+/// because each needs a [`Confirmation`].
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use quincevalve_forwarding::duty::{DutyLease, LeaseStep, Term, TermEnd};
+/// use quincevalve_forwarding::duty::{ClaimRead, DutyLease, LeaseStep, Term, TermEnd};
 /// use quincevalve_names::TimePoint;
 ///
 /// let ms = TimePoint::from_millis;
 /// let mut duty = DutyLease::new("vm-1", Duration::from_secs(3), ms(0), true);
 /// let takeover = duty.begin_takeover(&Term::default(), 0, ms(1_000)).expect("no other era is known");
+/// let number = takeover.term.number;
 /// assert!(duty.complete_takeover(takeover, 7, ms(1_010)));
-/// assert!(duty.begin_call(ms(1_020)).is_some());
-/// // The VM stands still for four seconds: no answer brings the term back.
-/// assert_eq!(duty.next_step(ms(5_000)), LeaseStep::Over(TermEnd::Expired));
-/// duty.record_renewal(ms(4_990), ms(5_000));
-/// assert_eq!(duty.begin_call(ms(5_000)), None);
+/// let read = Some(ClaimRead { revision: 12, lease: 7 });
+/// let renewal = duty.record_renewal(ms(1_020), ms(1_025)).expect("the term is held");
+/// let confirmation = duty.confirm(renewal, read).expect("the term is held");
+/// assert_eq!(duty.begin_call(confirmation, ms(1_030)), Some(number));
+/// // The VM is suspended for four seconds: no answer brings the term back.
+/// assert_eq!(duty.next_step(ms(5_100)), LeaseStep::Over(TermEnd::Expired));
+/// assert!(duty.record_renewal(ms(5_100), ms(5_110)).is_none());
 /// ```
 #[derive(Clone, Debug)]
 pub struct DutyLease {
@@ -139,12 +152,15 @@
         }
     }
 
-    /// Records an era that an answer of the store or another VM stated.
+    /// Records an era that an answer of the store or another VM stated. A term of an earlier era is over.
+    ///
+    /// The copy may hold this VM's lease and claim although another VM has taken over since, under a higher number.
     pub fn record_era(&mut self, era: u64, now: TimePoint) {
         self.first_era.get_or_insert(era);
         if era > self.era {
             self.era = era;
             self.era_known_at = now;
+            self.end(TermEnd::StoreReturned);
         }
     }
 
@@ -227,7 +243,6 @@
         self.held = Some(HeldTerm {
             number: term.number,
             lease,
-            era,
             renewal_sent_at: requested_at,
             acts_from,
             claim: None,
@@ -240,44 +255,38 @@
         if self.held.is_some() && !self.is_held(now) {
             self.end(TermEnd::Expired);
         }
-        self.end_if_eras_missed();
         match &self.held {
             None => LeaseStep::Over(self.ended),
-            Some(held) if held.claim.is_none() || held.era != self.era => LeaseStep::ReadClaim,
-            Some(held) => LeaseStep::Renew(held.lease),
+            Some(held) if held.claim.is_none() => LeaseStep::ReadClaim,
+            Some(_) => LeaseStep::Renew,
         }
     }
 
-    /// Ends a term that wasn't confirmed in each era. In one between, another VM may have taken over, and it acts on
-    /// although the next copy names this VM.
-    fn end_if_eras_missed(&mut self) {
-        if self.held.as_ref().is_some_and(|it| self.era > it.era + 1) {
-            self.end(TermEnd::ErasMissed);
-        }
-    }
-
-    /// Records the answer to a read of the claim; `None` if the store doesn't have it.
-    pub fn record_claim(&mut self, read: Option<ClaimRead>) {
-        self.end_if_eras_missed();
-        let Some(held) = &mut self.held else { return };
+    /// Records the answer to a read of the claim of the term with this number; `None` if the store doesn't have it. Returns
+    /// whether this VM holds that term.
+    pub fn record_claim(&mut self, number: FencingNumber, read: Option<ClaimRead>) -> bool {
+        let Some(held) = self.held.as_mut().filter(|it| it.number == number) else { return false };
         match read.filter(|it| it.lease == held.lease) {
-            Some(read) => {
-                held.era = held.era.max(era_of(read.revision));
-                held.claim = held.claim.max(Some(read.revision));
-            }
+            Some(read) => held.claim = Some(read.revision),
             None => self.end(TermEnd::ClaimLost),
         }
+        self.held.is_some()
     }
 
-    /// Records an answered renewal that was sent at `sent_at`. One in a later era than the term's may be that of another
-    /// lease with the same number.
-    pub fn record_renewal(&mut self, sent_at: TimePoint, now: TimePoint) {
+    /// Records an answered renewal that was sent at `sent_at`. Returns it if this VM still holds the term.
+    pub fn record_renewal(&mut self, sent_at: TimePoint, now: TimePoint) -> Option<Renewal> {
         if !self.is_held(now) {
-            return;
-        }
-        if let Some(held) = self.held.as_mut().filter(|it| it.era == self.era) {
-            held.renewal_sent_at = held.renewal_sent_at.max(sent_at);
+            return None;
         }
+        let held = self.held.as_mut()?;
+        held.renewal_sent_at = held.renewal_sent_at.max(sent_at);
+        Some(Renewal(held.number))
+    }
+
+    /// Records the answer to a read of the claim that followed a renewal.
+    pub fn confirm(&mut self, renewal: Renewal, read: Option<ClaimRead>) -> Option<Confirmation> {
+        let Renewal(number) = renewal;
+        self.record_claim(number, read).then_some(Confirmation(number))
     }
 
     /// Ends the term.
@@ -292,25 +301,36 @@
         self.held.as_ref().map(|it| it.number)
     }
 
+    /// Returns the lease of the term that this VM holds.
+    pub fn lease(&self) -> Option<u64> {
+        self.held.as_ref().map(|it| it.lease)
+    }
+
     /// Returns whether this VM holds a term whose lease hasn't expired.
     pub fn is_held(&self, now: TimePoint) -> bool {
-        self.held.as_ref().is_some_and(|it| now.since(it.renewal_sent_at) < self.ttl)
+        // A renewal that is still to come was sent before the clock went back.
+        let is_unexpired = |sent_at: TimePoint| sent_at <= now && now.since(sent_at) < self.ttl;
+        self.held.as_ref().is_some_and(|it| is_unexpired(it.renewal_sent_at))
     }
 
-    /// Returns the fencing number to act with, or `None` if this VM may not act.
-    ///
-    /// A renewal counts from when it was sent. After a loss the term is used up to its end without confirmation: whoever
-    /// takes over in the new era waits for a whole lease.
+    /// Returns the fencing number to act with, or `None` if this VM may not act. A renewal counts from when it was sent.
     pub fn fencing_number(&self, now: TimePoint) -> Option<FencingNumber> {
         let held = self.held.as_ref()?;
         let usable = self.ttl.scaled(USABLE_FRACTION);
         (now >= held.acts_from && now.since(held.renewal_sent_at) < usable).then_some(held.number)
     }
 
-    /// Begins a call that only the holder may make. It must be dropped as soon as [`Self::may_finish_call`] is false, and
-    /// [`Self::end_call`] follows it.
-    pub fn begin_call(&mut self, now: TimePoint) -> Option<FencingNumber> {
-        let number = self.fencing_number(now)?;
+    /// Begins a call that only the holder may make, with a confirmation that was requested for it. The call must be dropped
+    /// as soon as [`Self::may_finish_call`] is false, and [`Self::end_call`] follows it.
+    pub fn begin_call(
+        &mut self,
+        confirmation: Confirmation,
+        now: TimePoint,
+    ) -> Option<FencingNumber> {
+        let Confirmation(number) = confirmation;
+        if self.fencing_number(now) != Some(number) {
+            return None;
+        }
         self.last_call = Some((number, now));
         Some(number)
     }
@@ -330,8 +350,7 @@
     /// Returns the number and the revision of the claim that writes of the holder must expect, if they are known.
     pub fn claim(&self, now: TimePoint) -> Option<(FencingNumber, u64)> {
         let held = self.held.as_ref().filter(|_| self.is_held(now))?;
-        let claim = held.claim.filter(|it| era_of(*it) == self.era)?;
-        Some((held.number, claim))
+        Some((held.number, held.claim?))
     }
 
     /// Gives the term up. Returns the claim to remove so that another VM can take over at once, if it may.
--- a/crates/quincevalve_node/src/duties.rs
+++ b/crates/quincevalve_node/src/duties.rs
@@ -9,7 +9,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use quincevalve_forwarding::duty::TermEnd;
+use quincevalve_forwarding::duty::{Confirmation, TermEnd};
 use quincevalve_names::{FencingNumber, TimePoint};
 use rand::RngExt;
 use tokio::{sync::watch, time::sleep};
@@ -17,14 +17,14 @@
 use crate::{
     clock,
     node::Node,
-    ports::{CloudApi, CloudError, DutyHolder, LeaseId, PlatformStore},
+    ports::{CloudApi, CloudError, DutyHolder, PlatformStore},
 };
 
 use self::{
     orders::order_servers,
     reports::report_usage,
     rollouts::run_rollouts,
-    term::{keep_term, record_era, release, remove_own_keys, take_over},
+    term::{confirm_term, keep_term, record_era, release, remove_own_keys, take_over},
 };
 
 /// Poll interval of a VM that doesn't hold the duties, and of the report task.
@@ -60,9 +60,9 @@
         if !may_attempt_takeover(&node, &mut vacancy) {
             continue;
         }
-        let lease = match take_over(&node, &store).await {
-            Ok(Ok(lease)) => lease,
-            Ok(Err(until)) => {
+        match take_over(&node, &store).await {
+            Ok(None) => {}
+            Ok(Some(until)) => {
                 vacancy = vacancy.map(|it| Vacancy { since: it.since.max(until), ..it });
                 continue;
             }
@@ -70,10 +70,10 @@
                 log::debug!(error:% = error; "duty-not-taken");
                 continue;
             }
-        };
+        }
         let number = node.duty.borrow().held_number().unwrap_or_default().0;
         let why = tokio::select! {
-            why = perform_duties(&node, &store, &cloud, lease) => why,
+            why = perform_duties(&node, &store, &cloud) => why,
             _ = stopped.wait_for(|it| *it) => TermEnd::GivenUp,
         };
         let claim = node.duty.borrow_mut().give_up(clock::now());
@@ -119,16 +119,16 @@
 }
 
 /// Performs the duties until the term is over.
-async fn perform_duties<S, C>(node: &Rc<Node>, store: &S, cloud: &C, lease: LeaseId) -> TermEnd
+async fn perform_duties<S, C>(node: &Rc<Node>, store: &S, cloud: &C) -> TermEnd
 where
     S: PlatformStore,
     C: CloudApi,
 {
     let is_inherited = Cell::new(false);
     tokio::select! {
-        why = keep_term(node, store, lease) => why,
+        why = keep_term(node, store) => why,
         () = report_usage(node, store, cloud, &is_inherited) => TermEnd::GivenUp,
-        () = order_servers(node, cloud, &is_inherited) => TermEnd::GivenUp,
+        () = order_servers(node, store, cloud, &is_inherited) => TermEnd::GivenUp,
         () = run_rollouts(node, store) => TermEnd::GivenUp,
     }
 }
@@ -140,12 +140,25 @@
 
 /// Makes a call to the cloud as the holder; returns `None` if this VM may not act.
 ///
-/// The call is dropped when the term ends, and its outcome is unknown then.
-async fn call_as_holder<T>(
+/// The store confirms the term first: a VM whose clock doesn't count a suspension would act long after its lease.
+async fn call_as_holder<S, T>(
+    node: &Node,
+    store: &S,
+    call: impl AsyncFnOnce(&DutyHolder) -> Result<T, CloudError>,
+) -> Option<Result<T, CloudError>>
+where
+    S: PlatformStore,
+{
+    make_call(node, confirm_term(node, store).await?, call).await
+}
+
+/// Makes a confirmed call. It is dropped when the term ends, and its outcome is unknown then.
+async fn make_call<T>(
     node: &Node,
+    confirmation: Confirmation,
     call: impl AsyncFnOnce(&DutyHolder) -> Result<T, CloudError>,
 ) -> Option<Result<T, CloudError>> {
-    let fencing_number = node.duty.borrow_mut().begin_call(clock::now())?;
+    let fencing_number = node.duty.borrow_mut().begin_call(confirmation, clock::now())?;
     let holder = DutyHolder { name: node.settings.name.as_str().to_owned(), fencing_number };
     let result = tokio::select! {
         biased;
--- a/crates/quincevalve_node/src/duties/orders.rs
+++ b/crates/quincevalve_node/src/duties/orders.rs
@@ -13,11 +13,11 @@
 use quincevalve_names::{DataCentreName, ServiceName};
 use tokio::time::{Instant, sleep};
 
-use super::{call_as_holder, may_act};
+use super::call_as_holder;
 use crate::{
     clock,
     node::Node,
-    ports::{CloudApi, CloudError, ServerOrder},
+    ports::{CloudApi, CloudError, PlatformStore, ServerOrder},
 };
 
 /// Interval between two plans of the fleet.
@@ -34,8 +34,13 @@
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(50);
 
 /// Plans the fleet of every scaled service and orders servers while this VM holds the duties.
-pub(super) async fn order_servers<C>(node: &Node, cloud: &C, is_inherited: &Cell<bool>)
-where
+pub(super) async fn order_servers<S, C>(
+    node: &Node,
+    store: &S,
+    cloud: &C,
+    is_inherited: &Cell<bool>,
+) where
+    S: PlatformStore,
     C: CloudApi,
 {
     if !node.settings.duties.scaling {
@@ -77,7 +82,8 @@
             );
             for _ in 0..SERVER_KINDS {
                 for order in planner.due_orders(scaling, busy, &present, clock::now()) {
-                    let sent = send_order(node, cloud, name, &order, busy, scaling.max).await;
+                    let sent =
+                        send_order(node, store, cloud, name, &order, busy, scaling.max).await;
                     let Some(outcome) = sent else { break };
                     planner.record_order(&order, outcome, clock::now());
                 }
@@ -171,9 +177,10 @@
     order.count + other_version + limited.min(headroom)
 }
 
-/// Sends an order; returns `None` if this VM no longer holds the duties.
-async fn send_order<C>(
+/// Sends an order; returns `None` if this VM may not act.
+async fn send_order<S, C>(
     node: &Node,
+    store: &S,
     cloud: &C,
     service: &ServiceName,
     order: &Order,
@@ -181,11 +188,9 @@
     max_servers: u32,
 ) -> Option<OrderOutcome>
 where
+    S: PlatformStore,
     C: CloudApi,
 {
-    if !may_act(node) {
-        return None;
-    }
     let wanted = ServerOrder {
         service: service.clone(),
         data_centre: order.data_centre.clone(),
@@ -193,7 +198,7 @@
         reclaimable: order.kind == ServerKind::Reclaimable,
     };
     let mut number = 0;
-    let result = call_as_holder(node, async |holder| {
+    let result = call_as_holder(node, store, async |holder| {
         number = holder.fencing_number.0;
         cloud.order(holder, &wanted).await
     });
--- a/crates/quincevalve_node/src/duties/reports.rs
+++ b/crates/quincevalve_node/src/duties/reports.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::{POLL_INTERVAL, call_as_holder, may_act, term::claim_to_expect};
+use super::{POLL_INTERVAL, call_as_holder, term::claim_to_expect};
 use crate::{
     clock,
     node::Node,
@@ -78,10 +78,15 @@
                         inherit_demand(node, report);
                     }
                     is_inherited.set(true);
-                    if let Some(report) = &found.1 {
-                        send_report(node, cloud, report).await;
+                    let is_sent = match &found.1 {
+                        Some(report) => send_report(node, store, cloud, report).await,
+                        None => true,
+                    };
+                    if is_sent {
+                        known = Some(found);
+                    } else {
+                        sleep(POLL_INTERVAL).await;
                     }
-                    known = Some(found);
                 }
                 Err(error) => {
                     log::debug!(error:% = error; "last-report-unknown");
@@ -99,8 +104,8 @@
         let report = Report { window, counts: node.usage.borrow().total(window), busy };
         match write_report(store, claim, *revision, &report).await {
             Ok(revision) => {
-                send_report(node, cloud, &report).await;
-                known = Some((revision, Some(report)));
+                let is_sent = send_report(node, store, cloud, &report).await;
+                known = is_sent.then_some((revision, Some(report)));
             }
             Err(error) => {
                 // The write may have taken effect, so the stored report is read again.
@@ -277,17 +282,15 @@
     (complete || since_end_ms >= MAX_REPORT_DELAY_MS).then_some(next)
 }
 
-/// Sends a report, if this VM may act.
-async fn send_report<C>(node: &Node, cloud: &C, report: &Report)
+/// Sends a report; returns `false` if this VM may not act.
+async fn send_report<S, C>(node: &Node, store: &S, cloud: &C, report: &Report) -> bool
 where
+    S: PlatformStore,
     C: CloudApi,
 {
-    if !may_act(node) {
-        return;
-    }
-    node.usage.borrow_mut().record_reported(report.window);
     let window = report.window;
-    let result = call_as_holder(node, async |holder| {
+    let result = call_as_holder(node, store, async |holder| {
+        node.usage.borrow_mut().record_reported(window);
         cloud.report_usage(holder, window, &report.counts).await?;
         Ok(holder.fencing_number.0)
     });
@@ -297,8 +300,9 @@
             log::info!(window, requests, number; "usage-reported");
         }
         Some(Err(error)) => log::warn!(window, error:% = error; "usage-not-reported"),
-        None => {}
+        None => return false,
     }
+    true
 }
 
 #[cfg(test)]
--- a/crates/quincevalve_node/src/duties/rollouts.rs
+++ b/crates/quincevalve_node/src/duties/rollouts.rs
@@ -43,16 +43,10 @@
 where
     S: PlatformStore,
 {
-    let mut leader = RolloutLeader {
-        node,
-        store,
-        stored: HashMap::new(),
-        era: node.duty.borrow().era(),
-        last_logged: HashMap::new(),
-    };
+    let mut leader =
+        RolloutLeader { node, store, stored: HashMap::new(), last_logged: HashMap::new() };
     loop {
         sleep(EVALUATION_INTERVAL).await;
-        leader.forget_lost_records();
         let services: Vec<_> = node.rollouts.borrow().services().cloned().collect();
         for service in services {
             if !may_act(node) {
@@ -71,8 +65,6 @@
     store: &'a S,
     /// The stored record by service; a service is missing while its stored record is unknown.
     stored: HashMap<ServiceName, StoredRecord>,
-    /// The store's era in which the records were read.
-    era: u64,
     /// When the evidence of a service was last logged.
     last_logged: HashMap<ServiceName, TimePoint>,
 }
@@ -81,14 +73,6 @@
 where
     S: PlatformStore,
 {
-    /// Forgets the stored records if the store has returned from an older copy since they were read.
-    fn forget_lost_records(&mut self) {
-        let era = self.node.duty.borrow().era();
-        if std::mem::replace(&mut self.era, era) != era {
-            self.stored.clear();
-        }
-    }
-
     /// Writes the next record of a service's roll-out, if one is due.
     async fn advance(&mut self, service: &ServiceName) -> Result<(), StoreError> {
         let (revision, known) = self.stored_record(service).await?;
--- a/crates/quincevalve_node/src/duties/term.rs
+++ b/crates/quincevalve_node/src/duties/term.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use quincevalve_forwarding::duty::{ClaimRead, LeaseStep, NotNow, Term, TermEnd};
+use quincevalve_forwarding::duty::{
+    ClaimRead, Confirmation, LeaseStep, NotNow, Renewal, Term, TermEnd,
+};
 use quincevalve_names::{FencingNumber, TimePoint};
 use tokio::time::sleep;
 
@@ -48,11 +50,8 @@
     Ok((term, revision))
 }
 
-/// Takes the duties over. Returns the lease, or when this VM may do so.
-pub(super) async fn take_over<S>(
-    node: &Node,
-    store: &S,
-) -> Result<Result<LeaseId, TimePoint>, StoreError>
+/// Takes the duties over. Returns `None` if it has, or when this VM may do so.
+pub(super) async fn take_over<S>(node: &Node, store: &S) -> Result<Option<TimePoint>, StoreError>
 where
     S: PlatformStore,
 {
@@ -61,7 +60,7 @@
     taken
 }
 
-async fn try_take_over<S>(node: &Node, store: &S) -> Result<Result<LeaseId, TimePoint>, StoreError>
+async fn try_take_over<S>(node: &Node, store: &S) -> Result<Option<TimePoint>, StoreError>
 where
     S: PlatformStore,
 {
@@ -75,7 +74,7 @@
     };
     let takeover = match begun {
         Ok(takeover) => takeover,
-        Err(NotNow::Before(until)) => return Ok(Err(until)),
+        Err(NotNow::Before(until)) => return Ok(Some(until)),
         Err(NotNow::EarlierEra) => return Err(StoreError::Conflict),
     };
     let lease = store.grant(node.settings.duties.lease).await?;
@@ -107,11 +106,11 @@
     node.peers.borrow_mut().set_holder(Some(me.to_owned()));
     let era = node.duty.borrow().era();
     log::info!(number = term.number.0, era, before = before.holder, lost_terms; "duty-taken");
-    Ok(Ok(lease))
+    Ok(None)
 }
 
 /// Keeps the term until it is over, and returns why.
-pub(super) async fn keep_term<S>(node: &Node, store: &S, lease: LeaseId) -> TermEnd
+pub(super) async fn keep_term<S>(node: &Node, store: &S) -> TermEnd
 where
     S: PlatformStore,
 {
@@ -121,62 +120,109 @@
         let step = node.duty.borrow_mut().next_step(clock::now());
         let pause = match step {
             LeaseStep::Over(why) => return why,
-            LeaseStep::ReadClaim => read_claim(node, store).await,
-            LeaseStep::Renew(_) => renew(node, store, lease, period).await,
+            LeaseStep::ReadClaim => read_claim_once(node, store).await,
+            LeaseStep::Renew => match renew(node, store).await {
+                Ok(Some(_)) => period,
+                Ok(None) => Duration::ZERO,
+                Err(error) => {
+                    log::debug!(error:% = error; "duty-not-renewed");
+                    period
+                }
+            },
         };
         sleep(pause).await;
     }
 }
 
-/// Reads the claim of the term that this VM holds, and returns the time until the next step.
-async fn read_claim<S>(node: &Node, store: &S) -> Duration
+/// Reads the claim after a takeover, and returns the time until the next step.
+async fn read_claim_once<S>(node: &Node, store: &S) -> Duration
 where
     S: PlatformStore,
 {
     let Some(number) = node.duty.borrow().held_number() else { return Duration::ZERO };
-    let found = match store.get(&claim_key(number)).await {
-        Ok(found) => found,
+    match read_claim(node, store, number).await {
+        Ok(read) => {
+            let mut duty = node.duty.borrow_mut();
+            let is_held = duty.record_claim(number, read);
+            log::info!(number = number.0, era = duty.era(), is_found = is_held; "duty-claim-read");
+            Duration::ZERO
+        }
         Err(error) => {
             log::debug!(number = number.0, error:% = error; "duty-claim-not-read");
-            return CLAIM_RETRY_INTERVAL;
+            CLAIM_RETRY_INTERVAL
         }
-    };
-    record_era(node, store);
-    let read =
-        found.map(|it| ClaimRead { revision: it.revision.0, lease: it.lease.map_or(0, |it| it.0) });
-    let mut duty = node.duty.borrow_mut();
-    duty.record_claim(read);
-    log::info!(number = number.0, era = duty.era(), is_found = read.is_some(); "duty-claim-read");
-    match duty.next_step(clock::now()) {
-        LeaseStep::ReadClaim => CLAIM_RETRY_INTERVAL,
-        LeaseStep::Renew(_) | LeaseStep::Over(_) => Duration::ZERO,
     }
 }
 
-/// Renews the lease, and returns the time until the next step.
-async fn renew<S>(node: &Node, store: &S, lease: LeaseId, period: Duration) -> Duration
+/// Returns the claim of a term, if the store has it.
+async fn read_claim<S>(
+    node: &Node,
+    store: &S,
+    number: FencingNumber,
+) -> Result<Option<ClaimRead>, StoreError>
+where
+    S: PlatformStore,
+{
+    let found = store.get(&claim_key(number)).await;
+    record_era(node, store);
+    let lease = |it: Option<LeaseId>| it.map_or(0, |it| it.0);
+    Ok(found?.map(|it| ClaimRead { revision: it.revision.0, lease: lease(it.lease) }))
+}
+
+/// Renews the lease; returns `None` if the term is over.
+async fn renew<S>(node: &Node, store: &S) -> Result<Option<Renewal>, StoreError>
 where
     S: PlatformStore,
 {
+    let Some(lease) = node.duty.borrow().lease() else { return Ok(None) };
     let (sent_at, sent_era) = (clock::now(), node.duty.borrow().era());
-    let renewed = store.renew(lease).await;
+    let renewed = store.renew(LeaseId(lease)).await;
     record_era(node, store);
     let now = clock::now();
     let mut duty = node.duty.borrow_mut();
     let (era, is_over) = (duty.era(), !duty.is_held(now));
-    if is_over || era != sent_era {
+    if is_over {
         let took_ms = now.since(sent_at).as_millis() as u64;
-        log::info!(is_over, sent_era, era, took_ms, is_renewed = renewed.is_ok(); "duty-renewed-late");
+        log::info!(sent_era, era, took_ms, is_renewed = renewed.is_ok(); "duty-renewed-late");
     }
     match renewed {
-        Ok(()) => duty.record_renewal(sent_at, now),
+        Ok(()) => Ok(duty.record_renewal(sent_at, now)),
         Err(StoreError::LeaseEnded) => {
             duty.end(TermEnd::LeaseEnded);
-            return Duration::ZERO;
+            Ok(None)
         }
-        Err(error) => log::debug!(error:% = error; "duty-not-renewed"),
+        Err(error) => Err(error),
     }
-    if era == sent_era { period } else { Duration::ZERO }
+}
+
+/// Returns the store's confirmation of the term for one call; `None` if this VM may not act, or isn't confirmed.
+pub(super) async fn confirm_term<S>(node: &Node, store: &S) -> Option<Confirmation>
+where
+    S: PlatformStore,
+{
+    let asked_at = clock::now();
+    let number = node.duty.borrow().fencing_number(asked_at)?;
+    let why = match renew_and_read_claim(node, store, number).await {
+        Ok(Some(confirmation)) => return Some(confirmation),
+        Ok(None) => "not held".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let took_ms = clock::now().since(asked_at).as_millis() as u64;
+    log::info!(number = number.0, era = node.duty.borrow().era(), took_ms, why; "duty-unconfirmed");
+    None
+}
+
+async fn renew_and_read_claim<S>(
+    node: &Node,
+    store: &S,
+    number: FencingNumber,
+) -> Result<Option<Confirmation>, StoreError>
+where
+    S: PlatformStore,
+{
+    let Some(renewal) = renew(node, store).await? else { return Ok(None) };
+    let read = read_claim(node, store, number).await?;
+    Ok(node.duty.borrow_mut().confirm(renewal, read))
 }
 
 /// Returns the key and revision that a write of the holder expects, so that it takes effect only while the term is held;
