Refuse to start without a clock

The process reads its clocks before it starts, and refuses with an error that names the one that can't be read: `clock CLOCK_BOOTTIME: EINVAL: Invalid argument`.

--- a/crates/quincevalve_node/src/lib.rs
+++ b/crates/quincevalve_node/src/lib.rs
@@ -38,6 +38,7 @@
 mod test_node;
 
 pub use crate::{
+    clock::ClockError,
     quarantine::{Quarantined, lift_quarantine, list_quarantined},
     start::{Listeners, StartError, run},
 };
--- a/crates/quincevalve_node/src/start.rs
+++ b/crates/quincevalve_node/src/start.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    clock, duties,
+    clock::{self, ClockError},
+    duties,
     node::{Node, Phase},
     peers,
     ports::{CloudApi, EngineApi, HeaderNames, PlatformStore},
@@ -53,6 +54,12 @@
         /// Why.
         source: io::Error,
     },
+    /// A clock can't be read.
+    #[snafu(transparent)]
+    Clock {
+        /// Which clock, and why.
+        source: ClockError,
+    },
     /// A task that the process needs kept failing, and its memory may be damaged.
     #[snafu(display("task {task} kept failing"))]
     TaskFailed {
@@ -128,6 +135,7 @@
     C: CloudApi,
     E: EngineApi,
 {
+    clock::check()?;
     let local = LocalSet::new();
     local.run_until(serve(settings, listeners, headers, store, cloud, engines)).await
 }
