Confirm a call of the holder by a renewal alone

Within an era no lease number is given out twice, and a later era ends the term, so an answered renewal says what the renewal and the claim said: the lease lives, and with it the keys without which nobody takes over.

--- a/crates/quincevalve_forwarding/src/duty.rs
+++ b/crates/quincevalve_forwarding/src/duty.rs
@@ -7,6 +7,6 @@
 mod term;
 
 pub use self::{
-    lease::{ClaimRead, Confirmation, DutyLease, LeaseStep, NotNow, Renewal, Takeover, TermEnd},
+    lease::{ClaimRead, Confirmation, DutyLease, LeaseStep, NotNow, Takeover, TermEnd},
     term::Term,
 };
--- a/crates/quincevalve_forwarding/src/duty/lease.rs
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -65,14 +65,10 @@
     pub lease: u64,
 }
 
-/// A renewal that the store answered, of the term with this number.
-#[derive(Debug)]
-pub struct Renewal(FencingNumber);
-
-/// The store's confirmation that this VM holds the term with this number: a renewal, and then a read of its claim.
+/// The store's confirmation that this VM holds the term with this number: an answered renewal, for one call.
 ///
-/// It is for one call. A VM that is suspended can't tell how old a confirmation is, so each call needs one that was asked
-/// for it. From the renewal on no other VM can take over for the duration of a lease, and the call ends sooner.
+/// A VM that is suspended can't tell how old a confirmation is, so each call needs one that was asked for it. From the
+/// renewal on no other VM can take over for the duration of a lease, and the call ends sooner.
 #[derive(Debug)]
 pub struct Confirmation(FencingNumber);
 
@@ -99,7 +95,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use quincevalve_forwarding::duty::{ClaimRead, DutyLease, LeaseStep, Term, TermEnd};
+/// use quincevalve_forwarding::duty::{DutyLease, LeaseStep, Term, TermEnd};
 /// use quincevalve_names::TimePoint;
 ///
 /// let ms = TimePoint::from_millis;
@@ -107,9 +103,7 @@
 /// let takeover = duty.begin_takeover(&Term::default(), 0, ms(1_000)).expect("no other era is known");
 /// let number = takeover.term.number;
 /// assert!(duty.complete_takeover(takeover, 7, ms(1_010)));
-/// let read = Some(ClaimRead { revision: 12, lease: 7 });
-/// let renewal = duty.record_renewal(ms(1_020), ms(1_025)).expect("the term is held");
-/// let confirmation = duty.confirm(renewal, read).expect("the term is held");
+/// let confirmation = duty.record_renewal(ms(1_020), ms(1_025)).expect("the term is held");
 /// assert_eq!(duty.begin_call(confirmation, ms(1_030)), Some(number));
 /// // The VM is suspended for four seconds: no answer brings the term back.
 /// assert_eq!(duty.next_step(ms(5_100)), LeaseStep::Over(TermEnd::Expired));
@@ -273,20 +267,14 @@
         self.held.is_some()
     }
 
-    /// Records an answered renewal that was sent at `sent_at`. Returns it if this VM still holds the term.
-    pub fn record_renewal(&mut self, sent_at: TimePoint, now: TimePoint) -> Option<Renewal> {
+    /// Records an answered renewal that was sent at `sent_at`. Returns the confirmation of the term, if this VM holds it.
+    pub fn record_renewal(&mut self, sent_at: TimePoint, now: TimePoint) -> Option<Confirmation> {
         if !self.is_held(now) {
             return None;
         }
         let held = self.held.as_mut()?;
         held.renewal_sent_at = held.renewal_sent_at.max(sent_at);
-        Some(Renewal(held.number))
-    }
-
-    /// Records the answer to a read of the claim that followed a renewal.
-    pub fn confirm(&mut self, renewal: Renewal, read: Option<ClaimRead>) -> Option<Confirmation> {
-        let Renewal(number) = renewal;
-        self.record_claim(number, read).then_some(Confirmation(number))
+        Some(Confirmation(held.number))
     }
 
     /// Ends the term.
--- a/crates/quincevalve_node/src/duties/term.rs
+++ b/crates/quincevalve_node/src/duties/term.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use quincevalve_forwarding::duty::{
-    ClaimRead, Confirmation, LeaseStep, NotNow, Renewal, Term, TermEnd,
-};
+use quincevalve_forwarding::duty::{ClaimRead, Confirmation, LeaseStep, NotNow, Term, TermEnd};
 use quincevalve_names::{FencingNumber, TimePoint};
 use tokio::time::sleep;
 
@@ -120,7 +118,7 @@
         let step = node.duty.borrow_mut().next_step(clock::now());
         let pause = match step {
             LeaseStep::Over(why) => return why,
-            LeaseStep::ReadClaim => read_claim_once(node, store).await,
+            LeaseStep::ReadClaim => read_claim(node, store).await,
             LeaseStep::Renew => match renew(node, store).await {
                 Ok(Some(_)) => period,
                 Ok(None) => Duration::ZERO,
@@ -135,42 +133,29 @@
 }
 
 /// Reads the claim after a takeover, and returns the time until the next step.
-async fn read_claim_once<S>(node: &Node, store: &S) -> Duration
+async fn read_claim<S>(node: &Node, store: &S) -> Duration
 where
     S: PlatformStore,
 {
     let Some(number) = node.duty.borrow().held_number() else { return Duration::ZERO };
-    match read_claim(node, store, number).await {
-        Ok(read) => {
-            let mut duty = node.duty.borrow_mut();
-            let is_held = duty.record_claim(number, read);
-            log::info!(number = number.0, era = duty.era(), is_found = is_held; "duty-claim-read");
-            Duration::ZERO
-        }
+    let found = match store.get(&claim_key(number)).await {
+        Ok(found) => found,
         Err(error) => {
             log::debug!(number = number.0, error:% = error; "duty-claim-not-read");
-            CLAIM_RETRY_INTERVAL
+            return CLAIM_RETRY_INTERVAL;
         }
-    }
-}
-
-/// Returns the claim of a term, if the store has it.
-async fn read_claim<S>(
-    node: &Node,
-    store: &S,
-    number: FencingNumber,
-) -> Result<Option<ClaimRead>, StoreError>
-where
-    S: PlatformStore,
-{
-    let found = store.get(&claim_key(number)).await;
+    };
     record_era(node, store);
-    let lease = |it: Option<LeaseId>| it.map_or(0, |it| it.0);
-    Ok(found?.map(|it| ClaimRead { revision: it.revision.0, lease: lease(it.lease) }))
+    let read =
+        found.map(|it| ClaimRead { revision: it.revision.0, lease: it.lease.map_or(0, |it| it.0) });
+    let mut duty = node.duty.borrow_mut();
+    let is_found = duty.record_claim(number, read);
+    log::info!(number = number.0, era = duty.era(), is_found; "duty-claim-read");
+    Duration::ZERO
 }
 
 /// Renews the lease; returns `None` if the term is over.
-async fn renew<S>(node: &Node, store: &S) -> Result<Option<Renewal>, StoreError>
+async fn renew<S>(node: &Node, store: &S) -> Result<Option<Confirmation>, StoreError>
 where
     S: PlatformStore,
 {
@@ -202,7 +187,7 @@
 {
     let asked_at = clock::now();
     let number = node.duty.borrow().fencing_number(asked_at)?;
-    let why = match renew_and_read_claim(node, store, number).await {
+    let why = match renew(node, store).await {
         Ok(Some(confirmation)) => return Some(confirmation),
         Ok(None) => "not held".to_owned(),
         Err(error) => error.to_string(),
@@ -212,19 +197,6 @@
     None
 }
 
-async fn renew_and_read_claim<S>(
-    node: &Node,
-    store: &S,
-    number: FencingNumber,
-) -> Result<Option<Confirmation>, StoreError>
-where
-    S: PlatformStore,
-{
-    let Some(renewal) = renew(node, store).await? else { return Ok(None) };
-    let read = read_claim(node, store, number).await?;
-    Ok(node.duty.borrow_mut().confirm(renewal, read))
-}
-
 /// Returns the key and revision that a write of the holder expects, so that it takes effect only while the term is held;
 /// `None` if this VM may not act or hasn't read its claim yet.
 pub(super) fn claim_to_expect(node: &Node) -> Option<(String, StoreRevision)> {
