--- /dev/null
+++ b/crates/quincevalve_forwarding/tests/duty_histories/main.rs
@@ -0,0 +1,86 @@
+//! Searches short histories of VMs, calls and a store that returns from older copies for calls of two holders that the
+//! platform couldn't tell apart, or that come in the wrong order.
+
+mod store;
+#[path = "../support/mod.rs"]
+mod support;
+mod world;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use world::{Delivery, Event, World};
+
+/// Plays all histories that go on from a world, and returns their number or the first that breaks a rule.
+fn search(world: &World, depth: usize, history: &mut Vec<Event>) -> Result<u64, String> {
+    if let Some(broken) = &world.broken {
+        return Err(format!("{broken}\n{history:?}"));
+    }
+    if depth == 0 {
+        return Ok(1);
+    }
+    let mut histories = 0;
+    for event in world.events() {
+        let mut next = world.clone();
+        next.take(event);
+        history.push(event);
+        histories += search(&next, depth - 1, history)?;
+        history.pop();
+    }
+    Ok(histories)
+}
+
+/// Number of events of the histories that are searched; `DUTY_EVENTS` overrides it.
+fn depth() -> usize {
+    std::env::var("DUTY_EVENTS").ok().and_then(|it| it.parse().ok()).unwrap_or(5)
+}
+
+/// Returns the number of random histories; `DUTY_SEEDS` overrides it.
+fn seeds() -> u64 {
+    std::env::var("DUTY_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(10_000)
+}
+
+fn short_histories(calls_always: bool) {
+    let mut first = World::new(calls_always);
+    first.take(Event::Begin(0));
+    first.take(Event::Commit(0, Delivery::Prompt));
+    match search(&first, depth(), &mut Vec::new()) {
+        Ok(histories) => eprintln!("{histories} histories"),
+        Err(broken) => panic!("{broken}"),
+    }
+}
+
+fn random_histories(calls_always: bool) {
+    let (mut acting, mut units, mut stale) = (0, 0, 0);
+    for seed in 0..seeds() {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut world = World::new(calls_always);
+        let mut history = Vec::new();
+        for _ in 0..40 {
+            let mut events = world.events();
+            if rng.random::<f64>() < 0.8 {
+                events.retain(Event::is_undisturbed);
+            }
+            let event = events[rng.random_range(0..events.len())];
+            history.push(event);
+            world.take(event);
+            assert!(world.broken.is_none(), "seed {seed}: {:?}\n{history:?}", world.broken);
+        }
+        let mut times: Vec<u64> = world.platform.iter().map(|it| it.0).collect();
+        times.dedup();
+        acting += times.len() as u64;
+        units += world.now;
+        stale += world.stale;
+    }
+    eprintln!("{acting} of {units} units with a holder that acts, {stale} stale calls");
+    assert!(acting * 5 > units || !calls_always, "only {acting} of {units}");
+}
+
+cases! { short_histories:
+    no_short_history_breaks_the_order_of_holders => true;
+    no_short_history_breaks_the_order_of_holders_that_call_rarely => false;
+}
+
+cases! { random_histories:
+    no_random_history_breaks_the_order_of_holders => true;
+    no_random_history_breaks_the_order_of_holders_that_call_rarely => false;
+}
--- a/crates/quincevalve_forwarding/tests/duty_histories.rs
+++ b/crates/quincevalve_forwarding/tests/duty_histories/world.rs
@@ -1,29 +1,24 @@
-//! Searches short histories of VMs, calls and a store that returns from older copies for calls of two holders that the
-//! platform couldn't tell apart, or that come in the wrong order.
+//! VMs with clocks of their own, their calls to the store and to the platform, and what may happen to them.
 
-mod support;
+use std::time::Duration;
 
-use std::{collections::BTreeMap, time::Duration};
-
-use quincevalve_forwarding::duty::{ClaimRead, DutyLease, LeaseStep, Takeover, Term, TermEnd};
+use quincevalve_forwarding::duty::{DutyLease, LeaseStep, Takeover, TermEnd};
 use quincevalve_names::{FencingNumber, TimePoint};
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 
-/// Duration of a lease in units of time; a holder may act in the first eight tenths of it.
-const TTL: u64 = 10;
+use crate::store::{Answer, Asked, Call, Key, State, TTL, in_era};
+
 /// Longest times that a call to the platform takes, and a confirmation, in units for which the VM runs.
-const CALL_TIME: u64 = 2;
-const CONFIRMATION_TIME: u64 = 4;
+pub(crate) const CALL_TIME: u64 = 2;
+pub(crate) const CONFIRMATION_TIME: u64 = 4;
 /// Number of VMs.
-const VMS: usize = 3;
+pub(crate) const VMS: usize = 3;
 /// Times that may pass between two events: within the usable part of a lease, and to its end.
-const WAITS: [u64; 2] = [3, 7];
-const UNIT: Duration = Duration::from_secs(1);
+pub(crate) const WAITS: [u64; 2] = [3, 7];
+pub(crate) const UNIT: Duration = Duration::from_secs(1);
 
 /// How a call and its answer arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Delivery {
+pub(crate) enum Delivery {
     Prompt,
     /// The call is executed, and its answer comes later.
     LateAnswer,
@@ -31,10 +26,11 @@
     LateExecution,
 }
 
-const DELIVERIES: [Delivery; 3] = [Delivery::Prompt, Delivery::LateAnswer, Delivery::LateExecution];
+pub(crate) const DELIVERIES: [Delivery; 3] =
+    [Delivery::Prompt, Delivery::LateAnswer, Delivery::LateExecution];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Event {
+pub(crate) enum Event {
     Wait(u64),
     /// A VM reads the term, and is granted a lease.
     Begin(usize),
@@ -70,7 +66,7 @@
 
 impl Event {
     /// Returns whether the event is part of what happens without faults.
-    const fn is_undisturbed(&self) -> bool {
+    pub(crate) const fn is_undisturbed(&self) -> bool {
         use Event::{Ask, Begin, Commit, Keep, RemoveOwn, Wait, Wake};
         match self {
             Wait(units) => *units == WAITS[0],
@@ -83,72 +79,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Key {
-    Holder,
-    Term,
-    Claim(FencingNumber),
-}
-
-#[derive(Clone, Debug)]
-struct Item {
-    revision: u64,
-    lease: u64,
-    vm: usize,
-    term: Term,
-}
-
-/// What a copy of the store contains.
-#[derive(Clone, Debug, Default)]
-struct State {
-    revision: u64,
-    items: BTreeMap<Key, Item>,
-    /// When each lease ends; `None` if another client keeps it.
-    leases: BTreeMap<u64, Option<u64>>,
-    last_lease: u64,
-}
-
-#[derive(Clone, Debug)]
-enum Call {
-    Takeover {
-        vm: usize,
-        takeover: Takeover,
-        term_revision: u64,
-        lease: u64,
-    },
-    ReadClaim(FencingNumber),
-    Confirm(Asked, u64),
-    Renew {
-        lease: u64,
-        sent_at: TimePoint,
-    },
-    /// Removes the holder's key and a claim, if the claim has this revision.
-    Remove(FencingNumber, u64),
-}
-
-/// What a VM asked to be confirmed for a call, and when: by its clock, in units for which it had run, and its pauses until
-/// then.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    number: FencingNumber,
-    sent_at: TimePoint,
-    ran: u64,
-    pauses: u32,
-}
-
-#[derive(Clone, Debug)]
-enum Answer {
-    Taken(Takeover, u64),
-    Claim(FencingNumber, Option<ClaimRead>),
-    Confirmed(Asked),
-    Renewed(TimePoint),
-    LeaseEnded,
-    Refused,
-}
-
 /// Whether a VM runs and reaches the store, and whether its clock runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Condition {
+pub(crate) enum Condition {
     Running,
     CutOff,
     Frozen,
@@ -156,134 +89,56 @@
 }
 
 impl Condition {
-    const fn runs(self) -> bool {
+    pub(crate) const fn runs(self) -> bool {
         matches!(self, Self::Running | Self::CutOff)
     }
 }
 
 #[derive(Clone, Debug)]
-struct Vm {
-    duty: DutyLease,
-    condition: Condition,
+pub(crate) struct Vm {
+    pub(crate) duty: DutyLease,
+    pub(crate) condition: Condition,
     /// Units of time that the VM's clock hasn't counted.
-    lag: u64,
+    pub(crate) lag: u64,
     /// A takeover whose lease was granted, with the term's revision.
-    begun: Option<(Takeover, u64, u64)>,
+    pub(crate) begun: Option<(Takeover, u64, u64)>,
     /// The newest call to the platform, the units for which the VM had run when it began, and when it was asked for.
-    call: Option<(FencingNumber, u64, Asked)>,
+    pub(crate) call: Option<(FencingNumber, u64, Asked)>,
     /// Units of time for which the VM has run, and how often it was suspended or its clock went back without its noticing.
-    ran: u64,
-    pauses: u32,
-    starts: u32,
+    pub(crate) ran: u64,
+    pub(crate) pauses: u32,
+    pub(crate) starts: u32,
 }
 
 #[derive(Clone, Debug)]
-struct World {
-    now: u64,
+pub(crate) struct World {
+    pub(crate) now: u64,
     /// Whether each VM that may act makes a call in each unit of time, and so renews its lease, or only by events.
-    calls_always: bool,
-    era: u64,
-    store: State,
-    copies: Vec<State>,
-    vms: Vec<Vm>,
-    calls: Vec<Call>,
+    pub(crate) calls_always: bool,
+    pub(crate) era: u64,
+    pub(crate) store: State,
+    pub(crate) copies: Vec<State>,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) calls: Vec<Call>,
     /// Answers under way, with the VM, its start and the era.
-    answers: Vec<(usize, u32, u64, Answer)>,
+    pub(crate) answers: Vec<(usize, u32, u64, Answer)>,
     /// Calls to the platform: time, VM and number. Without those of `stale`.
-    platform: Vec<(u64, usize, u64)>,
+    pub(crate) platform: Vec<(u64, usize, u64)>,
     /// Number of calls that were asked for before such a suspension, and came after.
-    stale: u64,
-    broken: Option<String>,
+    pub(crate) stale: u64,
+    pub(crate) broken: Option<String>,
 }
 
-fn at(units: u64) -> TimePoint {
+pub(crate) fn at(units: u64) -> TimePoint {
     TimePoint::from_millis(1_000 * units)
 }
 
-fn name(vm: usize) -> String {
+pub(crate) fn name(vm: usize) -> String {
     format!("vm-{vm}")
 }
 
-impl State {
-    fn write(&mut self, key: Key, item: Option<Item>) {
-        self.revision += 1;
-        match item {
-            Some(item) => self.items.insert(key, Item { revision: self.revision, ..item }),
-            None => self.items.remove(&key),
-        };
-    }
-
-    fn revision_of(&self, key: Key) -> u64 {
-        self.items.get(&key).map_or(0, |it| it.revision)
-    }
-
-    fn expire(&mut self, now: u64) {
-        self.leases.retain(|_, until| until.is_none_or(|it| it > now));
-        let lapsed: Vec<Key> = self
-            .items
-            .iter()
-            .filter(|(_, it)| it.lease != 0 && !self.leases.contains_key(&it.lease))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in lapsed {
-            self.write(key, None);
-        }
-    }
-
-    fn grant(&mut self, until: Option<u64>) -> u64 {
-        self.last_lease += 1;
-        self.leases.insert(self.last_lease, until);
-        self.last_lease
-    }
-
-    /// Renews a lease, and returns the answer if it hasn't ended.
-    fn renew(&mut self, lease: u64, now: u64, renewed: Answer) -> Answer {
-        let Some(until) = self.leases.get_mut(&lease) else { return Answer::LeaseEnded };
-        *until = until.map(|_| now + TTL);
-        renewed
-    }
-
-    fn execute(&mut self, call: Call, era: u64, now: u64) -> Answer {
-        match call {
-            Call::Takeover { vm, takeover, term_revision, lease } => {
-                let is_met = !self.items.contains_key(&Key::Holder)
-                    && self.revision_of(Key::Term) == term_revision
-                    && self.leases.contains_key(&lease);
-                if !is_met {
-                    return Answer::Refused;
-                }
-                let term = takeover.term.clone();
-                let claim = Key::Claim(term.number);
-                for (key, lease) in [(Key::Holder, lease), (claim, lease), (Key::Term, 0)] {
-                    self.write(key, Some(Item { revision: 0, lease, vm, term: term.clone() }));
-                }
-                Answer::Taken(takeover, lease)
-            }
-            Call::ReadClaim(number) => {
-                let item = self.items.get(&Key::Claim(number));
-                let read = item
-                    .map(|it| ClaimRead { revision: in_era(era, it.revision), lease: it.lease });
-                Answer::Claim(number, read)
-            }
-            Call::Renew { lease, sent_at } => self.renew(lease, now, Answer::Renewed(sent_at)),
-            Call::Confirm(asked, lease) => self.renew(lease, now, Answer::Confirmed(asked)),
-            Call::Remove(number, revision) => {
-                if self.revision_of(Key::Claim(number)) == revision {
-                    self.write(Key::Claim(number), None);
-                    self.write(Key::Holder, None);
-                }
-                Answer::Refused
-            }
-        }
-    }
-}
-
-const fn in_era(era: u64, revision: u64) -> u64 {
-    era << 44 | revision
-}
-
 impl World {
-    fn new(calls_always: bool) -> Self {
+    pub(crate) fn new(calls_always: bool) -> Self {
         let vm = |vm| Vm {
             duty: DutyLease::new(&name(vm), UNIT * TTL as u32, at(0), true),
             condition: Condition::Running,
@@ -310,16 +165,16 @@
     }
 
     /// Returns the time by a VM's clock.
-    fn time(&self, vm: usize) -> TimePoint {
+    pub(crate) fn time(&self, vm: usize) -> TimePoint {
         at(self.now.saturating_sub(self.vms[vm].lag))
     }
 
-    fn is_held(&self, vm: usize) -> bool {
+    pub(crate) fn is_held(&self, vm: usize) -> bool {
         self.vms[vm].duty.is_held(self.time(vm))
     }
 
     /// Returns the events that may come next. VMs are alike, so one that hasn't done anything is the next by number.
-    fn events(&self) -> Vec<Event> {
+    pub(crate) fn events(&self) -> Vec<Event> {
         let mut events: Vec<Event> = WAITS.map(Event::Wait).to_vec();
         let used = self.vms.iter().rposition(|it| it.starts > 0 || it.begun.is_some());
         let used = used.max(self.platform.iter().map(|it| it.1).max());
@@ -369,7 +224,7 @@
         events
     }
 
-    fn take(&mut self, event: Event) {
+    pub(crate) fn take(&mut self, event: Event) {
         let revision = (self.era, self.store.revision, self.store.last_lease);
         match event {
             Event::Wait(units) => {
@@ -465,7 +320,7 @@
         self.act();
     }
 
-    fn begin(&mut self, vm: usize) {
+    pub(crate) fn begin(&mut self, vm: usize) {
         let term = self.store.items.get(&Key::Term).map(|it| it.term.clone());
         let term_revision = self.store.revision_of(Key::Term);
         let now = self.time(vm);
@@ -479,7 +334,7 @@
         }
     }
 
-    fn remove_own(&mut self, vm: usize) {
+    pub(crate) fn remove_own(&mut self, vm: usize) {
         let now = self.time(vm);
         let duty = &mut self.vms[vm].duty;
         duty.record_era(self.era, now);
@@ -495,14 +350,14 @@
         }
     }
 
-    fn restart(&mut self, vm: usize) {
+    pub(crate) fn restart(&mut self, vm: usize) {
         let duty = DutyLease::new(&name(vm), UNIT * TTL as u32, self.time(vm), false);
         let it = &mut self.vms[vm];
         (it.duty, it.condition, it.begun, it.call) = (duty, Condition::Running, None, None);
         it.starts += 1;
     }
 
-    fn send(&mut self, vm: usize, call: Call, delivery: Delivery) {
+    pub(crate) fn send(&mut self, vm: usize, call: Call, delivery: Delivery) {
         if delivery == Delivery::LateExecution {
             self.calls.push(call);
             return;
@@ -515,7 +370,7 @@
         }
     }
 
-    fn deliver(&mut self, vm: usize, era: u64, answer: Answer) {
+    pub(crate) fn deliver(&mut self, vm: usize, era: u64, answer: Answer) {
         let now = self.time(vm);
         let duty = &mut self.vms[vm].duty;
         duty.record_era(era, now);
@@ -535,7 +390,7 @@
         }
     }
 
-    fn renew(&mut self, vm: usize, delivery: Delivery) {
+    pub(crate) fn renew(&mut self, vm: usize, delivery: Delivery) {
         let sent_at = self.time(vm);
         if let Some(lease) = self.vms[vm].duty.lease() {
             self.send(vm, Call::Renew { lease, sent_at }, delivery);
@@ -543,7 +398,7 @@
     }
 
     /// Lets a VM that may act ask the store to confirm its term for a call.
-    fn ask(&mut self, vm: usize, delivery: Delivery) {
+    pub(crate) fn ask(&mut self, vm: usize, delivery: Delivery) {
         let Vm { ran, pauses, .. } = self.vms[vm];
         let sent_at = self.time(vm);
         let Some(number) = self.vms[vm].duty.fencing_number(sent_at) else { return };
@@ -553,7 +408,7 @@
     }
 
     /// Begins the call that was asked for, unless the answer came too late.
-    fn confirm(&mut self, vm: usize, asked: Asked) {
+    pub(crate) fn confirm(&mut self, vm: usize, asked: Asked) {
         let now = self.time(vm);
         let Vm { duty, ran, call, .. } = &mut self.vms[vm];
         if *ran > asked.ran + CONFIRMATION_TIME || duty.held_number() != Some(asked.number) {
@@ -566,7 +421,7 @@
     }
 
     /// Lets all VMs that run act, and judges their calls, also those that began earlier and arrive now.
-    fn act(&mut self) {
+    pub(crate) fn act(&mut self) {
         for vm in 0..VMS {
             match self.vms[vm].condition {
                 Condition::Running if self.calls_always => self.ask(vm, Delivery::Prompt),
@@ -589,7 +444,7 @@
         }
     }
 
-    fn judge(&mut self, vm: usize, number: u64) {
+    pub(crate) fn judge(&mut self, vm: usize, number: u64) {
         let calls = &self.platform;
         let newest = calls.iter().map(|it| it.2).max().unwrap_or_default();
         let is_shared = calls.iter().any(|it| it.2 == number && it.1 != vm);
@@ -605,78 +460,3 @@
         self.broken.get_or_insert_with(|| format!("at {} vm-{vm} {what}: {number:#x}", self.now));
     }
 }
-
-/// Plays all histories that go on from a world, and returns their number or the first that breaks a rule.
-fn search(world: &World, depth: usize, history: &mut Vec<Event>) -> Result<u64, String> {
-    if let Some(broken) = &world.broken {
-        return Err(format!("{broken}\n{history:?}"));
-    }
-    if depth == 0 {
-        return Ok(1);
-    }
-    let mut histories = 0;
-    for event in world.events() {
-        let mut next = world.clone();
-        next.take(event);
-        history.push(event);
-        histories += search(&next, depth - 1, history)?;
-        history.pop();
-    }
-    Ok(histories)
-}
-
-/// Number of events of the histories that are searched; `DUTY_EVENTS` overrides it.
-fn depth() -> usize {
-    std::env::var("DUTY_EVENTS").ok().and_then(|it| it.parse().ok()).unwrap_or(5)
-}
-
-/// Returns the number of random histories; `DUTY_SEEDS` overrides it.
-fn seeds() -> u64 {
-    std::env::var("DUTY_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(10_000)
-}
-
-fn short_histories(calls_always: bool) {
-    let mut first = World::new(calls_always);
-    first.take(Event::Begin(0));
-    first.take(Event::Commit(0, Delivery::Prompt));
-    match search(&first, depth(), &mut Vec::new()) {
-        Ok(histories) => eprintln!("{histories} histories"),
-        Err(broken) => panic!("{broken}"),
-    }
-}
-
-fn random_histories(calls_always: bool) {
-    let (mut acting, mut units, mut stale) = (0, 0, 0);
-    for seed in 0..seeds() {
-        let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut world = World::new(calls_always);
-        let mut history = Vec::new();
-        for _ in 0..40 {
-            let mut events = world.events();
-            if rng.random::<f64>() < 0.8 {
-                events.retain(Event::is_undisturbed);
-            }
-            let event = events[rng.random_range(0..events.len())];
-            history.push(event);
-            world.take(event);
-            assert!(world.broken.is_none(), "seed {seed}: {:?}\n{history:?}", world.broken);
-        }
-        let mut times: Vec<u64> = world.platform.iter().map(|it| it.0).collect();
-        times.dedup();
-        acting += times.len() as u64;
-        units += world.now;
-        stale += world.stale;
-    }
-    eprintln!("{acting} of {units} units with a holder that acts, {stale} stale calls");
-    assert!(acting * 5 > units || !calls_always, "only {acting} of {units}");
-}
-
-cases! { short_histories:
-    no_short_history_breaks_the_order_of_holders => true;
-    no_short_history_breaks_the_order_of_holders_that_call_rarely => false;
-}
-
-cases! { random_histories:
-    no_random_history_breaks_the_order_of_holders => true;
-    no_random_history_breaks_the_order_of_holders_that_call_rarely => false;
-}
