Drop a check of the claim's term, and test three branches of the core

`record_claim` compared the number of the term that was asked for; the claim is read within the task of its term, and the lease is compared.

Mutants that survived and fail now: `begin_call` without the confirmed number or without what a holder may act under, and a takeover of the VM's own, carried out late after another VM has acted.

--- a/crates/quincevalve_forwarding/src/duty/lease.rs
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -256,10 +256,10 @@
         }
     }
 
-    /// Records the answer to a read of the claim of the term with this number; `None` if the store doesn't have it. Returns
-    /// whether this VM holds that term.
-    pub fn record_claim(&mut self, number: FencingNumber, read: Option<ClaimRead>) -> bool {
-        let Some(held) = self.held.as_mut().filter(|it| it.number == number) else { return false };
+    /// Records the answer to a read of the term's claim; `None` if the store doesn't have it. Returns whether this VM holds
+    /// the term.
+    pub fn record_claim(&mut self, read: Option<ClaimRead>) -> bool {
+        let Some(held) = &mut self.held else { return false };
         match read.filter(|it| it.lease == held.lease) {
             Some(read) => held.claim = Some(read.revision),
             None => self.end(TermEnd::ClaimLost),
--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -29,9 +29,7 @@
     let takeover = duty.begin_takeover(before, read_at, ms(at_ms))?;
     let term = takeover.term.clone();
     assert!(duty.complete_takeover(takeover, LEASE, ms(at_ms + 5)));
-    assert!(
-        duty.record_claim(term.number, Some(ClaimRead { revision: read_at + 1, lease: LEASE }))
-    );
+    assert!(duty.record_claim(Some(ClaimRead { revision: read_at + 1, lease: LEASE })));
     Ok(term)
 }
 
@@ -88,7 +86,7 @@
     duty.record_renewal(ms(2_900), ms(3_000));
     assert_eq!(duty.next_step(ms(3_000)), LeaseStep::Over(TermEnd::Expired));
     duty.record_renewal(ms(3_000), ms(3_001));
-    assert!(!duty.record_claim(FencingNumber(1), Some(ClaimRead { revision: 1, lease: LEASE })));
+    assert!(!duty.record_claim(Some(ClaimRead { revision: 1, lease: LEASE })));
     assert!(!may_act(&duty, 3_001));
 }
 
@@ -96,10 +94,9 @@
 fn claim_after_takeover(read: Option<ClaimRead>, is_held: bool) {
     let mut duty = vm("vm-a");
     let takeover = duty.begin_takeover(&Term::default(), 0, ms(0)).expect("a takeover");
-    let number = takeover.term.number;
     assert!(duty.complete_takeover(takeover, LEASE, ms(5)));
     assert_eq!(duty.next_step(ms(10)), LeaseStep::ReadClaim);
-    assert_eq!(duty.record_claim(number, read), is_held);
+    assert_eq!(duty.record_claim(read), is_held);
     let next = if is_held { LeaseStep::Renew } else { LeaseStep::Over(TermEnd::ClaimLost) };
     assert_eq!(duty.next_step(ms(20)), next);
     assert_eq!(duty.claim(ms(20)).is_some(), is_held);
@@ -119,7 +116,9 @@
     let early = duty.record_renewal(ms(100), ms(110)).expect("the term is held");
     duty.record_era(1, ms(200));
     take_over(&mut duty, &Term::default(), in_era(1, 0), 300).expect("a takeover");
+    let current = duty.record_renewal(ms(3_000), ms(3_010)).expect("the term is held");
     assert_eq!(duty.begin_call(early, ms(4_000)), None);
+    assert!(duty.begin_call(current, ms(4_000)).is_some());
 }
 
 // The lease would last until the clock has caught up.
@@ -151,7 +150,7 @@
     assert!(duty.record_renewal(ms(1_000), ms(1_010)).is_none());
     let read = Some(ClaimRead { revision: in_era(1, 1), lease: LEASE });
     assert_eq!(duty.begin_call(confirmation, ms(1_010)), None);
-    assert!(!duty.record_claim(FencingNumber(1), read));
+    assert!(!duty.record_claim(read));
     // Writes expect no claim of an earlier era.
     assert_eq!(duty.claim(ms(1_010)), None);
     assert_eq!(duty.next_step(ms(1_010)), LeaseStep::Over(TermEnd::StoreReturned));
@@ -188,6 +187,7 @@
     a_holder_returns_a_lease_after_its_calls => &["vm-a", "vm-b"], 4_000;
     a_holder_returns_a_lease_after_its_calls_also_after_two_others => &["vm-a", "vm-b", "vm-c"], 4_000;
     a_holder_returns_a_lease_after_its_calls_also_after_two_terms_of_another => &["vm-a", "vm-b", "vm-b"], 4_000;
+    a_holder_returns_a_lease_after_its_calls_also_after_a_takeover_of_its_own_that_came_late => &["vm-a", "vm-b", "vm-a"], 4_000;
 }
 
 // A process that has just started doesn't know when its VM acted last.
@@ -236,7 +236,7 @@
     duty.record_era(2, ms(11_000));
     take_over(&mut duty, &before, in_era(2, 4), 11_500).expect("a takeover");
     assert!(!may_act(&duty, 12_000));
-    duty.record_renewal(ms(13_500), ms(13_510));
+    assert_eq!(begin_call(&mut duty, 13_500), None);
     assert!(!may_act(&duty, 13_999));
     assert!(may_act(&duty, 14_000));
     assert_eq!(duty.clone().give_up(ms(13_999)), None);
--- a/crates/quincevalve_forwarding/tests/duty_histories/store.rs
+++ b/crates/quincevalve_forwarding/tests/duty_histories/store.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Answer {
     Taken(Takeover, u64),
-    Claim(FencingNumber, Option<ClaimRead>),
+    Claim(Option<ClaimRead>),
     Confirmed(Asked),
     Renewed(TimePoint),
     LeaseEnded,
@@ -130,7 +130,7 @@
                 let item = self.items.get(&Key::Claim(number));
                 let read = item
                     .map(|it| ClaimRead { revision: in_era(era, it.revision), lease: it.lease });
-                Answer::Claim(number, read)
+                Answer::Claim(read)
             }
             Call::Renew { lease, sent_at } => self.renew(lease, now, Answer::Renewed(sent_at)),
             Call::Confirm(asked, lease) => self.renew(lease, now, Answer::Confirmed(asked)),
--- a/crates/quincevalve_forwarding/tests/duty_histories/world.rs
+++ b/crates/quincevalve_forwarding/tests/duty_histories/world.rs
@@ -378,8 +378,8 @@
             Answer::Taken(takeover, lease) => {
                 duty.complete_takeover(takeover, lease, now);
             }
-            Answer::Claim(number, read) => {
-                duty.record_claim(number, read);
+            Answer::Claim(read) => {
+                duty.record_claim(read);
             }
             Answer::Confirmed(asked) => self.confirm(vm, asked),
             Answer::Renewed(sent_at) => {
--- a/crates/quincevalve_node/src/duties/term.rs
+++ b/crates/quincevalve_node/src/duties/term.rs
@@ -149,7 +149,7 @@
     let read =
         found.map(|it| ClaimRead { revision: it.revision.0, lease: it.lease.map_or(0, |it| it.0) });
     let mut duty = node.duty.borrow_mut();
-    let is_found = duty.record_claim(number, read);
+    let is_found = duty.record_claim(read);
     log::info!(number = number.0, era = duty.era(), is_found; "duty-claim-read");
     Duration::ZERO
 }
