Test two more branches of the holder's core, and drop a start time that is counted twice

Mutants that survived and fail now: a call that may finish under another term's number, and a claim that is named after the lease. The newest era is known no earlier than the process starts, so that `may_remove_own_keys` doesn't need the start besides.

--- a/crates/quincevalve_forwarding/src/duty/lease.rs
+++ b/crates/quincevalve_forwarding/src/duty/lease.rs
@@ -116,7 +116,7 @@
     started_at: TimePoint,
     /// Whether the whole system starts for the first time.
     is_first_start: bool,
-    /// The store's first known era, if any, the newest, and when that was first known.
+    /// The store's first known era, if any, the newest, and when that was first known, or the process started.
     first_era: Option<u64>,
     era: u64,
     era_known_at: TimePoint,
@@ -357,7 +357,7 @@
     /// aren't removed within a lease after this VM's calls, nor after the store returned: the next holder doesn't wait.
     pub fn may_remove_own_keys(&self, now: TimePoint) -> bool {
         let last_call = self.last_call.map_or(TimePoint::ZERO, |(_, at)| at);
-        let since = self.started_at.max(self.era_known_at).max(last_call);
+        let since = self.era_known_at.max(last_call);
         self.held.is_none() && self.taking.is_none() && now.since(since) >= self.ttl
     }
 }
--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -82,6 +82,7 @@
     assert!(!duty.is_held(ms(3_000)));
     assert!(duty.may_finish_call(FencingNumber(1), ms(2_999)));
     assert!(!duty.may_finish_call(FencingNumber(1), ms(3_000)));
+    assert!(duty.claim(ms(2_999)).is_some() && duty.claim(ms(3_000)).is_none());
     // The store may have the lease again, from an older copy: nothing is sent for the term any more.
     duty.record_renewal(ms(2_900), ms(3_000));
     assert_eq!(duty.next_step(ms(3_000)), LeaseStep::Over(TermEnd::Expired));
@@ -119,6 +120,7 @@
     let current = duty.record_renewal(ms(3_000), ms(3_010)).expect("the term is held");
     assert_eq!(duty.begin_call(early, ms(4_000)), None);
     assert!(duty.begin_call(current, ms(4_000)).is_some());
+    assert!(!duty.may_finish_call(FencingNumber(1), ms(4_000)));
 }
 
 // The lease would last until the clock has caught up.
