--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -283,17 +283,18 @@
 }
 
 // Windows that ended count as reported where terms may be lost, so a system that starts for the first time must report them.
-fn first_term_after(is_first_start: bool, eras: &[u64], may_have_lost_terms: bool) {
+fn lost_terms(is_first_start: bool, eras: &[u64], before: &[&str], may_have_lost_terms: bool) {
     let mut duty = DutyLease::new("vm-a", TTL, ms(0), is_first_start);
     eras.iter().for_each(|it| duty.record_era(*it, ms(100)));
     let read_at = in_era(duty.era(), 0);
-    let takeover = duty.begin_takeover(&Term::default(), read_at, ms(200)).expect("a takeover");
+    let takeover = duty.begin_takeover(&term_of(before), read_at, ms(200)).expect("a takeover");
     assert_eq!(takeover.may_have_lost_terms, may_have_lost_terms);
 }
 
-cases! { first_term_after:
-    no_term_is_lost_in_the_first_era => false, &[0], false;
-    no_term_is_lost_when_a_system_starts_for_the_first_time => true, &[5], false;
-    terms_may_be_lost_when_a_process_starts_in_a_later_era => false, &[5], true;
-    terms_may_be_lost_after_a_return => true, &[0, 1], true;
+cases! { lost_terms:
+    no_term_is_lost_in_the_first_era => false, &[0], &[], false;
+    no_term_is_lost_when_a_system_starts_for_the_first_time => true, &[5], &[], false;
+    terms_may_be_lost_when_a_process_starts_in_a_later_era => false, &[5], &[], true;
+    terms_may_be_lost_after_a_return => true, &[0, 1], &[], true;
+    terms_may_be_lost_where_the_copy_has_an_earlier_one => true, &[5], &["vm-b"], true;
 }
