--- a/crates/quincevalve_forwarding/tests/duty.rs
+++ b/crates/quincevalve_forwarding/tests/duty.rs
@@ -285,7 +285,9 @@
 // Windows that ended count as reported where terms may be lost, so a system that starts for the first time must report them.
 fn lost_terms(is_first_start: bool, eras: &[u64], before: &[&str], may_have_lost_terms: bool) {
     let mut duty = DutyLease::new("vm-a", TTL, ms(0), is_first_start);
-    eras.iter().for_each(|it| duty.record_era(*it, ms(100)));
+    for era in eras {
+        duty.record_era(*era, ms(100));
+    }
     let read_at = in_era(duty.era(), 0);
     let takeover = duty.begin_takeover(&term_of(before), read_at, ms(200)).expect("a takeover");
     assert_eq!(takeover.may_have_lost_terms, may_have_lost_terms);
