--- a/crates/quincevalve_node/tests/duty_calls.rs
+++ b/crates/quincevalve_node/tests/duty_calls.rs
@@ -74,3 +74,23 @@
         assert_eq!(calls.len(), made, "{calls:?}");
     });
 }
+
+// The store writes a report and doesn't confirm the term before the call: the window would never be reported.
+#[test]
+fn a_report_that_is_not_confirmed_is_sent_later() {
+    run(async {
+        let world = start_holder(Duration::from_secs(60)).await;
+        world.store.reject_renewals(true);
+        let made = world.cloud.calls.borrow().len();
+        sleep(CALLS_TIME).await;
+        assert_eq!(world.cloud.calls.borrow().len(), made, "calls without a confirmation");
+        let stored = world.store.items_with_prefix("duty/usage");
+        let stored: serde_json::Value = serde_json::from_slice(&stored[0].value).expect("a report");
+        let window = stored["window"].as_u64().expect("a window");
+        assert!(!world.cloud.windows.borrow().contains(&window), "it is reported already");
+        world.store.reject_renewals(false);
+        wait_for_calls(&world, made).await;
+        let windows = world.cloud.windows.borrow();
+        assert!(windows.contains(&window), "{window} of {windows:?}");
+    });
+}
--- a/crates/quincevalve_node/tests/support/fake_store.rs
+++ b/crates/quincevalve_node/tests/support/fake_store.rs
@@ -29,6 +29,7 @@
     era: Cell<u64>,
     leases: Cell<u64>,
     ended_leases: RefCell<Vec<LeaseId>>,
+    are_renewals_rejected: Cell<bool>,
     /// Maximum number of changes in one answer.
     max_changes: Cell<Option<usize>>,
     changed: Notify,
@@ -179,6 +180,11 @@
         self.put_item("duty/holder", name.into());
     }
 
+    /// Rejects the renewals of all leases, or answers them again.
+    pub fn reject_renewals(&self, are_rejected: bool) {
+        self.shared.are_renewals_rejected.set(are_rejected);
+    }
+
     /// Returns whether the descriptor of a VM is there.
     pub fn lists_vm(&self, name: &str) -> bool {
         !self.items_with_prefix(&format!("peers/a/{name}")).is_empty()
@@ -442,6 +448,9 @@
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.admit_call().await?;
+        if self.shared.are_renewals_rejected.get() {
+            return Err(StoreError::Unreadable { what: "rejected".to_owned() });
+        }
         let is_ended = self.shared.ended_leases.borrow().contains(&lease);
         if is_ended { Err(StoreError::LeaseEnded) } else { Ok(()) }
     }
--- a/crates/quincevalve_node/tests/support/mod.rs
+++ b/crates/quincevalve_node/tests/support/mod.rs
@@ -82,6 +82,8 @@
 #[derive(Clone, Default)]
 pub struct FakeCloud {
     pub calls: Rc<RefCell<Vec<(DutyCall, u64)>>>,
+    /// The windows of the reports.
+    pub windows: Rc<RefCell<Vec<u64>>>,
 }
 
 impl FakeCloud {
@@ -94,10 +96,11 @@
     async fn report_usage(
         &self,
         holder: &DutyHolder,
-        _: u64,
+        window: u64,
         _: &IndexMap<ClientAccountName, u64>,
     ) -> Result<(), CloudError> {
         self.record(DutyCall::Report, holder);
+        self.windows.borrow_mut().push(window);
         Ok(())
     }
 
