Test that the answer that confirms a call tells the era

A mutant survived: without the era recorded after a renewal, an order went out under a number of an ended era until the next step of the term.

--- a/crates/quincevalve_node/tests/duty_calls.rs
+++ b/crates/quincevalve_node/tests/duty_calls.rs
@@ -7,7 +7,7 @@
 
 use quincevalve_forwarding::config::Scaling;
 use quincevalve_names::{DataCentreName, ServiceName};
-use support::{DutyCall, Reply, Setup, World, run, sealed};
+use support::{DutyCall, FakeStore, Reply, Setup, World, run, sealed};
 use tokio::time::{sleep, timeout};
 
 /// Interval at which a condition is polled.
@@ -61,13 +61,12 @@
     });
 }
 
-// The holder's clock doesn't show that its lease is over, because it didn't count the time for which the VM was suspended:
-// here, since a lease is longer than the test.
-#[test]
-fn no_call_is_made_after_another_vm_has_taken_over() {
+/// A lease is longer than the test, so that the holder's clock doesn't show that it is over, nor does a renewal that keeps
+/// it: as after a suspension that the clock didn't count.
+fn no_call_after(change: impl FnOnce(&FakeStore)) {
     run(async {
         let world = start_holder(Duration::from_secs(60)).await;
-        world.store.take_duties_over("another");
+        change(&world.store);
         let made = world.cloud.calls.borrow().len();
         sleep(CALLS_TIME).await;
         let calls = world.cloud.calls.borrow();
@@ -75,6 +74,17 @@
     });
 }
 
+#[test]
+fn no_call_is_made_after_another_vm_has_taken_over() {
+    no_call_after(|store| store.take_duties_over("another"));
+}
+
+// The confirmation of the call is the first to state the era.
+#[test]
+fn no_call_is_made_after_the_store_has_returned() {
+    no_call_after(|store| store.return_from_copy(|_| {}));
+}
+
 // The store writes a report and doesn't confirm the term before the call: the window would never be reported.
 #[test]
 fn a_report_that_is_not_confirmed_is_sent_later() {
